--- /dev/null
+++ b/bitternturn/__init__.py
@@ -0,0 +1,1 @@
+"""Query tier between callers and a search service spread over many shards."""
--- /dev/null
+++ b/bitternturn/administration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' API."""
--- /dev/null
+++ b/bitternturn/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' listener, the life of a query, and merging."""
--- /dev/null
+++ b/bitternturn/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/bitternturn/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Loading, checking, accepting and spreading of configuration."""
--- /dev/null
+++ b/bitternturn/core/__init__.py
@@ -0,0 +1,1 @@
+"""Identifiers, errors, clocks, settings and logs that every part uses."""
--- /dev/null
+++ b/bitternturn/core/ids.py
@@ -0,0 +1,14 @@
+"""Identifiers as distinct types."""
+
+from typing import NewType
+
+InstanceId = NewType('InstanceId', str)
+Incarnation = NewType('Incarnation', int)
+FailureDomain = NewType('FailureDomain', str)
+TargetId = NewType('TargetId', str)
+ShardId = NewType('ShardId', str)
+IndexName = NewType('IndexName', str)
+ProfileName = NewType('ProfileName', str)
+RequestId = NewType('RequestId', str)
+Snapshot = NewType('Snapshot', int)
+Version = NewType('Version', int)
--- /dev/null
+++ b/bitternturn/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that joins all parts of one instance."""
--- /dev/null
+++ b/bitternturn/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 by h11, on both sides."""
--- /dev/null
+++ b/bitternturn/http/client.py
@@ -0,0 +1,239 @@
+"""HTTP client connection: one exchange at a time."""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+
+import h11
+
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.http.models import Response
+
+STEP_CONNECT = 'connect'
+STEP_EXCHANGE = 'exchange'
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server; usable again after each whole exchange.
+
+    An exchange that is cancelled or goes wrong leaves it closed.
+    """
+
+    def __init__(self, *, peer: str) -> None:
+        """Prepare; `async_connect` makes a connected one."""
+        self.peer = peer
+        self.h11 = h11.Connection(h11.CLIENT)
+        self.transport: asyncio.Transport | None = None
+        # Whether bytes of the present request were given to the transport.
+        self.sent = False
+        self._head: h11.Response | None = None
+        self._parts: list[bytes] = []
+        self._waiter: asyncio.Future[Response] | None = None
+        self._chunks: asyncio.Queue[bytes | None] | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Whether another exchange may start."""
+        return (
+            self.transport is not None
+            and not self.transport.is_closing()
+            and self.h11.our_state is h11.IDLE
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; end the exchange when the response is whole."""
+        try:
+            self.h11.receive_data(data)
+            self._advance()
+        except h11.RemoteProtocolError as error:
+            self._fail(ErrorCode.BAD_ANSWER, str(error))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange in flight."""
+        self._fail(ErrorCode.CONNECTION_LOST, str(exc or 'closed by peer'))
+
+    def close(self) -> None:
+        """Close at once; the server sees it as a cancellation."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def async_exchange(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes = b'',
+    ) -> Response:
+        """Send a request and return the whole response.
+
+        Raises BitternturnError with CONNECTION_LOST or BAD_ANSWER.
+        """
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        self._send_request(method, path, headers, body)
+        try:
+            return await self._waiter
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            self._waiter = None
+
+    async def async_stream(
+        self,
+        *,
+        path: str,
+        headers: Mapping[str, str],
+    ) -> tuple[Response, AsyncIterator[bytes]]:
+        """Send a GET; return the head and an iterator over the chunks."""
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        self._chunks = asyncio.Queue()
+        self._send_request('GET', path, headers, b'')
+        try:
+            response = await self._waiter
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            self._waiter = None
+        return response, self._iterate()
+
+    async def _iterate(self) -> AsyncIterator[bytes]:
+        """Yield chunks until the response or the connection ends."""
+        assert self._chunks is not None
+        try:
+            while True:
+                chunk = await self._chunks.get()
+                if chunk is None:
+                    return
+                yield chunk
+        finally:
+            self.close()
+
+    def _send_request(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> None:
+        """Write one request in one piece."""
+        if self.transport is None or not self.usable:
+            raise BitternturnError(
+                'not usable',
+                code=ErrorCode.CONNECTION_LOST,
+                step=STEP_EXCHANGE,
+                peer=self.peer,
+            )
+        pairs = [('host', self.peer), *headers.items()]
+        if body or method != 'GET':
+            pairs.append(('content-length', str(len(body))))
+        head = h11.Request(method=method, target=path, headers=pairs)
+        events: list[h11.Event] = [head]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        wire = b''.join(self.h11.send(event) or b'' for event in events)
+        self.sent = True
+        self.transport.write(wire)
+
+    def _advance(self) -> None:
+        """Take events from the parser."""
+        while True:
+            event = self.h11.next_event()
+            if isinstance(event, h11.Response):
+                self._head = event
+                if self._chunks is not None:
+                    self._deliver(self._whole())
+            elif isinstance(event, h11.Data):
+                self._take_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._end()
+                return
+            elif not isinstance(event, h11.InformationalResponse):
+                return
+
+    def _take_data(self, data: bytes) -> None:
+        """Keep or pass on a part of the body."""
+        if self._chunks is None:
+            self._parts.append(data)
+        else:
+            self._chunks.put_nowait(data)
+
+    def _end(self) -> None:
+        """Deliver a whole response and make ready for the next exchange."""
+        response = self._whole()
+        if self._chunks is not None:
+            self._chunks.put_nowait(None)
+        if (
+            self.h11.our_state is h11.DONE
+            and self.h11.their_state is h11.DONE
+            and self._chunks is None
+        ):
+            self.h11.start_next_cycle()
+        else:
+            self.close()
+        self._parts = []
+        self._deliver(response)
+
+    def _whole(self) -> Response:
+        """Return what has come as a response."""
+        assert self._head is not None
+        return Response(
+            status=self._head.status_code,
+            headers={
+                name.decode('ascii'): content.decode('latin-1')
+                for name, content in self._head.headers
+            },
+            body=b''.join(self._parts),
+        )
+
+    def _deliver(self, response: Response) -> None:
+        """Wake the exchange; a response nobody asked for closes."""
+        if self._waiter is None:
+            if self._chunks is None:
+                self.close()
+            return
+        if not self._waiter.done():
+            self._waiter.set_result(response)
+
+    def _fail(self, code: ErrorCode, message: str) -> None:
+        """End the exchange in flight with an error."""
+        self.close()
+        if self._chunks is not None:
+            self._chunks.put_nowait(None)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(
+                BitternturnError(
+                    message,
+                    code=code,
+                    step=STEP_EXCHANGE,
+                    peer=self.peer,
+                ),
+            )
+
+
+async def async_connect(*, host: str, port: int) -> ClientConnection:
+    """Return a connected client; raises BitternturnError when refused."""
+    peer = f'{host}:{port}'
+    loop = asyncio.get_running_loop()
+    try:
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(peer=peer),
+            host,
+            port,
+        )
+    except OSError as error:
+        raise BitternturnError(
+            str(error),
+            code=ErrorCode.CONNECTION_LOST,
+            step=STEP_CONNECT,
+            peer=peer,
+        ) from error
+    return connection
--- /dev/null
+++ b/bitternturn/http/models.py
@@ -0,0 +1,82 @@
+"""Requests and responses."""
+
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.http.const import STATUS_OK
+
+
+@dataclass(kw_only=True, slots=True)
+class Request:
+    """One whole request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str = ''
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    peer: str = ''
+
+    def argument(self, name: str, default: str = '') -> str:
+        """Return one argument of the query string."""
+        return parse_qs(self.query).get(name, [default])[0]
+
+    def json(self) -> Any:
+        """Return the body decoded from JSON."""
+        try:
+            return msgspec.json.decode(self.body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise BitternturnError(
+                str(error),
+                code=ErrorCode.BAD_REQUEST,
+                step='decode body',
+                peer=self.peer,
+            ) from error
+
+
+@dataclass(kw_only=True, slots=True)
+class Response:
+    """One response: a whole body, or a stream of chunks."""
+
+    status: int = STATUS_OK
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    stream: AsyncIterator[bytes] | None = None
+
+
+def json_response(
+    content: Any,
+    *,
+    status: int = STATUS_OK,
+    headers: Mapping[str, str] | None = None,
+) -> Response:
+    """Return a response with a JSON body."""
+    return Response(
+        status=status,
+        headers={'content-type': 'application/json', **(headers or {})},
+        body=msgspec.json.encode(content),
+    )
+
+
+def error_response(
+    error: BitternturnError,
+    *,
+    status: int,
+    headers: Mapping[str, str] | None = None,
+) -> Response:
+    """Return a response that tells the code, step and peer of a failure."""
+    return json_response(
+        {
+            'code': error.code.value,
+            'step': error.step,
+            'peer': error.peer,
+            'message': error.message,
+        },
+        status=status,
+        headers=headers,
+    )
--- /dev/null
+++ b/bitternturn/http/server.py
@@ -0,0 +1,367 @@
+"""HTTP server: one handler, limits, and a drain that cuts no request."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+import logbook
+
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.tasks import TaskSet
+from bitternturn.http import const
+from bitternturn.http.models import Request, Response, error_response
+
+LOGGER = logbook.Logger('http.server')
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class ServerLimits:
+    """What one listener bears; times are in seconds."""
+
+    body_bytes: int = const.DEFAULT_BODY_BYTES
+    header_bytes: int = const.DEFAULT_HEADER_BYTES
+    header_timeout: float = const.DEFAULT_HEADER_TIMEOUT_S
+    idle_timeout: float = const.DEFAULT_IDLE_TIMEOUT_S
+    connections: int = const.DEFAULT_CONNECTIONS
+
+
+DEFAULT_LIMITS = ServerLimits()
+
+
+class HttpServer:
+    """Listens on one address and gives whole requests to a handler."""
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: ServerLimits = DEFAULT_LIMITS,
+    ) -> None:
+        """Hold the handler; nothing listens yet."""
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[ServerConnection] = set()
+        self.tasks = TaskSet()
+        self.draining = False
+        self.host = ''
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def async_start(self, *, host: str, port: int) -> None:
+        """Listen; port 0 takes a free one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(server=self),
+            host,
+            port,
+        )
+        self.host, self.port = self._server.sockets[0].getsockname()[:2]
+
+    def close_listener(self) -> None:
+        """Take no further connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def async_drain(self) -> None:
+        """Let each request in flight be answered, then close."""
+        self.draining = True
+        self.close_listener()
+        for connection in list(self.connections):
+            connection.close_when_idle()
+        while self.connections:
+            await asyncio.wait(
+                [connection.closed for connection in self.connections],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
+    async def async_stop(self) -> None:
+        """Close at once."""
+        self.close_listener()
+        for connection in list(self.connections):
+            connection.abort()
+        await self.tasks.async_stop()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection: reads a request, runs the handler, writes the answer."""
+
+    def __init__(self, *, server: HttpServer) -> None:
+        """Prepare for the first request."""
+        self.server = server
+        self.h11 = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=server.limits.header_bytes,
+        )
+        self.closed: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.peer = ''
+        self.transport: asyncio.Transport | None = None
+        self.request: h11.Request | None = None
+        self.body = bytearray()
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Admit the connection within the limit."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        address = transport.get_extra_info('peername') or ('', 0)
+        self.peer = f'{address[0]}:{address[1]}'
+        self.server.connections.add(self)
+        if len(self.server.connections) > self.server.limits.connections:
+            self._refuse(
+                const.STATUS_UNAVAILABLE,
+                ErrorCode.OVERLOADED,
+                'connections',
+            )
+            return
+        self._arm(self.server.limits.header_timeout)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the handler: nobody waits for its answer."""
+        self.server.connections.discard(self)
+        self._disarm()
+        self.writable.set()
+        if self.task is not None:
+            self.task.cancel()
+        if not self.closed.done():
+            self.closed.set_result(None)
+
+    def pause_writing(self) -> None:
+        """Hold back a stream while the peer reads slowly."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with a stream."""
+        self.writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        try:
+            self.h11.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            self._refuse_malformed(error)
+            return
+        if self.task is None:
+            self._advance()
+
+    def eof_received(self) -> bool:
+        """Close when the peer closes its side."""
+        return False
+
+    def close_when_idle(self) -> None:
+        """Close now if no request is in flight, else after its answer."""
+        if self.task is None and self.request is None:
+            self.close()
+
+    def close(self) -> None:
+        """Close after what is written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _advance(self) -> None:
+        """Take events from the parser until a request is whole."""
+        while self.task is None:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse_malformed(error)
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self.close()
+                return
+            self._take(event)
+            if self.transport is None or self.transport.is_closing():
+                return
+
+    def _take(self, event: object) -> None:
+        """Act on one event of the parser."""
+        if isinstance(event, h11.Request):
+            self._begin(event)
+        elif isinstance(event, h11.Data):
+            self.body += event.data
+            if len(self.body) > self.server.limits.body_bytes:
+                self._refuse(
+                    const.STATUS_TOO_LARGE,
+                    ErrorCode.BODY_TOO_LARGE,
+                    'read body',
+                )
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish_request()
+
+    def _begin(self, event: h11.Request) -> None:
+        """Check the head of a request."""
+        names = [name for name, _ in event.headers]
+        if b'transfer-encoding' in names and b'content-length' in names:
+            self._refuse(
+                const.STATUS_BAD_REQUEST,
+                ErrorCode.BAD_REQUEST,
+                'read head',
+            )
+            return
+        self.request = event
+        self.body = bytearray()
+        self._arm(self.server.limits.header_timeout)
+        expects = self.h11.they_are_waiting_for_100_continue
+        if expects and self.transport is not None:
+            self.transport.write(
+                self.h11.send(
+                    h11.InformationalResponse(status_code=100, headers=[]),
+                )
+                or b'',
+            )
+
+    def _finish_request(self) -> None:
+        """Run the handler on a whole request."""
+        head = self.request
+        assert head is not None
+        self._disarm()
+        path, _, query = head.target.decode('ascii').partition('?')
+        request = Request(
+            method=head.method.decode('ascii'),
+            path=path,
+            query=query,
+            headers={
+                name.decode('ascii'): content.decode('latin-1')
+                for name, content in head.headers
+            },
+            body=bytes(self.body),
+            peer=self.peer,
+        )
+        self.task = self.server.tasks.spawn(self._answer(request))
+
+    async def _answer(self, request: Request) -> None:
+        """Run the handler and write its response."""
+        try:
+            response = await self.server.handler(request)
+        except BitternturnError as error:
+            response = error_response(error, status=const.STATUS_BAD_REQUEST)
+        except Exception:
+            LOGGER.exception('handler failed for {}', request.path)
+            response = error_response(
+                BitternturnError(code=ErrorCode.INTERNAL, step='handler'),
+                status=const.STATUS_INTERNAL,
+            )
+        if response.stream is None:
+            self._write_whole(response)
+        else:
+            await self._write_stream(response)
+        self._next_request()
+
+    def _write_whole(self, response: Response) -> None:
+        """Write a response with a known length."""
+        headers = _encode_headers(response)
+        headers.append(
+            (b'content-length', str(len(response.body)).encode('ascii')),
+        )
+        self._send(
+            h11.Response(status_code=response.status, headers=headers),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        )
+
+    async def _write_stream(self, response: Response) -> None:
+        """Write a response in chunks until its stream ends."""
+        assert response.stream is not None
+        self._send(
+            h11.Response(
+                status_code=response.status,
+                headers=_encode_headers(response),
+            ),
+        )
+        async with contextlib.aclosing(response.stream) as stream:  # type: ignore[type-var]
+            async for chunk in stream:
+                await self.writable.wait()
+                self._send(h11.Data(data=chunk))
+        self._send(h11.EndOfMessage())
+
+    def _send(self, *events: h11.Event) -> None:
+        """Write events in one piece."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.write(
+            b''.join(self.h11.send(event) or b'' for event in events),
+        )
+
+    def _next_request(self) -> None:
+        """Make ready for the next request, or close."""
+        self.task = None
+        self.request = None
+        reusable = (
+            self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+        )
+        if self.server.draining or not reusable:
+            self.close()
+            return
+        self.h11.start_next_cycle()
+        self._arm(self.server.limits.idle_timeout)
+        self._advance()
+
+    def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
+        """Answer what the parser refused."""
+        status = error.error_status_hint
+        code = ErrorCode.BAD_REQUEST
+        if status == const.STATUS_HEADERS_TOO_LARGE:
+            code = ErrorCode.HEADERS_TOO_LARGE
+        self._refuse(status, code, 'read head')
+
+    def _refuse(self, status: int, code: ErrorCode, step: str) -> None:
+        """Answer an error if the state allows it, and close."""
+        if self.task is not None:
+            self.abort()
+            return
+        if self.h11.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            response = error_response(
+                BitternturnError(code=code, step=step, peer=self.peer),
+                status=status,
+                headers={'connection': 'close'},
+            )
+            self._write_whole(response)
+        self.close()
+
+    def _arm(self, seconds: float) -> None:
+        """Close the connection unless disarmed in time."""
+        self._disarm()
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(seconds, self._time_out)
+
+    def _disarm(self) -> None:
+        """Stop the timer."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def _time_out(self) -> None:
+        """Answer a request that does not come, or close an idle connection."""
+        if self.request is None and self.h11.trailing_data == (b'', False):
+            self.close()
+            return
+        self._refuse(
+            const.STATUS_REQUEST_TIMEOUT,
+            ErrorCode.REQUEST_TIMEOUT,
+            'read request',
+        )
+
+
+def _encode_headers(response: Response) -> list[tuple[bytes, bytes]]:
+    """Return the headers in the form of h11."""
+    return [
+        (name.encode('ascii'), content.encode('latin-1'))
+        for name, content in response.headers.items()
+    ]
--- /dev/null
+++ b/bitternturn/owners/__init__.py
@@ -0,0 +1,1 @@
+"""The owner's side of a target: queue, limits, connections."""
--- /dev/null
+++ b/bitternturn/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances by grpclib."""
--- /dev/null
+++ b/bitternturn/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's object API and instance list."""
--- /dev/null
+++ b/bitternturn/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on queries: pure functions of state and the present time."""
--- /dev/null
+++ b/bitternturn/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and settings; the code beside the .proto files is generated."""
--- /dev/null
+++ b/bitternturn/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of one process and their merge over all processes."""
