--- /dev/null
+++ b/bitternturn/callers/parse.py
@@ -0,0 +1,125 @@
+"""Checks a caller's request."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from bitternturn.callers import const
+from bitternturn.callers.models import QueryBody, QueryRequest
+from bitternturn.claims.const import MAX_KEY_BYTES
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.ids import IndexName, ProfileName, RequestId, ShardId
+from bitternturn.http.models import Request
+from bitternturn.schema.config_pb2 import Index, Profile
+
+STEP = 'check request'
+
+
+def parse_query(
+    *,
+    request: Request,
+    index_of: Callable[[IndexName], Index | None],
+    profile_of: Callable[[ProfileName], Profile | None],
+    rng: random.Random,
+    now: float,
+) -> QueryRequest:
+    """Return the checked request; raises BitternturnError with a code."""
+    index = index_of(IndexName(request.path.removeprefix(const.PATH_QUERY)))
+    if index is None or not index.maps:
+        raise _bad(request, 'unknown index', ErrorCode.UNKNOWN_INDEX)
+    body = _decode(request)
+    profile = profile_of(ProfileName(body.profile))
+    if profile is None:
+        raise _bad(request, 'unknown profile', ErrorCode.UNKNOWN_PROFILE)
+    shards = _shards(request, body, index)
+    key = request.headers.get(const.HEADER_KEY, '')
+    _check_key(request, profile, key, shards)
+    return QueryRequest(
+        request_id=_request_id(request, rng),
+        index=index,
+        profile=profile,
+        body=bytes(body.query),
+        shards=shards,
+        limit=_limit(request, body, profile),
+        started=now,
+        deadline=now + _deadline_ms(request, profile) / const.MS_PER_SECOND,
+        key=key,
+    )
+
+
+def _bad(
+    request: Request,
+    message: str,
+    code: ErrorCode = ErrorCode.BAD_REQUEST,
+) -> BitternturnError:
+    """Return the error of a request that can't be run."""
+    return BitternturnError(message, code=code, step=STEP, peer=request.peer)
+
+
+def _decode(request: Request) -> QueryBody:
+    """Return the body's typed form."""
+    try:
+        body = msgspec.json.decode(request.body, type=QueryBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise _bad(request, str(error)) from error
+    if not bytes(body.query).lstrip().startswith(b'{'):
+        raise _bad(request, 'query is not an object')
+    return body
+
+
+def _shards(
+    request: Request,
+    body: QueryBody,
+    index: Index,
+) -> tuple[ShardId, ...]:
+    """Return the shards asked for; empty for all."""
+    if body.shards is None:
+        return ()
+    known = {shard.id for shard in index.maps[-1].shards}
+    unknown = sorted(set(body.shards) - known)
+    if unknown or not body.shards:
+        raise _bad(request, f'unknown shards: {unknown}')
+    return tuple(ShardId(shard) for shard in dict.fromkeys(body.shards))
+
+
+def _check_key(
+    request: Request,
+    profile: Profile,
+    key: str,
+    shards: tuple[ShardId, ...],
+) -> None:
+    """Check what a request that may not be repeated needs."""
+    if len(key.encode()) > MAX_KEY_BYTES:
+        raise _bad(request, 'idempotency key is too long')
+    if profile.repeatable and key:
+        raise _bad(request, 'profile takes no idempotency key')
+    if not profile.repeatable and len(shards) != 1:
+        raise _bad(request, 'profile needs exactly one shard')
+
+
+def _request_id(request: Request, rng: random.Random) -> RequestId:
+    """Return the caller's id, or a new one."""
+    given = request.headers.get(const.HEADER_REQUEST_ID, '')
+    if len(given) > const.MAX_REQUEST_ID_CHARS or not given.isascii():
+        raise _bad(request, 'request id is too long or not ASCII')
+    return RequestId(given or f'{rng.getrandbits(const.REQUEST_ID_BITS):016x}')
+
+
+def _limit(request: Request, body: QueryBody, profile: Profile) -> int:
+    """Return the most hits of the answer."""
+    if body.limit is None:
+        return profile.result_limit
+    if body.limit < 1:
+        raise _bad(request, 'limit is below 1')
+    return min(body.limit, profile.result_limit)
+
+
+def _deadline_ms(request: Request, profile: Profile) -> int:
+    """Return the time the caller gives, at most the profile's."""
+    text = request.headers.get(const.HEADER_DEADLINE_MS)
+    if text is None:
+        return profile.deadline_ms
+    if not text.isdecimal() or int(text) < 1:
+        raise _bad(request, 'deadline is not a positive number')
+    return min(int(text), profile.deadline_ms)
