--- /dev/null
+++ b/bitternturn/policy/early_answer.py
@@ -0,0 +1,53 @@
+"""Whether a query is answered now, waited for or refused."""
+
+from enum import Enum, unique
+
+from bitternturn.policy.const import DEFAULT_MERGE_MARGIN_S
+from bitternturn.policy.coverage import covers
+from bitternturn.schema.config_pb2 import PREFERENCE_COVERAGE, Profile
+
+FULL_COVERAGE = 1
+
+
+@unique
+class Decision(Enum):
+    """What to do with a query."""
+
+    WAIT = 'wait'
+    ANSWER = 'answer'
+    REFUSE = 'refuse'
+
+
+def decide(
+    *,
+    profile: Profile,
+    coverage: float,
+    remaining_s: float,
+    outstanding: float,
+    margin_s: float = DEFAULT_MERGE_MARGIN_S,
+) -> Decision:
+    """Decide on a query by its coverage and the time left.
+
+    `coverage` is the share merged so far, `outstanding` the share of shards
+    that may still answer (`CoverageCount.share_of`), counting those in flight
+    and those with a retry left. From `margin_s` before the deadline on, the
+    least coverage is enough. A query that can no longer reach it is refused
+    at once.
+    """
+    least_met = covers(coverage, profile.least_coverage)
+    if outstanding <= 0 or remaining_s <= 0:
+        return Decision.ANSWER if least_met else Decision.REFUSE
+    if not covers(coverage + outstanding, profile.least_coverage):
+        return Decision.REFUSE
+    if least_met and remaining_s <= margin_s:
+        return Decision.ANSWER
+    if covers(coverage, _enough(profile)):
+        return Decision.ANSWER
+    return Decision.WAIT
+
+
+def _enough(profile: Profile) -> float:
+    """Return the coverage at which waiting ends before the deadline."""
+    if profile.preference == PREFERENCE_COVERAGE:
+        return FULL_COVERAGE
+    return max(profile.wanted_coverage, profile.least_coverage)
