Read settings from TOML, set up logs, and keep a timeline

Every part of the tier needs its settings, logs and events before it can be written against them.

Settings are checked against the message type, so a new field of the schema is known without further code; unknown keys, wrong types, missing, out of range and contradictory values come in one error, each with its path and line. The same check of shapes serves configuration that arrives as JSON. Timeline events are kept as tuples and become messages only when asked for.

--- /dev/null
+++ b/bitternturn/core/settings.py
@@ -0,0 +1,171 @@
+"""Settings of one instance from its TOML file."""
+
+import re
+import secrets
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from google.protobuf import json_format
+
+from bitternturn.core import const
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.settings_rules import (
+    DEFAULTS,
+    REQUIRED,
+    find_rule_problems,
+)
+from bitternturn.core.shapes import Problem, find_shape_problems, join_path
+from bitternturn.schema.settings_pb2 import NodeSettings
+
+STEP_LOAD = 'load settings'
+
+HEADING = re.compile(r'^\s*\[+\s*([^\]]+?)\s*\]+')
+ASSIGNMENT = re.compile(r'^\s*([\w."\'-]+)\s*=')
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class SettingsProblem:
+    """One fault of the settings; line 0 when the value is not in the file."""
+
+    path: str
+    message: str
+    line: int = 0
+
+    def __str__(self) -> str:
+        """Return one line for people."""
+        place = f' (line {self.line})' if self.line else ''
+        return f'{self.path}{place}: {self.message}'
+
+
+class SettingsError(BitternturnError):
+    """The settings can't be used; holds every problem found."""
+
+    def __init__(
+        self,
+        *,
+        source: str,
+        problems: list[SettingsProblem],
+    ) -> None:
+        """Hold the problems."""
+        super().__init__(
+            '; '.join(str(problem) for problem in problems),
+            code=ErrorCode.INVALID_SETTINGS,
+            step=STEP_LOAD,
+            peer=source,
+        )
+        self.problems = problems
+
+
+def load_settings(path: Path | str) -> NodeSettings:
+    """Return the settings of a file; raises SettingsError."""
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        problem = SettingsProblem(path=str(path), message=str(error))
+        raise SettingsError(source=str(path), problems=[problem]) from error
+    return parse_settings(text, source=str(path))
+
+
+def parse_settings(text: str, *, source: str = 'settings') -> NodeSettings:
+    """Return the settings of a TOML text; raises SettingsError."""
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        problem = SettingsProblem(path=source, message=str(error))
+        raise SettingsError(source=source, problems=[problem]) from error
+    given = dict(_flatten(table, ''))
+    problems = _find_problems(table, given)
+    if problems:
+        lines = _find_lines(text)
+        raise SettingsError(
+            source=source,
+            problems=[_locate(problem, lines) for problem in problems],
+        )
+    return _build(given)
+
+
+def _find_problems(
+    table: Mapping[str, Any],
+    given: Mapping[str, Any],
+) -> list[Problem]:
+    """Return the problems of the shape, then those of the values."""
+    problems = find_shape_problems(NodeSettings.DESCRIPTOR, table)
+    broken = {problem.path for problem in problems}
+    problems.extend(
+        Problem(path=path, message='required')
+        for path in REQUIRED
+        if path not in given and not _below(path, broken)
+    )
+    sound = {
+        path: content
+        for path, content in {**DEFAULTS, **given}.items()
+        if not _below(path, broken)
+    }
+    return problems + find_rule_problems(sound)
+
+
+def _below(path: str, broken: set[str]) -> bool:
+    """Whether a path is one of the broken ones or a part of one."""
+    return any(
+        path == other or path.startswith(f'{other}.') for other in broken
+    )
+
+
+def _build(given: Mapping[str, Any]) -> NodeSettings:
+    """Return the message with the defaults filled in."""
+    nested: dict[str, Any] = {}
+    for path, content in {**DEFAULTS, **given}.items():
+        *parents, name = path.split('.')
+        table = nested
+        for parent in parents:
+            table = table.setdefault(parent, {})
+        table[name] = content
+    settings = json_format.ParseDict(nested, NodeSettings())
+    if not settings.instance.id:
+        settings.instance.id = secrets.token_hex(const.INSTANCE_ID_BYTES)
+    return settings
+
+
+def _flatten(table: Mapping[str, Any], path: str) -> Iterator[tuple[str, Any]]:
+    """Yield each value with its path."""
+    for key, content in table.items():
+        here = join_path(path, key)
+        if isinstance(content, Mapping):
+            yield from _flatten(content, here)
+        else:
+            yield here, content
+
+
+def _find_lines(text: str) -> dict[str, int]:
+    """Return the line of each heading and assignment by path."""
+    lines: dict[str, int] = {}
+    heading = ''
+    for number, line in enumerate(text.splitlines(), start=1):
+        title = HEADING.match(line)
+        if title is not None:
+            heading = _plain(title[1])
+            lines.setdefault(heading, number)
+        key = ASSIGNMENT.match(line)
+        if key is not None:
+            lines.setdefault(join_path(heading, _plain(key[1])), number)
+    return lines
+
+
+def _plain(key: str) -> str:
+    """Return a TOML key without quotes."""
+    return key.replace('"', '').replace("'", '').replace(' ', '')
+
+
+def _locate(problem: Problem, lines: Mapping[str, int]) -> SettingsProblem:
+    """Add the line of the value, or of the nearest table around it."""
+    path = problem.path.partition('[')[0]
+    while path and path not in lines:
+        path = path.rpartition('.')[0]
+    return SettingsProblem(
+        path=problem.path,
+        message=problem.message,
+        line=lines.get(path, 0),
+    )
--- /dev/null
+++ b/bitternturn/core/shapes.py
@@ -0,0 +1,150 @@
+"""Checks of decoded JSON or TOML against a message type."""
+
+import math
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from google.protobuf.descriptor import Descriptor, FieldDescriptor
+
+from bitternturn.core.const import UINT32_MAX, UINT64_MAX
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class Problem:
+    """One fault of a document and the path of the value that has it."""
+
+    path: str
+    message: str
+
+
+def find_shape_problems(
+    descriptor: Descriptor,
+    content: Any,
+    *,
+    path: str = '',
+) -> list[Problem]:
+    """Return every unknown key and wrong type of a document."""
+    return list(_walk_message(descriptor, content, path))
+
+
+def join_path(parent: str, name: str) -> str:
+    """Return the path of a member."""
+    return f'{parent}.{name}' if parent else name
+
+
+def _walk_message(
+    descriptor: Descriptor,
+    content: Any,
+    path: str,
+) -> Iterator[Problem]:
+    """Yield the problems of one table."""
+    if not isinstance(content, Mapping):
+        yield _wrong_type(path, 'a table', content)
+        return
+    for key, member in content.items():
+        field = find_field(descriptor, key)
+        here = join_path(path, str(key))
+        if field is None:
+            yield Problem(path=here, message='unknown key')
+        elif field.is_repeated:
+            yield from _walk_list(field, member, here)
+        else:
+            yield from _walk_value(field, member, here)
+
+
+def find_field(descriptor: Descriptor, key: str) -> FieldDescriptor | None:
+    """Return the field of a name in either spelling of protobuf JSON."""
+    return descriptor.fields_by_name.get(
+        key,
+    ) or descriptor.fields_by_camelcase_name.get(key)
+
+
+def _walk_list(
+    field: FieldDescriptor,
+    content: Any,
+    path: str,
+) -> Iterator[Problem]:
+    """Yield the problems of a repeated field."""
+    if not isinstance(content, list):
+        yield _wrong_type(path, 'a list', content)
+        return
+    for position, member in enumerate(content):
+        yield from _walk_value(field, member, f'{path}[{position}]')
+
+
+def _walk_value(
+    field: FieldDescriptor,
+    content: Any,
+    path: str,
+) -> Iterator[Problem]:
+    """Yield the problems of one value."""
+    if field.message_type is not None:
+        yield from _walk_message(field.message_type, content, path)
+        return
+    message = _scalar_problem(field, content)
+    if message:
+        yield Problem(path=path, message=message)
+
+
+def _scalar_problem(field: FieldDescriptor, content: Any) -> str:
+    """Return what is wrong with a scalar, or an empty text."""
+    match field.type:
+        case FieldDescriptor.TYPE_STRING:
+            return _expect(isinstance(content, str), 'a text', content)
+        case FieldDescriptor.TYPE_BOOL:
+            return _expect(isinstance(content, bool), 'a boolean', content)
+        case FieldDescriptor.TYPE_UINT32:
+            return _integer_problem(content, UINT32_MAX)
+        case FieldDescriptor.TYPE_UINT64:
+            return _integer_problem(content, UINT64_MAX)
+        case FieldDescriptor.TYPE_DOUBLE:
+            return _number_problem(content)
+        case FieldDescriptor.TYPE_ENUM:
+            return _enum_problem(field, content)
+    return 'type not supported'
+
+
+def _integer_problem(content: Any, largest: int) -> str:
+    """Return what is wrong with an unsigned integer."""
+    # Protobuf JSON writes 64-bit integers as texts.
+    if largest == UINT64_MAX and isinstance(content, str):
+        if not (content.isascii() and content.isdigit()):
+            return 'wants an integer'
+        content = int(content)
+    if isinstance(content, bool) or not isinstance(content, int):
+        return _expect(False, 'an integer', content)
+    if 0 <= content <= largest:
+        return ''
+    return f'must be from 0 to {largest}'
+
+
+def _number_problem(content: Any) -> str:
+    """Return what is wrong with a floating-point number."""
+    if isinstance(content, bool) or not isinstance(content, int | float):
+        return _expect(False, 'a number', content)
+    return '' if math.isfinite(content) else 'must be finite'
+
+
+def _enum_problem(field: FieldDescriptor, content: Any) -> str:
+    """Return what is wrong with the name or number of an enum value."""
+    assert field.enum_type is not None
+    choices = field.enum_type.values_by_name
+    if isinstance(content, str) and content in choices:
+        return ''
+    if type(content) is int and content in field.enum_type.values_by_number:
+        return ''
+    names = ', '.join(name for name, choice in choices.items() if choice.number)
+    return f'must be one of {names}'
+
+
+def _expect(holds: bool, wanted: str, content: Any) -> str:
+    """Return an empty text, or what was wanted and what is there."""
+    if holds:
+        return ''
+    return f'wants {wanted}, has {type(content).__name__}'
+
+
+def _wrong_type(path: str, wanted: str, content: Any) -> Problem:
+    """Return a problem of a wrong type."""
+    return Problem(path=path, message=_expect(False, wanted, content))
--- /dev/null
+++ b/bitternturn/timeline/ring.py
@@ -0,0 +1,106 @@
+"""Events of one process, the newest kept."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bitternturn.core.clock import HybridClock, wall_ms
+from bitternturn.core.ids import InstanceId
+from bitternturn.schema.timeline_pb2 import Event
+from bitternturn.timeline.const import DEFAULT_EVENT_LIMIT
+from bitternturn.timeline.models import EventKind
+
+
+class Entry(NamedTuple):
+    """One event as it is kept; cheaper to make than a message."""
+
+    clock: int
+    kind: EventKind
+    request_id: str
+    shard: str
+    target: str
+    peer: str
+    detail: str
+    duration_us: int
+
+
+class Timeline:
+    """Ring of events; the oldest give way when it is full."""
+
+    def __init__(
+        self,
+        *,
+        instance_id: InstanceId,
+        capacity: int,
+        clock: HybridClock,
+        wall: Callable[[], int] = wall_ms,
+        enabled: bool = True,
+    ) -> None:
+        """Start with no event."""
+        self.instance_id = instance_id
+        self.clock = clock
+        self.wall = wall
+        self.enabled = enabled
+        self.entries: deque[Entry] = deque(maxlen=capacity)
+
+    def emit(
+        self,
+        kind: EventKind,
+        *,
+        request_id: str = '',
+        shard: str = '',
+        target: str = '',
+        peer: str = '',
+        detail: str = '',
+        duration_us: int = 0,
+    ) -> None:
+        """Keep one event, stamped by the hybrid clock."""
+        if not self.enabled:
+            return
+        self.entries.append(
+            Entry(
+                self.clock.tick(now_ms=self.wall()),
+                kind,
+                request_id,
+                shard,
+                target,
+                peer,
+                detail,
+                duration_us,
+            ),
+        )
+
+    def events(
+        self,
+        *,
+        since: int = 0,
+        request_id: str = '',
+        target: str = '',
+        limit: int = DEFAULT_EVENT_LIMIT,
+    ) -> list[Event]:
+        """Return the newest matching events after a stamp, oldest first."""
+        found: list[Event] = []
+        for entry in reversed(self.entries):
+            if entry.clock <= since or len(found) >= limit:
+                break
+            if request_id and entry.request_id != request_id:
+                continue
+            if target and entry.target != target:
+                continue
+            found.append(self._to_event(entry))
+        found.reverse()
+        return found
+
+    def _to_event(self, entry: Entry) -> Event:
+        """Return the message of an entry."""
+        return Event(
+            clock=entry.clock,
+            instance_id=self.instance_id,
+            kind=entry.kind.value,
+            request_id=entry.request_id,
+            shard=entry.shard,
+            target=entry.target,
+            peer=entry.peer,
+            detail=entry.detail,
+            duration_us=max(entry.duration_us, 0),
+        )
--- /dev/null
+++ b/tests/core/test_log.py
@@ -0,0 +1,63 @@
+"""Tests of the log formats."""
+
+import json
+
+import logbook
+
+from bitternturn.core.ids import InstanceId
+from bitternturn.core.log import (
+    create_json_formatter,
+    create_text_formatter,
+    set_up_logs,
+)
+from bitternturn.schema.settings_pb2 import LogSettings
+
+
+def format_one(formatter, **options) -> str:
+    logger = logbook.Logger('owner')
+    with logbook.TestHandler() as handler:
+        try:
+            raise ValueError('broken')
+        except ValueError:
+            logger.warning('lost {}', 'it', **options)
+        return formatter(handler.records[0], handler)
+
+
+class TestFormats:
+    def test_json_line_carries_the_fields(self):
+        line = format_one(
+            create_json_formatter(InstanceId('i-1')),
+            extra={'request_id': 'r', 'step': 'send', 'other': 'x'},
+            exc_info=True,
+        )
+        content = json.loads(line)
+        assert content.pop('time')
+        assert 'ValueError: broken' in content.pop('exception')
+        assert content == {
+            'level': 'warning',
+            'instance_id': 'i-1',
+            'logger': 'owner',
+            'message': 'lost it',
+            'request_id': 'r',
+            'step': 'send',
+        }
+
+    def test_text_line_carries_the_fields(self):
+        line = format_one(
+            create_text_formatter(InstanceId('i-1')), extra={'peer': 'p:1'}
+        )
+        assert line.endswith('i-1 owner: lost it peer=p:1')
+
+
+class TestSetUp:
+    def test_level_and_stream(self, capsys):
+        handler = set_up_logs(
+            LogSettings(level='warning', format='json'), InstanceId('i-1')
+        )
+        try:
+            logbook.Logger('x').info('quiet')
+            logbook.Logger('x').error('loud')
+        finally:
+            handler.pop_application()
+        lines = capsys.readouterr().err.splitlines()
+        assert [json.loads(line)['message'] for line in lines] == ['loud']
--- /dev/null
+++ b/tests/timeline/test_ring.py
@@ -0,0 +1,63 @@
+"""Tests of the ring of events and of merged order."""
+
+from bitternturn.core.clock import HybridClock
+from bitternturn.core.ids import InstanceId
+from bitternturn.timeline.merge import merge_events
+from bitternturn.timeline.models import EventKind
+from bitternturn.timeline.ring import Timeline
+
+
+def make_timeline(name: str, *, wall=lambda: 1000, **options) -> Timeline:
+    return Timeline(
+        instance_id=InstanceId(name),
+        capacity=options.pop('capacity', 10),
+        clock=HybridClock(),
+        wall=wall,
+        **options,
+    )
+
+
+class TestTimeline:
+    def test_oldest_give_way(self):
+        timeline = make_timeline('a', capacity=3)
+        for number in range(5):
+            timeline.emit(EventKind.QUERY_STARTED, request_id=str(number))
+        found = [event.request_id for event in timeline.events()]
+        assert found == ['2', '3', '4']
+
+    def test_filters_and_limit(self):
+        timeline = make_timeline('a')
+        for number in range(4):
+            timeline.emit(
+                EventKind.SUB_REQUEST_SENT,
+                request_id='r' if number % 2 else 's',
+                target=f't{number}',
+            )
+        events = timeline.events()
+        assert timeline.events(since=events[1].clock) == events[2:]
+        assert timeline.events(request_id='r') == [events[1], events[3]]
+        assert timeline.events(request_id='r', limit=1) == [events[3]]
+        assert timeline.events(target='t2') == [events[2]]
+
+    def test_disabled_keeps_nothing(self):
+        timeline = make_timeline('a', enabled=False)
+        timeline.emit(EventKind.QUERY_STARTED)
+        assert timeline.events() == []
+
+
+class TestMerge:
+    def test_order_follows_the_message_between_processes(self):
+        first = make_timeline('a', wall=lambda: 5000)
+        second = make_timeline('b', wall=lambda: 1000)
+        first.emit(EventKind.SUB_REQUEST_SENT)
+        second.clock.observe(first.clock.last)
+        second.emit(EventKind.SUB_REQUEST_ANSWERED)
+        merged = merge_events([second.events(), first.events()])
+        assert [event.instance_id for event in merged] == ['a', 'b']
+
+    def test_an_event_that_came_twice_stands_once(self):
+        timeline = make_timeline('a')
+        timeline.emit(EventKind.TAKEOVER)
+        timeline.emit(EventKind.HANDOVER)
+        merged = merge_events([timeline.events(), timeline.events()])
+        assert merged == timeline.events()
