Hold and check the configuration in force

Entries and owners look up profiles, indexes, targets and switches for each query, and nothing may go back to an older version.

The checks report every fault with its path and refuse a configuration whole.

--- /dev/null
+++ b/bitternturn/configuration/check_indexes.py
@@ -0,0 +1,130 @@
+"""Validation of indexes and their partition maps."""
+
+import math
+from collections.abc import Iterator
+
+from bitternturn.configuration import const
+from bitternturn.configuration.rules import (
+    check_name,
+    check_range,
+    check_unique,
+)
+from bitternturn.core.shapes import Problem
+from bitternturn.schema.config_pb2 import (
+    Index,
+    Indexes,
+    PartitionMap,
+    Shard,
+    Target,
+)
+
+
+def check_indexes(content: Indexes) -> list[Problem]:
+    """Return every problem of the indexes."""
+    problems = list(
+        check_unique(
+            'indexes[{}].name',
+            (index.name for index in content.indexes),
+        ),
+    )
+    problems.extend(_check_shared_targets(content))
+    for position, index in enumerate(content.indexes):
+        problems.extend(_check_index(f'indexes[{position}]', index))
+    return problems
+
+
+def _check_shared_targets(content: Indexes) -> Iterator[Problem]:
+    """Yield targets whose id stands twice, in one index or in two."""
+    seen: dict[str, str] = {}
+    for position, index in enumerate(content.indexes):
+        for number, target in enumerate(index.targets):
+            path = f'indexes[{position}].targets[{number}].id'
+            first = seen.setdefault(target.id, path)
+            if target.id and first != path:
+                message = f'"{target.id}" stands at {first} too'
+                yield Problem(path=path, message=message)
+
+
+def _check_index(path: str, index: Index) -> Iterator[Problem]:
+    """Yield the problems of one index."""
+    yield from check_name(f'{path}.name', index.name)
+    for number, target in enumerate(index.targets):
+        yield from _check_target(f'{path}.targets[{number}]', target)
+    if not index.maps:
+        yield Problem(path=f'{path}.maps', message='required')
+    known = {target.id for target in index.targets}
+    newest = 0
+    for number, partition_map in enumerate(index.maps):
+        here = f'{path}.maps[{number}]'
+        if partition_map.snapshot <= newest:
+            message = f'must be above {newest}'
+            yield Problem(path=f'{here}.snapshot', message=message)
+        newest = max(newest, partition_map.snapshot)
+        yield from _check_map(here, partition_map, known)
+
+
+def _check_target(path: str, target: Target) -> Iterator[Problem]:
+    """Yield the problems of one target."""
+    yield from check_name(f'{path}.id', target.id)
+    if not target.host:
+        yield Problem(path=f'{path}.host', message='required')
+    yield from check_name(f'{path}.failure_domain', target.failure_domain)
+    yield from check_range(
+        f'{path}.port',
+        target.port,
+        least=1,
+        most=const.MAX_PORT,
+    )
+    yield from check_range(
+        f'{path}.slots',
+        target.slots,
+        least=1,
+        most=const.MAX_SLOTS,
+    )
+    # Each request in flight takes a connection of its own.
+    yield from check_range(
+        f'{path}.connections',
+        target.connections,
+        least=max(1, target.slots),
+        most=const.MAX_CONNECTIONS,
+    )
+    yield from check_range(
+        f'{path}.cold_limit',
+        target.cold_limit,
+        least=1,
+        most=max(1, target.slots),
+    )
+
+
+def _check_map(
+    path: str,
+    partition_map: PartitionMap,
+    known: set[str],
+) -> Iterator[Problem]:
+    """Yield the problems of one partition map."""
+    if not partition_map.shards:
+        yield Problem(path=f'{path}.shards', message='required')
+    yield from check_unique(
+        f'{path}.shards[{{}}].id',
+        (shard.id for shard in partition_map.shards),
+    )
+    for number, shard in enumerate(partition_map.shards):
+        yield from _check_shard(f'{path}.shards[{number}]', shard, known)
+
+
+def _check_shard(
+    path: str,
+    shard: Shard,
+    known: set[str],
+) -> Iterator[Problem]:
+    """Yield the problems of one shard."""
+    yield from check_name(f'{path}.id', shard.id)
+    if not (math.isfinite(shard.weight) and shard.weight > 0):
+        yield Problem(path=f'{path}.weight', message='must be above 0')
+    if not shard.targets:
+        yield Problem(path=f'{path}.targets', message='required')
+    yield from check_unique(f'{path}.targets[{{}}]', shard.targets)
+    for number, name in enumerate(shard.targets):
+        if name not in known:
+            message = f'"{name}" is no target of the index'
+            yield Problem(path=f'{path}.targets[{number}]', message=message)
--- a/bitternturn/core/shapes.py
+++ b/bitternturn/core/shapes.py
@@ -43,7 +43,7 @@
         yield _wrong_type(path, 'a table', content)
         return
     for key, member in content.items():
-        field = find_field(descriptor, key)
+        field = descriptor.fields_by_name.get(key)
         here = join_path(path, str(key))
         if field is None:
             yield Problem(path=here, message='unknown key')
@@ -53,13 +53,6 @@
             yield from _walk_value(field, member, here)
 
 
-def find_field(descriptor: Descriptor, key: str) -> FieldDescriptor | None:
-    """Return the field of a name in either spelling of protobuf JSON."""
-    return descriptor.fields_by_name.get(
-        key,
-    ) or descriptor.fields_by_camelcase_name.get(key)
-
-
 def _walk_list(
     field: FieldDescriptor,
     content: Any,
@@ -132,7 +125,9 @@
     choices = field.enum_type.values_by_name
     if isinstance(content, str) and content in choices:
         return ''
-    if type(content) is int and content in field.enum_type.values_by_number:
+    numbers = field.enum_type.values_by_number
+    is_number = isinstance(content, int) and not isinstance(content, bool)
+    if is_number and content in numbers:
         return ''
     names = ', '.join(name for name, choice in choices.items() if choice.number)
     return f'must be one of {names}'
--- /dev/null
+++ b/tests/configuration/test_state.py
@@ -0,0 +1,66 @@
+"""Tests of the configuration in force."""
+
+from bitternturn.configuration.models import ConfigurationKind
+from bitternturn.configuration.state import ConfigurationState
+from bitternturn.core.ids import TargetId
+from bitternturn.schema.config_pb2 import ConfigurationObject
+from bitternturn.schema.peers_pb2 import Versions
+from tests.configuration.fakes import (
+    make_indexes,
+    make_profile,
+    profiles_at,
+    switches_at,
+)
+
+
+class TestOffer:
+    def test_older_and_equal_versions_change_nothing(self):
+        state = ConfigurationState()
+        told = []
+        state.subscribe(told.append)
+        assert state.offer(profiles_at(5, 'new'))
+        assert not state.offer(profiles_at(4, 'old'))
+        assert not state.offer(profiles_at(5, 'other'))
+        assert not state.offer(ConfigurationObject(version=9))
+        assert state.profile('new') == make_profile('new')
+        assert state.profile('old') is None
+        assert told == [ConfigurationKind.PROFILES]
+
+    def test_an_offered_object_may_change_afterwards(self):
+        state = ConfigurationState()
+        offered = profiles_at(1, 'desk')
+        state.offer(offered)
+        offered.profiles.profiles[0].deadline_ms = 9
+        assert state.profile('desk').deadline_ms == 100
+
+    def test_subscription_ends(self):
+        state = ConfigurationState()
+        told = []
+        state.subscribe(told.append)()
+        state.offer(profiles_at(1))
+        assert told == []
+
+
+class TestVersions:
+    def test_what_a_peer_lacks(self):
+        state = ConfigurationState()
+        state.offer(profiles_at(3, 'desk'))
+        state.offer(switches_at(7))
+        assert state.versions() == Versions(profiles=3, switches=7)
+        newer = state.objects_newer_than(Versions(profiles=3, switches=6))
+        assert newer == [switches_at(7)]
+        assert state.is_behind(Versions(indexes=1))
+        assert not state.is_behind(Versions(profiles=3, switches=6))
+
+
+class TestSwitches:
+    def test_target_out_by_itself_or_by_its_domain(self):
+        state = ConfigurationState()
+        state.offer(switches_at(1, domains=('south',), targets=('t9',)))
+        assert state.is_out(TargetId('t9'))
+        assert not state.is_out(TargetId('t2'))
+        state.offer(ConfigurationObject(version=1, indexes=make_indexes()))
+        assert state.is_out(TargetId('t2'))
+        assert not state.is_out(TargetId('t1'))
+        state.offer(switches_at(2))
+        assert not state.is_out(TargetId('t2'))
