Count by OpenTelemetry and render for Prometheus

Operators judge the tier by latency, coverage and extra load.

The reader is pulled: it has a registry of its own and no thread or server.

--- a/bitternturn/core/const.py
+++ b/bitternturn/core/const.py
@@ -45,3 +45,20 @@
 
 UINT32_MAX: Final = (1 << 32) - 1
 UINT64_MAX: Final = (1 << 64) - 1
+
+LATENCY_BUCKETS_S: Final = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
+COVERAGE_BUCKETS: Final = (0.0, 0.5, 0.8, 0.9, 0.95, 0.98, 0.99, 0.999, 1.0)
--- /dev/null
+++ b/bitternturn/core/metrics.py
@@ -0,0 +1,172 @@
+"""Metrics by OpenTelemetry, rendered in the Prometheus text form."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
+from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
+from prometheus_client import CollectorRegistry, generate_latest
+
+from bitternturn.core.const import COVERAGE_BUCKETS, LATENCY_BUCKETS_S
+from bitternturn.core.errors import ErrorCode
+from bitternturn.core.ids import IndexName, ProfileName, TargetId
+
+CONTENT_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
+
+Observer = Callable[[CallbackOptions], Iterable[Observation]]
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class TargetReading:
+    """What an owner counts at one target."""
+
+    target: TargetId
+    limit: int
+    in_flight: int
+    queued: int
+
+
+ReadTargets = Callable[[], Iterable[TargetReading]]
+
+
+class LabelledCount:
+    """Counter that is summed here and read when metrics are collected.
+
+    A record of OpenTelemetry costs some hundred times an addition, which
+    would show at one per sub-request.
+    """
+
+    def __init__(
+        self, *, meter: Meter, name: str, labels: tuple[str, ...]
+    ) -> None:
+        """Register an observable counter."""
+        self.labels = labels
+        self.counts: Counter[tuple[str, ...]] = Counter()
+        meter.create_observable_counter(name, callbacks=[self._observe])
+
+    def add(self, *values: str, count: int = 1) -> None:
+        """Add to the count under the values of the labels, in order."""
+        self.counts[values] += count
+
+    def _observe(self, options: CallbackOptions) -> Iterator[Observation]:
+        """Yield the sums."""
+        for values, count in self.counts.items():
+            yield Observation(
+                count, dict(zip(self.labels, values, strict=True))
+            )
+
+
+class Metrics:
+    """Instruments of one instance."""
+
+    def __init__(self) -> None:
+        """Register the instruments with a registry of their own."""
+        self.registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            registry=self.registry,
+            disable_target_info=True,
+            scope_info_enabled=False,
+        )
+        provider = MeterProvider(
+            [reader],
+            exemplar_filter=AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        self.meter = provider.get_meter('bitternturn')
+        self.latency = self.meter.create_histogram(
+            'bitternturn_query_latency',
+            unit='s',
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
+        self.coverage = self.meter.create_histogram(
+            'bitternturn_query_coverage',
+            explicit_bucket_boundaries_advisory=COVERAGE_BUCKETS,
+        )
+        self._refusals = self._count('refusals', 'profile', 'code')
+        self._sub_requests = self._count('sub_requests', 'index', 'outcome')
+        self._hedges = self._count('hedges', 'profile')
+        self._retries = self._count('retries', 'profile')
+
+    def record_query(
+        self,
+        *,
+        profile: ProfileName,
+        index: IndexName,
+        latency_s: float,
+        coverage: float,
+    ) -> None:
+        """Record one answered query."""
+        labels = {'profile': profile, 'index': index}
+        self.latency.record(latency_s, labels)
+        self.coverage.record(coverage, labels)
+
+    def count_refusal(self, *, profile: ProfileName, code: ErrorCode) -> None:
+        """Count one refused query."""
+        self._refusals.add(profile, code.value)
+
+    def count_sub_requests(
+        self,
+        *,
+        index: IndexName,
+        outcome: str,
+        count: int = 1,
+    ) -> None:
+        """Count sub-requests that ended in one way."""
+        self._sub_requests.add(index, outcome, count=count)
+
+    def count_hedges(self, *, profile: ProfileName, count: int = 1) -> None:
+        """Count hedged sub-requests."""
+        self._hedges.add(profile, count=count)
+
+    def count_retries(self, *, profile: ProfileName, count: int = 1) -> None:
+        """Count retried sub-requests."""
+        self._retries.add(profile, count=count)
+
+    def observe_targets(self, read_targets: ReadTargets) -> None:
+        """Show what an owner counts at its targets."""
+        gauges: dict[str, Callable[[TargetReading], int]] = {
+            'limit': lambda reading: reading.limit,
+            'in_flight': lambda reading: reading.in_flight,
+            'queued': lambda reading: reading.queued,
+        }
+        for name, pick in gauges.items():
+            self.meter.create_observable_gauge(
+                f'bitternturn_target_{name}',
+                callbacks=[_create_target_observer(read_targets, pick)],
+            )
+
+    def observe_value(self, name: str, read: Callable[[], float]) -> None:
+        """Show one number of this instance as a gauge."""
+        self.meter.create_observable_gauge(
+            f'bitternturn_{name}',
+            callbacks=[lambda options: [Observation(read())]],
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text form."""
+        return generate_latest(self.registry)
+
+    def _count(self, name: str, *labels: str) -> LabelledCount:
+        """Return a new count."""
+        return LabelledCount(
+            meter=self.meter,
+            name=f'bitternturn_{name}',
+            labels=labels,
+        )
+
+
+def _create_target_observer(
+    read_targets: ReadTargets,
+    pick: Callable[[TargetReading], int],
+) -> Observer:
+    """Return a callback that yields one number of every target."""
+
+    def observe(options: CallbackOptions) -> Iterator[Observation]:
+        """Yield the number of each target."""
+        for reading in read_targets():
+            yield Observation(pick(reading), {'target': reading.target})
+
+    return observe
