Add the object client and a stand-in for the object API

Cause: membership, claims and configuration all rest on conditional writes whose answers may be lost, on watches that may go silent, and on an API that is sometimes out.

Change: platform/ has the client (token per write, read back after a lost answer, relist signal, silent watch, back-off, own call budget, start of the last successful call) and the instance list. standins/ has the object API over the same HTTP server with latency, outage, lost answers, budgets, silent watches and the log of commits.

Conclusion: a write ends as done, refused, or UNKNOWN_RESULT. After a lost answer CONFLICT leaves open whether the write stood for a while.

--- /dev/null
+++ b/bitternturn/platform/instances.py
@@ -0,0 +1,28 @@
+"""The platform's lagging list of instances."""
+
+import msgspec
+
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.platform import const
+from bitternturn.platform.client import ObjectClient
+from bitternturn.platform.models import InstanceList, ListedInstance
+
+
+async def async_list_instances(
+    client: ObjectClient,
+) -> tuple[ListedInstance, ...]:
+    """Return the listed instances.
+
+    Raises BitternturnError PLATFORM_BUSY, PLATFORM_UNREACHABLE or BAD_ANSWER.
+    """
+    response = await client.async_read(const.PATH_INSTANCES)
+    try:
+        listed = msgspec.json.decode(response.body, type=InstanceList)
+    except msgspec.DecodeError as error:
+        raise BitternturnError(
+            str(error),
+            code=ErrorCode.BAD_ANSWER,
+            step='list instances',
+            peer=client.transport.peer,
+        ) from error
+    return listed.instances
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,212 @@
+"""Tests of the object client against the stand-in and its faults."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from bitternturn.core.clock import monotonic
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.platform.budget import CallBudget
+from bitternturn.platform.client import ObjectClient
+from bitternturn.standins.object_faults import (
+    ObjectFaults,
+    ObjectLimits,
+    Outage,
+)
+from bitternturn.standins.objects import ObjectApi
+
+
+@contextlib.asynccontextmanager
+async def serving(*, limits=None, timeout_s=2.0, **settings):
+    api = ObjectApi(limits=limits or ObjectLimits(heartbeat_s=0.02))
+    await api.async_start(host='127.0.0.1')
+    client = ObjectClient(
+        host='127.0.0.1',
+        port=api.port,
+        timeout_s=timeout_s,
+        rng=random.Random(1),
+        now=monotonic,
+        **settings,
+    )
+    try:
+        yield api, client
+    finally:
+        client.close()
+        await api.async_stop()
+
+
+def code_of(caught):
+    return caught.value.code
+
+
+class TestObjects:
+    async def test_conditional_updates(self):
+        async with serving() as (_, client):
+            one = await client.async_put(
+                kind='control', name='view', value=b'1', if_version=0
+            )
+            two = await client.async_put(
+                kind='control', name='view', value=b'2', if_version=one
+            )
+            assert two > one
+            for stale in (0, one):
+                with pytest.raises(BitternturnError) as caught:
+                    await client.async_put(
+                        kind='control',
+                        name='view',
+                        value=b'3',
+                        if_version=stale,
+                    )
+                assert code_of(caught) is ErrorCode.CONFLICT
+            stored = await client.async_get('control', 'view')
+            assert (stored.value, stored.version) == (b'2', two)
+            listed = await client.async_list('control')
+            assert listed.items == (stored,)
+            await client.async_delete('control', 'view', two)
+            assert await client.async_get('control', 'view') is None
+            again = await client.async_put(
+                kind='control', name='view', value=b'4', if_version=0
+            )
+            assert again > two + 1
+
+    async def test_reached_at_is_the_start_of_the_call(self):
+        async with serving() as (api, client):
+            times = iter(range(10, 100))
+            client.transport.now = lambda: float(next(times))
+            assert await client.async_get('control', 'view') is None
+            assert client.reached_at == 10
+            assert client.failed_at is None
+            await api.async_stop()
+            with pytest.raises(BitternturnError) as caught:
+                await client.async_get('control', 'view')
+            assert code_of(caught) is ErrorCode.PLATFORM_UNREACHABLE
+            assert client.reached_at == 10
+            assert client.failed_at > 10
+
+
+class TestLostAnswers:
+    @pytest.mark.parametrize('lost', [1, 3])
+    async def test_write_is_found_by_its_token(self, lost):
+        async with serving() as (api, client):
+            api.set_faults(ObjectFaults(lost_answers=lost))
+            version = await client.async_put(
+                kind='claims', name='b0', value=b'mine', if_version=0
+            )
+            assert [it.version for it in api.store.commits] == [version]
+
+    async def test_someone_elses_write_is_a_conflict(self):
+        async with serving() as (api, client):
+            first = api.store.put(
+                kind='claims', name='b0', value=b'1', token='other'
+            )
+            api.set_faults(ObjectFaults(lost_answers=1))
+            write = asyncio.create_task(
+                client.async_put(
+                    kind='claims', name='b0', value=b'2', if_version=first
+                )
+            )
+            await api.store.async_wait(5)
+            api.store.put(kind='claims', name='b0', value=b'3', token='other')
+            with pytest.raises(BitternturnError) as caught:
+                await write
+            assert code_of(caught) is ErrorCode.CONFLICT
+
+    async def test_unknown_when_nothing_answers_any_more(self):
+        async with serving(timeout_s=0.05) as (api, client):
+            api.set_faults(ObjectFaults(outage=Outage.SILENT))
+            with pytest.raises(BitternturnError) as caught:
+                await client.async_put(
+                    kind='claims', name='b0', value=b'1', if_version=0
+                )
+            assert code_of(caught) is ErrorCode.UNKNOWN_RESULT
+
+    async def test_deletion_is_found_done(self):
+        async with serving() as (api, client):
+            version = api.store.put(
+                kind='claims', name='b0', value=b'1', token='t'
+            )
+            api.set_faults(ObjectFaults(lost_answers=1))
+            await client.async_delete('claims', 'b0', version)
+            assert [it.deleted for it in api.store.commits] == [False, True]
+
+
+class TestWatch:
+    async def test_brings_each_later_write(self):
+        async with serving() as (api, client):
+            api.store.put(kind='control', name='a', value=b'1', token='t')
+            watch = client.watch('control', 1)
+            pending = asyncio.create_task(anext(watch))
+            while not api.open_watches:
+                await asyncio.sleep(0)
+            api.store.put(kind='claims', name='b', value=b'2', token='t')
+            api.store.put(kind='control', name='a', value=b'3', token='t')
+            assert (await pending).value == b'3'
+            api.store.delete('control', 'a')
+            assert (await anext(watch)).deleted
+            await watch.aclose()
+
+    @pytest.mark.parametrize(
+        ('prepare', 'start', 'code'),
+        [
+            (
+                lambda api: api.set_faults(ObjectFaults(silent_watches=True)),
+                1,
+                ErrorCode.PLATFORM_UNREACHABLE,
+            ),
+            (
+                lambda api: api.set_faults(
+                    ObjectFaults(outage=Outage.REFUSING)
+                ),
+                1,
+                ErrorCode.PLATFORM_UNREACHABLE,
+            ),
+            (lambda api: api.store.forget(), 0, ErrorCode.WATCH_GONE),
+        ],
+    )
+    async def test_fails(self, prepare, start, code):
+        async with serving(heartbeat_s=0.02) as (api, client):
+            api.store.put(kind='control', name='a', value=b'1', token='t')
+            prepare(api)
+            with pytest.raises(BitternturnError) as caught:
+                await anext(
+                    client.watch(
+                        'control', 0 if code is ErrorCode.WATCH_GONE else 1
+                    )
+                )
+            assert code_of(caught) is code
+
+
+class TestBudget:
+    async def test_store_refuses_over_its_rate(self):
+        limits = ObjectLimits(read_rate=1e-9, burst_s=2e9)
+        async with serving(limits=limits) as (api, client):
+            await client.async_get('control', 'view')
+            await client.async_get('control', 'view')
+            with pytest.raises(BitternturnError) as caught:
+                await client.async_get('control', 'view')
+            assert code_of(caught) is ErrorCode.PLATFORM_BUSY
+            assert api.refused_calls == client.attempts
+
+    async def test_client_keeps_its_own_budget(self):
+        budget = CallBudget(rate=0, burst=1)
+        async with serving(budget=budget) as (api, client):
+            await client.async_get('control', 'view')
+            with pytest.raises(BitternturnError) as caught:
+                await client.async_get('control', 'view')
+            assert code_of(caught) is ErrorCode.PLATFORM_BUSY
+            assert api.calls == 1
+
+    async def test_large_values_are_refused(self):
+        async with serving(limits=ObjectLimits(value_bytes=9)) as (_, client):
+            for size in (9, 10, 9999):
+                write = client.async_put(
+                    kind='a', name=f's{size}', value=b'v' * size, if_version=0
+                )
+                if size == 9:
+                    assert await write == 1
+                    continue
+                with pytest.raises(BitternturnError) as caught:
+                    await write
+                assert code_of(caught) is ErrorCode.BODY_TOO_LARGE
