--- /dev/null
+++ b/bitternturn/standins/target_records.py
@@ -0,0 +1,79 @@
+"""What a target stand-in did and bore, for checks."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+from bitternturn.core.ids import (
+    IndexName,
+    RequestId,
+    ShardId,
+    Snapshot,
+    TargetId,
+)
+
+
+@unique
+class RunState(Enum):
+    """How far a request came at a target."""
+
+    REFUSED = 'refused'
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    DONE = 'done'
+    CANCELLED = 'cancelled'
+    FAILED = 'failed'
+
+
+@dataclass(kw_only=True, slots=True)
+class Run:
+    """One request at one target; times are wall seconds since 1970."""
+
+    target: TargetId
+    request_id: RequestId
+    idempotency_key: str
+    index: IndexName
+    shard: ShardId
+    snapshot: Snapshot
+    arrived_s: float
+    started_s: float | None = None
+    state: RunState = RunState.WAITING
+    code: str = ''
+    cold: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class TargetRecords:
+    """Every request that came, and the peaks."""
+
+    runs: list[Run] = field(default_factory=list)
+    in_flight: int = 0
+    most_in_flight: int = 0
+    most_in_flight_cold: int = 0
+    most_connections: int = 0
+    connections: int = 0
+    falls: int = 0
+
+    @property
+    def started(self) -> list[Run]:
+        """Return the requests whose work began."""
+        return [run for run in self.runs if run.started_s is not None]
+
+    @property
+    def cancelled(self) -> int:
+        """Return how many requests were cancelled."""
+        return sum(run.state is RunState.CANCELLED for run in self.runs)
+
+
+def runs_by_request(runs: list[Run]) -> Counter[RequestId]:
+    """Return how often the work of each request id began."""
+    return Counter(run.request_id for run in runs if run.started_s is not None)
+
+
+def runs_by_key(runs: list[Run]) -> Counter[str]:
+    """Return how often the work of each idempotency key began."""
+    return Counter(
+        run.idempotency_key
+        for run in runs
+        if run.started_s is not None and run.idempotency_key
+    )
--- /dev/null
+++ b/bitternturn/standins/timed_server.py
@@ -0,0 +1,57 @@
+"""HTTP server that knows when each connection was accepted."""
+
+import asyncio
+from collections.abc import Callable
+
+from bitternturn.core.clock import Clock
+from bitternturn.http.server import (
+    Handler,
+    HttpServer,
+    ServerConnection,
+    ServerLimits,
+)
+
+
+class TimedServer(HttpServer):
+    """Notes the time of each accepted connection by its peer."""
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: ServerLimits,
+        now: Clock,
+        on_connect: Callable[[], None],
+    ) -> None:
+        """Hold the handler; nothing listens yet."""
+        super().__init__(handler=handler, limits=limits)
+        self.now = now
+        self.on_connect = on_connect
+        self.accepted: dict[str, float] = {}
+
+    async def async_start(self, *, host: str, port: int) -> None:
+        """Listen; port 0 takes a free one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: TimedConnection(server=self),
+            host,
+            port,
+        )
+        self.host, self.port = self._server.sockets[0].getsockname()[:2]
+
+
+class TimedConnection(ServerConnection):
+    """One connection of a `TimedServer`."""
+
+    server: TimedServer
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the time."""
+        super().connection_made(transport)
+        self.server.accepted[self.peer] = self.server.now()
+        self.server.on_connect()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the time."""
+        self.server.accepted.pop(self.peer, None)
+        super().connection_lost(exc)
--- /dev/null
+++ b/tests/standins/test_targets.py
@@ -0,0 +1,223 @@
+"""Tests of the target stand-in over HTTP."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from bitternturn.core.errors import BitternturnError
+from bitternturn.http.client import async_connect
+from bitternturn.schema import config_pb2
+from bitternturn.standins.deployments import (
+    ATLAS,
+    build_indexes,
+    build_map,
+    load_deployment,
+)
+from bitternturn.standins.samples import Corpus, SampleKind
+from bitternturn.standins.target_behaviour import (
+    ColdOverload,
+    TargetBehaviour,
+    TargetFaults,
+    TargetState,
+)
+from bitternturn.standins.target_records import RunState, runs_by_key
+from bitternturn.standins.targets import TargetServer
+
+QUICK = {'service_s': 0.001, 'straggler_share': 0}
+SHARD = 'pay-lookup-00'
+
+
+@contextlib.asynccontextmanager
+async def serving(**behaviour):
+    deployment = load_deployment(ATLAS, scale=0.1)
+    index = build_indexes(deployment).indexes[0]
+    server = TargetServer(
+        target=index.targets[0],
+        index=index,
+        corpus=Corpus(kind=SampleKind.WEIGHINGS),
+        behaviour=TargetBehaviour(**{**QUICK, **behaviour}),
+    )
+    await server.async_start()
+    try:
+        yield server
+    finally:
+        await server.async_stop()
+
+
+async def ask(server, query=None, *, path='/v1/search', **headers):
+    connection = await async_connect(host='127.0.0.1', port=server.target.port)
+    sent = {
+        'x-request-id': 'r1',
+        'x-index': 'pay-lookup',
+        'x-shard': SHARD,
+        'x-snapshot': '1',
+        **{name.replace('_', '-'): it for name, it in headers.items()},
+    }
+    try:
+        response = await connection.async_exchange(
+            method='POST' if path == '/v1/search' else 'GET',
+            path=path,
+            headers=sent,
+            body=json.dumps(query or {}).encode(),
+        )
+    finally:
+        connection.close()
+    return response, json.loads(response.body)
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0)
+
+
+class TestSearch:
+    async def test_hits_are_those_of_the_shard(self):
+        async with serving() as server:
+            response, answer = await ask(
+                server, {'match': {'picker': 'p-0017'}, 'text': 'fine'}
+            )
+            documents = server.corpus.shard(server.maps[1], SHARD)
+            wanted = {
+                it.id
+                for it in documents
+                if it.fields['picker'] == 'p-0017'
+                and it.fields['grade'] == 'fine'
+            }
+            assert wanted
+            assert {hit['id'] for hit in answer['hits']} == wanted
+            assert answer['complete']
+            assert response.headers['x-request-id'] == 'r1'
+            assert response.headers['x-held-snapshots'] == '1'
+            assert response.headers['x-state'] == 'ready'
+
+    async def test_reservations_are_recorded_by_key(self):
+        query = {'reserve': {'item': 'gate', 'quantity': 3, 'event': 'Naadam'}}
+        async with serving() as server:
+            for _ in range(2):
+                _, answer = await ask(server, query, idempotency_key='k')
+                assert answer['hits'][0]['id'] == 'k'
+            assert runs_by_key(server.records.runs) == {'k': 2}
+
+    async def test_snapshots_move_on(self):
+        async with serving(held_snapshots=1) as server:
+            spec = load_deployment(ATLAS, scale=0.1).indexes[0]
+            server.add_map(build_map(spec, snapshot=2, shards=4))
+            response, answer = await ask(server)
+            assert (response.status, answer['code']) == (409, 'snapshot_gone')
+            _, answer = await ask(
+                server, x_snapshot='2', x_shard='pay-lookup-of-4-00'
+            )
+            assert {hit['snapshot'] for hit in answer['hits']} == {2}
+
+
+class TestRefusals:
+    async def test_sheds_beyond_its_slots(self):
+        async with serving(service_s=30) as server:
+            running = [asyncio.create_task(ask(server)) for _ in range(2)]
+            await until(lambda: len(server.records.started) == 2)
+            response, answer = await ask(server)
+            assert (response.status, answer['code']) == (429, 'shed')
+            for task in running:
+                task.cancel()
+            await until(lambda: server.records.cancelled == 2)
+            assert server.records.in_flight == 0
+
+    @pytest.mark.parametrize(
+        ('prepare', 'headers', 'status', 'code'),
+        [
+            (lambda it: it.drain(), {}, 503, 'draining'),
+            (lambda it: None, {'x_deadline_ms': '0'}, 504, 'deadline'),
+            (lambda it: None, {'x_shard': 'other'}, 400, 'bad_request'),
+        ],
+    )
+    async def test_runs_nothing(self, prepare, headers, status, code):
+        async with serving() as server:
+            prepare(server)
+            response, answer = await ask(server, **headers)
+            assert (response.status, answer['code']) == (status, code)
+            assert not server.records.started
+
+
+class TestColdStart:
+    @pytest.mark.parametrize('mode', list(ColdOverload))
+    async def test_one_more_than_it_bears(self, mode):
+        async with serving(service_s=30, cold_overload=mode) as server:
+            server.go_cold()
+            first = asyncio.create_task(ask(server))
+            await until(lambda: server.records.started)
+            second = asyncio.create_task(ask(server))
+            await until(lambda: len(server.records.runs) == 2)
+            if mode is ColdOverload.SILENCE:
+                await until(lambda: server.records.falls)
+                second.cancel()
+            else:
+                response, answer = await second
+                assert response.status in (500, 503)
+                assert answer['code'] in ('target_error', 'cold')
+            assert server.records.most_in_flight_cold == 2
+            first.cancel()
+
+    async def test_warms_up_by_answers(self):
+        async with serving(warm_after=2) as server:
+            server.go_cold()
+            states = [
+                (await ask(server))[0].headers['x-state'] for _ in range(3)
+            ]
+            assert states == ['cold', 'ready', 'ready']
+
+    async def test_health_lags_and_misleads(self):
+        async with serving(health_lag_s=600) as server:
+            await ask(server, path='/v1/health')
+            server.go_cold()
+            _, report = await ask(server, path='/v1/health')
+            assert report['state'] == 'ready'
+            server.behaviour.health_lag_s = 0
+            server.behaviour.health_lie = TargetState.DRAINING
+            _, report = await ask(server, path='/v1/health')
+            assert report['state'] == 'draining'
+
+
+class TestFaults:
+    async def test_crossed_answers_name_another_request(self):
+        async with serving() as server:
+            await ask(server, x_request_id='r0')
+            server.faults = TargetFaults(crossed=1, incomplete=1)
+            response, answer = await ask(server, x_request_id='r1')
+            assert response.headers['x-request-id'] == 'r0'
+            assert not answer['complete']
+
+    async def test_lost_answer_was_run(self):
+        async with serving() as server:
+            server.faults = TargetFaults(lost_answers=1)
+            with pytest.raises(BitternturnError):
+                await ask(server)
+            assert server.records.runs[0].started_s
+            assert server.records.runs[0].state is RunState.DONE
+
+
+class TestDeployments:
+    def test_sizes_of_today(self):
+        indexes = build_indexes(load_deployment(ATLAS))
+        sizes = {
+            it.name: (len(it.maps[0].shards), len(it.targets))
+            for it in indexes.indexes
+        }
+        assert sizes == {
+            'pay-lookup': (20, 40),
+            'grade-reporting': (30, 60),
+            'ledger-desk': (5, 5),
+            'transport-log': (4, 4),
+        }
+
+    @pytest.mark.parametrize('name', ['atlas', 'association'])
+    @pytest.mark.parametrize('scale', [0.1, 0.5, 1, 2])
+    def test_replicas_lie_in_different_failure_domains(self, name, scale):
+        indexes = build_indexes(load_deployment(name, scale=scale))
+        for index in indexes.indexes:
+            domains = {it.id: it.failure_domain for it in index.targets}
+            for shard in index.maps[0].shards:
+                held = [domains[it] for it in shard.targets]
+                assert len(set(held)) == len(held) == 2
+        assert isinstance(indexes, config_pb2.Indexes)
