--- a/bitternturn/callers/knowledge.py
+++ b/bitternturn/callers/knowledge.py
@@ -17,13 +17,15 @@
 )
 
 # Failures that tell against the target and not against load or a peer.
-BLAMED = frozenset((
-    ErrorCode.TARGET_ERROR.value,
-    ErrorCode.BAD_ANSWER.value,
-    ErrorCode.CONNECTION_LOST.value,
-    ErrorCode.TARGET_UNAVAILABLE.value,
-    ErrorCode.DEADLINE.value,
-))
+BLAMED = frozenset(
+    (
+        ErrorCode.TARGET_ERROR.value,
+        ErrorCode.BAD_ANSWER.value,
+        ErrorCode.CONNECTION_LOST.value,
+        ErrorCode.TARGET_UNAVAILABLE.value,
+        ErrorCode.DEADLINE.value,
+    )
+)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -199,4 +201,3 @@
         outliers=known.outliers,
         latency=known.latency,
     )
-
--- a/bitternturn/callers/query.py
+++ b/bitternturn/callers/query.py
@@ -18,11 +18,13 @@
 STEP = 'fan out'
 
 # Failures of a shard for which the caller is told to come back.
-LOAD_CODES = frozenset((
-    ErrorCode.OVERLOADED.value,
-    ErrorCode.SHED.value,
-    ErrorCode.COLD.value,
-))
+LOAD_CODES = frozenset(
+    (
+        ErrorCode.OVERLOADED.value,
+        ErrorCode.SHED.value,
+        ErrorCode.COLD.value,
+    )
+)
 
 
 def choose(request: QueryRequest, knowledge: EntryKnowledge) -> SnapshotChoice:
--- a/bitternturn/claims/client.py
+++ b/bitternturn/claims/client.py
@@ -23,7 +23,6 @@
 LOGGER = logbook.Logger('claims.client')
 
 
-
 @dataclass(kw_only=True, frozen=True, slots=True)
 class ClaimTicket:
     """The right to claim a key, or the claim itself."""
