--- a/bitternturn/callers/answer.py
+++ b/bitternturn/callers/answer.py
@@ -45,7 +45,7 @@
 
 def encode_answer(answer: QueryAnswer) -> Response:
     """Return the response to a caller."""
-    headers = {const.HEADER_REQUEST_ID: answer.request_id}
+    headers: dict[str, str] = {const.HEADER_REQUEST_ID: answer.request_id}
     if answer.code is None:
         return json_response(_done_body(answer), headers=headers)
     if answer.retry_after_ms:
--- a/bitternturn/callers/const.py
+++ b/bitternturn/callers/const.py
@@ -26,3 +26,5 @@
 
 # Share of the answers' latencies after which a hedge is sent.
 HEDGE_QUANTILE: Final = 0.95
+
+US_PER_SECOND: Final = 1_000_000
--- a/bitternturn/callers/fanout.py
+++ b/bitternturn/callers/fanout.py
@@ -1,8 +1,7 @@
 """Fan-out of one query over its shards at one snapshot."""
 
 import asyncio
-import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from functools import partial
 
 import msgspec
@@ -15,6 +14,7 @@
     QueryRequest,
 )
 from bitternturn.callers.progress import Attempt, ShardProgress, ShardState
+from bitternturn.callers.timers import Timers
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import ShardId, TargetId
 from bitternturn.policy.const import DEFAULT_ATTEMPTS
@@ -73,8 +73,7 @@
         self.arrived: list[Attempt] = []
         self._loop = asyncio.get_running_loop()
         self._wake: asyncio.Future[None] | None = None
-        self._timers: list[tuple[float, int, Callable[[float], None]]] = []
-        self._sequence = 0
+        self._timers = Timers()
 
     @property
     def ran(self) -> bool:
@@ -92,17 +91,14 @@
             if self.request.profile.repeatable:
                 self._cancel_live(self.shards)
 
-    def hits(self) -> list[ShardHits]:
-        """Return the hits of each answered shard."""
-        return [
+    def merged(self) -> list[dict[str, object]]:
+        """Return the merged hits of the answered shards."""
+        answered = [
             ShardHits(shard=shard.shard, hits=shard.hits)
             for shard in self.shards
             if shard.state is ShardState.ANSWERED
         ]
-
-    def merged(self) -> list[dict[str, object]]:
-        """Return the merged hits."""
-        return merge_hits(self.hits(), self.request.limit)
+        return merge_hits(answered, self.request.limit)
 
     def take_late(self, now: float) -> None:
         """Take in results that came after the run; nothing is sent again."""
@@ -127,7 +123,7 @@
         while True:
             now = self.services.now()
             self._take_arrived(now)
-            self._fire_timers(now)
+            self._timers.fire(now)
             remaining_s = self.request.deadline - const.ANSWER_MARGIN_S - now
             decision = decide(
                 profile=self.request.profile,
@@ -159,8 +155,8 @@
         if self.arrived:
             return
         until = now + remaining_s
-        if self._timers:
-            until = min(until, self._timers[0][0])
+        if self._timers.next is not None:
+            until = min(until, self._timers.next)
         self._wake = self._loop.create_future()
         handle = self._loop.call_later(max(0, until - now), self._rouse)
         try:
@@ -174,17 +170,6 @@
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
 
-    def _at(self, when: float, action: Callable[[float], None]) -> None:
-        """Run an action at a time."""
-        self._sequence += 1
-        heapq.heappush(self._timers, (when, self._sequence, action))
-
-    def _fire_timers(self, now: float) -> None:
-        """Run the actions that are due."""
-        while self._timers and self._timers[0][0] <= now:
-            _, _, action = heapq.heappop(self._timers)
-            action(now)
-
     def _send_all(self, now: float) -> None:
         """Send the first sub-request of every shard."""
         attempts: list[Attempt] = []
@@ -352,7 +337,7 @@
             request_id=self.request.request_id,
             shard=shard.shard,
             target=attempt.target,
-            duration_us=int((now - attempt.started) * 1e6),
+            duration_us=int((now - attempt.started) * const.US_PER_SECOND),
         )
 
     def _note_failure(self, attempt: Attempt, result: SubResult) -> None:
@@ -398,7 +383,7 @@
                 attempts=shard.attempts,
                 rng=self.services.rng,
             )
-            self._at(now + delay_s, partial(self._send_again, shard))
+            self._timers.at(now + delay_s, partial(self._send_again, shard))
             return
         attempt = self._attempt(shard, order, now)
         if attempt is not None:
@@ -429,7 +414,7 @@
             remaining_s=self.request.deadline - const.ANSWER_MARGIN_S - now,
         )
         if delay_s is not None:
-            self._at(now + delay_s, partial(self._hedge, delay_s))
+            self._timers.at(now + delay_s, partial(self._hedge, delay_s))
 
     def _hedge(self, delay_s: float, now: float) -> None:
         """Ask a second replica of each shard that is still open."""
@@ -451,7 +436,7 @@
         self._submit(attempts, now)
         if short:
             again = now + delay_s * HEDGE_AGAIN_SHARE
-            self._at(again, partial(self._hedge, delay_s))
+            self._timers.at(again, partial(self._hedge, delay_s))
 
     def _hedge_targets(
         self,
@@ -485,7 +470,7 @@
     if attempt.future.cancelled() or attempt.future.exception() is not None:
         return SubResult(
             outcome=OUTCOME_IN_DOUBT,
-            code=ErrorCode.PEER_UNREACHABLE.value,
+            code=ErrorCode.CANCELLED.value,
         )
     return attempt.future.result()
 
--- a/bitternturn/callers/handler.py
+++ b/bitternturn/callers/handler.py
@@ -1,7 +1,6 @@
 """Handler of the callers' listener."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
@@ -34,8 +33,6 @@
 STEP_ROUTE = 'route'
 STEP_ADMIT = 'admit'
 
-US_PER_SECOND = 1_000_000
-
 
 @dataclass(kw_only=True, frozen=True, slots=True)
 class CallersServices:
@@ -189,7 +186,7 @@
         EventKind.QUERY_ANSWERED if done else EventKind.QUERY_REFUSED,
         request_id=query.request_id,
         detail=_detail(answer),
-        duration_us=int(latency_s * US_PER_SECOND),
+        duration_us=int(latency_s * const.US_PER_SECOND),
     )
     services.observe(query, answer, latency_s)
 
