--- /dev/null
+++ b/bitternturn/standins/caller_models.py
@@ -0,0 +1,89 @@
+"""Queries and answers of the caller stand-in."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from bitternturn.core.errors import ErrorCode
+
+OUTCOME_DONE = 'done'
+OUTCOME_NOT_RUN = 'not_run'
+OUTCOME_IN_DOUBT = 'in_doubt'
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class EntryAddress:
+    """Callers' listener of one instance."""
+
+    host: str
+    port: int
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class CallerQuery:
+    """One query as a caller sends it."""
+
+    index: str
+    profile: str
+    query: Mapping[str, Any]
+    shards: tuple[str, ...] = ()
+    limit: int = 0
+    deadline_ms: int = 0
+    request_id: str = ''
+    idempotency_key: str = ''
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers that are set."""
+        headers = {
+            'x-request-id': self.request_id,
+            'x-deadline-ms': str(self.deadline_ms or ''),
+            'idempotency-key': self.idempotency_key,
+        }
+        return {name: it for name, it in headers.items() if it}
+
+    def body(self) -> dict[str, Any]:
+        """Return the JSON form of the body."""
+        body: dict[str, Any] = {'profile': self.profile, 'query': self.query}
+        if self.shards:
+            body['shards'] = self.shards
+        if self.limit:
+            body['limit'] = self.limit
+        return body
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class QueryReply:
+    """Body of an answer or a refusal."""
+
+    request_id: str = ''
+    outcome: str = ''
+    snapshot: int = 0
+    coverage: float = 0
+    missing: tuple[str, ...] = ()
+    hits: tuple[dict[str, Any], ...] = ()
+    code: str = ''
+    step: str = ''
+    peer: str = ''
+    message: str = ''
+    retry_after_ms: int = 0
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class CallerAnswer:
+    """What a caller got; status 0 says that no answer came."""
+
+    status: int
+    latency_s: float
+    reply: QueryReply
+    entry: EntryAddress | None = None
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+    @property
+    def done(self) -> bool:
+        """Return whether the query was answered."""
+        return self.reply.outcome == OUTCOME_DONE
+
+
+def no_answer(outcome: str, code: ErrorCode, message: str) -> QueryReply:
+    """Return a reply that stands for a missing answer."""
+    return QueryReply(outcome=outcome, code=code.value, message=message)
--- /dev/null
+++ b/tests/standins/test_fleet.py
@@ -0,0 +1,151 @@
+"""Tests of the fleet of targets and the lagging instance list."""
+
+import contextlib
+import random
+
+import pytest
+
+from bitternturn.core.clock import monotonic
+from bitternturn.core.errors import BitternturnError
+from bitternturn.http.client import async_connect
+from bitternturn.platform.client import ObjectClient
+from bitternturn.platform.instances import async_list_instances
+from bitternturn.platform.models import ListedInstance
+from bitternturn.standins.deployments import ASSOCIATION, load_deployment
+from bitternturn.standins.fleet import TargetFleet
+from bitternturn.standins.instance_list import LaggingList
+from bitternturn.standins.objects import ObjectApi
+from bitternturn.standins.samples import Corpus, SampleKind
+from bitternturn.standins.target_behaviour import (
+    TargetBehaviour,
+    make_service_times,
+)
+from bitternturn.standins.target_records import runs_by_key, runs_by_request
+
+
+@contextlib.asynccontextmanager
+async def running():
+    fleet = TargetFleet(
+        deployment=load_deployment(ASSOCIATION, scale=0.1), documents=100
+    )
+    await fleet.async_start()
+    try:
+        yield fleet
+    finally:
+        await fleet.async_stop()
+
+
+async def search(target, index, shard, snapshot, request_id):
+    connection = await async_connect(host=target.host, port=target.port)
+    response = await connection.async_exchange(
+        method='POST',
+        path='/v1/search',
+        headers={
+            'x-request-id': request_id,
+            'idempotency-key': 'key',
+            'x-index': index,
+            'x-shard': shard,
+            'x-snapshot': str(snapshot),
+        },
+        body=b'{}',
+    )
+    connection.close()
+    return response
+
+
+class TestFleet:
+    async def test_every_configured_replica_serves_its_shard(self):
+        async with running() as fleet:
+            asked = 0
+            for index in fleet.indexes.indexes:
+                targets = {it.id: it for it in index.targets}
+                for shard in index.maps[0].shards:
+                    for target_id in shard.targets:
+                        response = await search(
+                            targets[target_id], index.name, shard.id, 1, 'r'
+                        )
+                        assert response.status == 200
+                        asked += 1
+            assert runs_by_request(fleet.runs()) == {'r': asked}
+            assert runs_by_key(fleet.runs()) == {'key': asked}
+
+    async def test_repartition_is_published(self):
+        async with running() as fleet:
+            fleet.add_snapshot('barrier-search', 2)
+            for snapshot in (2, 3):
+                new = fleet.add_snapshot('barrier-search', snapshot, shards=5)
+                fleet.publish('barrier-search', new)
+            index = fleet.index('barrier-search')
+            assert [it.snapshot for it in index.maps] == [2, 3]
+            shard = index.maps[1].shards[4]
+            target = fleet.targets[shard.targets[0]].target
+            response = await search(target, index.name, shard.id, 3, 'r')
+            assert response.status == 200
+            assert response.headers['x-held-snapshots'] == '2,3'
+
+    async def test_failure_domains_part_the_fleet(self):
+        async with running() as fleet:
+            domains = [
+                fleet.in_domain(it) for it in fleet.deployment.failure_domains
+            ]
+            assert sum(map(len, domains)) == len(fleet.targets)
+            gone = domains[0][0]
+            await gone.async_stop()
+            with pytest.raises(BitternturnError):
+                await async_connect(
+                    host=gone.target.host, port=gone.target.port
+                )
+            port = gone.target.port
+            await gone.async_start()
+            assert gone.target.port == port
+
+
+class TestSamples:
+    def test_shards_part_the_documents(self):
+        fleet = TargetFleet(deployment=load_deployment(ASSOCIATION))
+        corpus = Corpus(kind=SampleKind.BARRIERS, count=500, growth=10)
+        partition_map = fleet.indexes.indexes[0].maps[0]
+        split = [
+            it.id
+            for shard in partition_map.shards
+            for it in corpus.shard(partition_map, shard.id)
+        ]
+        assert len(split) == 500
+        assert set(split) == {it.id for it in corpus.documents(1)}
+        assert set(split) < {it.id for it in corpus.documents(2)}
+
+    def test_stragglers_are_one_in_a_hundred(self):
+        draw = make_service_times(
+            TargetBehaviour(service_s=0.001), random.Random(5)
+        )
+        times = [draw() for _ in range(10_000)]
+        late = [it for it in times if it > 0.01]
+        assert 70 <= len(late) <= 130
+        assert min(late) >= 0.015
+
+
+class TestInstanceList:
+    async def test_changes_show_after_the_lag(self):
+        times = [0.0]
+        api = ObjectApi(now=lambda: times[0], instances=LaggingList(lag_s=30))
+        await api.async_start(host='127.0.0.1')
+        client = ObjectClient(
+            host='127.0.0.1',
+            port=api.port,
+            timeout_s=5,
+            rng=random.Random(1),
+            now=monotonic,
+        )
+        entry = ListedInstance(
+            id='i1', failure_domain='d', state='live', peer='a', operators='b'
+        )
+        api.instances.set(entry, 0)
+        shown = []
+        for now in (29.0, 30.0, 50.0, 80.0):
+            times[0] = now
+            if now == 50:
+                api.instances.remove('i1', now)
+            shown.append(await async_list_instances(client))
+        assert shown == [(), (entry,), (entry,), ()]
+        client.close()
+        await api.async_stop()
