--- /dev/null
+++ b/bitternturn/daemon/keepers.py
@@ -0,0 +1,36 @@
+"""Which instances keep the claims of a key."""
+
+from collections.abc import Callable
+
+import xxhash
+
+from bitternturn.claims.buckets import bucket_name
+from bitternturn.claims.models import ClaimPeer
+from bitternturn.daemon import const
+from bitternturn.schema.membership_pb2 import (
+    MEMBER_STATE_ACTIVE,
+    Member,
+    View,
+)
+
+
+def keepers_of(
+    *,
+    view: View,
+    key: str,
+    link: Callable[[Member], ClaimPeer],
+) -> list[ClaimPeer]:
+    """Return links to the keepers of a key, by rendezvous of its bucket."""
+    bucket = bucket_name(key)
+    active = [
+        member
+        for member in view.members
+        if member.state == MEMBER_STATE_ACTIVE
+    ]
+    active.sort(key=lambda member: _weight(bucket, member), reverse=True)
+    return [link(member) for member in active[: const.KEEPERS]]
+
+
+def _weight(bucket: str, member: Member) -> int:
+    """Return the rendezvous weight of a member for a bucket."""
+    return xxhash.xxh3_64_intdigest(f'{bucket}/{member.incarnation}'.encode())
--- /dev/null
+++ b/bitternturn/daemon/node.py
@@ -0,0 +1,345 @@
+"""One instance: its parts, joined."""
+
+import random
+import secrets
+
+import logbook
+
+from bitternturn.callers.handler import CallersServices, create_handler
+from bitternturn.callers.knowledge import EntryKnowledge
+from bitternturn.callers.models import EntryServices
+from bitternturn.claims.client import ClaimClient
+from bitternturn.claims.keeper import ClaimKeeper
+from bitternturn.claims.models import ClaimPeer
+from bitternturn.configuration.spread import ConfigurationSpread
+from bitternturn.configuration.state import ConfigurationState
+from bitternturn.configuration.store import ConfigurationStore
+from bitternturn.configuration.switches import announce_changes
+from bitternturn.core.clock import (
+    MS_PER_SECOND,
+    HybridClock,
+    monotonic,
+    wall_ms,
+)
+from bitternturn.core.ids import FailureDomain, InstanceId, TargetId
+from bitternturn.core.metrics import Metrics
+from bitternturn.core.tasks import TaskSet
+from bitternturn.daemon import const
+from bitternturn.daemon.hints import InstanceHints
+from bitternturn.daemon.keepers import keepers_of
+from bitternturn.daemon.observe import create_observer
+from bitternturn.http.server import HttpServer, ServerLimits
+from bitternturn.membership.models import MembershipHooks, Runtime
+from bitternturn.membership.service import MembershipService
+from bitternturn.owners.service import OwnerService
+from bitternturn.peers.models import PeerHandlers
+from bitternturn.peers.pool import Link, PeerAddress, PeerPool
+from bitternturn.peers.server import PeerServer
+from bitternturn.platform.client import ObjectClient
+from bitternturn.policy.load import EntryAdmission
+
+from bitternturn.schema.membership_pb2 import (
+    MEMBER_STATE_ACTIVE,
+    Member,
+)
+from bitternturn.schema.peers_pb2 import (
+    FetchReply,
+    FetchRequest,
+    Hello,
+    TargetState,
+    TimelineReply,
+    TimelineRequest,
+    Versions,
+)
+from bitternturn.schema.settings_pb2 import NodeSettings
+from bitternturn.timeline.ring import Timeline
+
+LOGGER = logbook.Logger('daemon')
+
+REASON_DRAINING = 'draining'
+REASON_NO_VIEW = 'no view of the members from store or peers'
+
+
+class Node:
+    """The parts of one instance and the calls between them."""
+
+    def __init__(self, *, settings: NodeSettings) -> None:
+        """Build every part; nothing runs yet."""
+        self.settings = settings
+        self.instance_id = InstanceId(settings.instance.id)
+        self.now = monotonic
+        self.rng = random.Random(secrets.randbits(const.SEED_BITS))
+        self.tasks = TaskSet()
+        self.clock = HybridClock()
+        self.metrics = Metrics()
+        self.timeline = Timeline(
+            instance_id=self.instance_id,
+            capacity=settings.timeline.capacity,
+            clock=self.clock,
+            enabled=settings.timeline.enabled,
+        )
+        self.event = self.timeline.emit
+        self.draining = False
+        self.member = _member(settings, self.rng)
+        self.objects = ObjectClient(
+            host=settings.platform.objects.host,
+            port=settings.platform.objects.port,
+            timeout_s=settings.platform.call_timeout_ms / MS_PER_SECOND,
+            rng=self.rng,
+            now=self.now,
+        )
+        self.hints = InstanceHints(
+            objects=self.objects,
+            interval_ms=settings.platform.instance_list_interval_ms,
+            now=self.now,
+        )
+        self.configuration = ConfigurationState()
+        self.store = ConfigurationStore(
+            client=self.objects,
+            state=self.configuration,
+            instance_id=self.instance_id,
+            wall=wall_ms,
+        )
+        announce_changes(self.configuration, self.event)
+        self._build_peers()
+        self._build_members()
+        self._build_callers()
+
+    @property
+    def versions(self) -> Versions:
+        """Versions in force, the view's included."""
+        return self.spread.versions()
+
+    def unready(self) -> str:
+        """Return why the instance takes no queries; empty when it does."""
+        if self.draining:
+            return REASON_DRAINING
+        if self.spread.why_not_loaded:
+            return self.spread.why_not_loaded
+        if self.membership.view is None:
+            return REASON_NO_VIEW
+        return ''
+
+    def hello(self) -> Hello:
+        """Return who this instance is, for its peers."""
+        member = self.membership.me
+        return Hello(
+            protocol=const.PROTOCOL,
+            oldest_protocol=const.OLDEST_PROTOCOL,
+            cluster=self.settings.instance.cluster,
+            instance_id=self.instance_id,
+            incarnation=member.incarnation,
+            member=member,
+        )
+
+    def link_to(self, member: Member) -> Link:
+        """Return the link to a member."""
+        return self.pool.link(member.peer_host, member.peer_port)
+
+    def owner_link(self, target_id: TargetId) -> Link | None:
+        """Return the link to the owner of a target."""
+        target = self.configuration.target(target_id)
+        owner = None if target is None else self.membership.owner(target)
+        return None if owner is None else self.link_to(owner)
+
+    def _build_peers(self) -> None:
+        """Build what speaks to peers."""
+        self.handlers = PeerHandlers(
+            run=lambda group, item: self.owners.async_run(group, item),
+            probe=lambda request: self.membership.handle_probe(request),
+            fetch=self._async_fetch,
+            handover=lambda request: self.membership.handle_handover(request),
+            claim=lambda request: self.keeper.async_handle(request),
+            timeline=self._async_timeline,
+            hello=self.hello,
+            versions=lambda: self.versions,
+            observe=self._observe_peer,
+            clock=lambda: self.clock.tick(now_ms=wall_ms()),
+            observe_clock=self.clock.observe,
+        )
+        self.peer_server = PeerServer(handlers=self.handlers)
+        self.pool = PeerPool(
+            handlers=self.handlers,
+            tasks=self.tasks,
+            own=self._own_address,
+            now=self.now,
+            rng=self.rng,
+        )
+
+    def _build_members(self) -> None:
+        """Build membership, ownership and the spread of configuration."""
+        self.membership = MembershipService(
+            me=self.member,
+            settings=self.settings.membership,
+            objects=self.objects,
+            links=self.pool.link,
+            runtime=Runtime(
+                now=self.now,
+                rng=self.rng,
+                tasks=self.tasks,
+                event=self.event,
+            ),
+            hooks=MembershipHooks(
+                targets=self.configuration.targets,
+                release=self._async_release,
+                adopt=self._adopt,
+                is_gone=self.hints.is_gone,
+                seeds=self.hints.seeds,
+            ),
+        )
+        self.owners = OwnerService(
+            target_of=self.configuration.target,
+            may_send=self.membership.may_send,
+            is_out=self.configuration.is_out,
+            now=self.now,
+            connections=self.settings.connections,
+            limits=self.settings.limits,
+            event=self.event,
+            tasks=self.tasks,
+        )
+        self.spread = ConfigurationSpread(
+            client=self.objects,
+            state=self.configuration,
+            fetch=self._async_fetch_from,
+            peers=self._seed_members,
+            view=lambda: self.membership.view,
+            on_view=self.membership.on_view,
+            rng=self.rng,
+            now=self.now,
+            tasks=self.tasks,
+        )
+        self.configuration.subscribe(lambda kind: self.membership.on_targets())
+
+    def _build_callers(self) -> None:
+        """Build the entry and the claims."""
+        self.keeper = ClaimKeeper(
+            objects=self.objects,
+            wall_ms=wall_ms,
+            tasks=self.tasks,
+        )
+        self.claims = ClaimClient(
+            keepers=self._keepers,
+            hello=self.hello,
+            rng=self.rng,
+            tasks=self.tasks,
+        )
+        self.admission = EntryAdmission()
+        services = CallersServices(
+            entry=EntryServices(
+                owner_link=self.owner_link,
+                is_out=self.configuration.is_out,
+                index=self.configuration.index,
+                now=self.now,
+                rng=self.rng,
+                event=self.event,
+            ),
+            knowledge=EntryKnowledge(
+                is_out=self.configuration.is_out,
+                failure_domain=FailureDomain(self.member.failure_domain),
+            ),
+            admission=self.admission,
+            claims=self.claims,
+            profile=self.configuration.profile,
+            unready=self.unready,
+            observe=create_observer(self.metrics),
+            tasks=self.tasks,
+        )
+        self.callers = HttpServer(
+            handler=create_handler(services),
+            limits=_limits(self.settings),
+        )
+
+    def _own_address(self) -> PeerAddress:
+        """Return where this instance listens for peers."""
+        return PeerAddress(self.member.peer_host, self.member.peer_port)
+
+    def _keepers(self, key: str) -> list[ClaimPeer]:
+        """Return the links to the keepers of a key."""
+        view = self.membership.view
+        if view is None:
+            return []
+        return keepers_of(view=view, key=key, link=self.link_to)
+
+    def _seed_members(self) -> list[Member]:
+        """Return the members to ask while the store can't be reached."""
+        view = self.membership.view
+        if view is not None:
+            return [
+                member
+                for member in view.members
+                if member.instance_id != self.instance_id
+            ]
+        return [
+            Member(peer_host=seed.host, peer_port=seed.port)
+            for seed in self.hints.seeds()
+        ]
+
+    def _observe_peer(self, hello: Hello, versions: Versions) -> None:
+        """Take in who sent a message and which versions it has."""
+        self.membership.observe(hello, versions)
+        if hello.HasField('member'):
+            self.spread.observe(hello.member, versions)
+
+    async def _async_fetch(self, request: FetchRequest) -> FetchReply:
+        """Answer a peer that asks for newer versions."""
+        return self.spread.answer_fetch(request.versions)
+
+    async def _async_fetch_from(
+        self,
+        member: Member,
+        versions: Versions,
+    ) -> FetchReply:
+        """Ask a peer for newer versions."""
+        request = FetchRequest(hello=self.hello(), versions=versions)
+        return await self.link_to(member).async_fetch(request)
+
+    async def _async_timeline(
+        self,
+        request: TimelineRequest,
+    ) -> TimelineReply:
+        """Return this instance's events."""
+        return TimelineReply(
+            events=self.timeline.events(
+                since=request.since,
+                request_id=request.request_id,
+                target=request.target,
+                limit=request.limit,
+            ),
+        )
+
+    async def _async_release(self, target: TargetId) -> TargetState:
+        """Stop sending to a target; return its state once it is idle."""
+        states = await self.owners.async_release([target])
+        return states[0] if states else TargetState(target=target)
+
+    def _adopt(self, state: TargetState) -> None:
+        """Start sending to a target."""
+        self.owners.adopt(state)
+        self.owners.wake()
+
+
+def _member(settings: NodeSettings, rng: random.Random) -> Member:
+    """Return this instance as a member under a new incarnation."""
+    listeners = settings.listeners
+    return Member(
+        instance_id=settings.instance.id,
+        incarnation=rng.getrandbits(const.INCARNATION_BITS),
+        failure_domain=settings.instance.failure_domain,
+        region=settings.instance.region,
+        peer_host=listeners.peers.host,
+        peer_port=listeners.peers.port,
+        operator_host=listeners.operators.host,
+        operator_port=listeners.operators.port,
+        state=MEMBER_STATE_ACTIVE,
+    )
+
+
+def _limits(settings: NodeSettings) -> ServerLimits:
+    """Return the limits of the callers' listener."""
+    limits = settings.limits
+    return ServerLimits(
+        body_bytes=limits.body_bytes,
+        header_bytes=limits.header_bytes,
+        header_timeout=limits.header_timeout_ms / MS_PER_SECOND,
+        connections=limits.callers_connections,
+    )
--- a/bitternturn/http/server.py
+++ b/bitternturn/http/server.py
@@ -66,9 +66,14 @@
         if self._server is not None:
             self._server.close()
 
-    async def async_drain(self) -> None:
-        """Let each request in flight be answered, then close."""
+    async def async_drain(self, *, grace_s: float = 0) -> None:
+        """Let each request in flight be answered, then close.
+
+        During the grace further requests are answered too, each with the
+        wish to close the connection, so that clients move in their own time.
+        """
         self.draining = True
+        await asyncio.sleep(grace_s)
         self.close_listener()
         for connection in list(self.connections):
             connection.close_when_idle()
@@ -270,6 +275,8 @@
         headers.append(
             (b'content-length', str(len(response.body)).encode('ascii')),
         )
+        if self.server.draining:
+            headers.append((b'connection', b'close'))
         self._send(
             h11.Response(status_code=response.status, headers=headers),
             h11.Data(data=response.body),
