Decide on owners, leases and take-overs

Cause: nothing decided which instance may send to a target. Change: the pure part of membership, with the present time as an argument. Conclusion: base for the service.

--- /dev/null
+++ b/bitternturn/membership/const.py
@@ -0,0 +1,38 @@
+"""Defaults and limits of membership."""
+
+from typing import Final
+
+DEFAULT_PROBE_INTERVAL_S: Final = 0.25
+DEFAULT_PROBE_TIMEOUT_S: Final = 0.2
+DEFAULT_SUSPICION_S: Final = 0.6
+DEFAULT_LEASE_S: Final = 1.5
+DEFAULT_CLOCK_DRIFT: Final = 0.001
+
+# A vouch has to reach more than half of the fleet before it expires.
+VOUCH_LEASES: Final = 6
+READS_PER_LEASE: Final = 4
+READERS_PER_DOMAIN: Final = 2
+INDIRECT_PROBES: Final = 2
+# Share of silent members above which an instance takes itself to be cut off.
+CUT_OFF_SHARE: Final = 0.67
+# Least and most time between probes, in intervals.
+PROBE_JITTER: Final = (0.7, 1.2)
+# Probes per interval while a lease runs out in an outage.
+HURRIED_PROBES: Final = 4
+
+DIGESTS_PER_MESSAGE: Final = 64
+LEASE_VERSIONS: Final = 16
+UNSETTLED_VIEWS: Final = 16
+HISTORY_CHANGES: Final = 256
+
+TICK_S: Final = 0.05
+JOIN_RETRY_S: Final = 0.2
+JOIN_RETRY_LIMIT_S: Final = 5.0
+REJOIN_DELAY_LIMIT_S: Final = 30.0
+EDIT_ATTEMPTS: Final = 16
+HANDOVER_ATTEMPTS: Final = 3
+INCARNATION_BITS: Final = 63
+
+KIND_CONTROL: Final = 'control'
+NAME_VIEW: Final = 'view'
+READER_KEY: Final = 'reader'
--- /dev/null
+++ b/bitternturn/membership/takeover.py
@@ -0,0 +1,244 @@
+"""When this instance may start and has to stop sending to each target."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bitternturn.core.ids import (
+    FailureDomain,
+    Incarnation,
+    TargetId,
+    Version,
+)
+from bitternturn.membership.history import moved_directly, owned_since
+from bitternturn.membership.lease import Lease
+from bitternturn.membership.models import (
+    MembershipTimes,
+    OwnedTargetKey,
+    OwnershipState,
+    Release,
+)
+from bitternturn.membership.ownership import OwnershipTable
+from bitternturn.schema.config_pb2 import Target
+from bitternturn.schema.membership_pb2 import Member, View
+
+
+@dataclass(kw_only=True)
+class Ownership:
+    """One target that this instance owns or is giving up."""
+
+    key: OwnedTargetKey
+    state: OwnershipState
+    # Views from `since` to `last` all name this instance as the owner.
+    since: Version
+    last: Version
+    wait_until: float
+    release: Release | None = None
+    # The lease under the views since..last, frozen while releasing.
+    send_until: float = float('-inf')
+
+
+@dataclass(frozen=True, kw_only=True)
+class Announcement:
+    """A release that the previous owner announced."""
+
+    from_incarnation: Incarnation
+    view_version: Version
+
+
+class TargetOwnership:
+    """State of every target at this instance."""
+
+    def __init__(
+        self, *, me: Incarnation, lease: Lease, times: MembershipTimes
+    ) -> None:
+        """Start without a view."""
+        self.me = me
+        self.lease = lease
+        self.times = times
+        self.view: View | None = None
+        self.table = OwnershipTable(view=View())
+        self.owned: dict[TargetId, Ownership] = {}
+        self.announced: dict[TargetId, Announcement] = {}
+        self.started: list[TargetId] = []
+
+    def on_view(
+        self, view: View, targets: Iterable[Target], now: float
+    ) -> None:
+        """Take in a view or a change of the targets.
+
+        `now` must be read after the view was received.
+        """
+        held = Version(self.view.version) if self.view is not None else None
+        if held is None or view.version > held:
+            self.table.advance(view)
+            self.view = view
+        assert self.view is not None
+        known: set[TargetId] = set()
+        for target in targets:
+            key = OwnedTargetKey(
+                target=TargetId(target.id),
+                failure_domain=FailureDomain(target.failure_domain),
+            )
+            known.add(key.target)
+            self._place(key, self.view, now)
+        for target_id in self.owned.keys() - known:
+            self._give_up(self.owned[target_id], self.view, to=None)
+
+    def on_released(
+        self,
+        target: TargetId,
+        from_incarnation: Incarnation,
+        view_version: Version,
+        now: float,
+    ) -> bool:
+        """Take in a hand-over; return whether the target starts by it."""
+        announcement = Announcement(
+            from_incarnation=from_incarnation, view_version=view_version
+        )
+        ownership = self.owned.get(target)
+        if ownership is not None and self._start(ownership, announcement):
+            return True
+        latest = self.announced.get(target)
+        if latest is None or latest.view_version < view_version:
+            self.announced[target] = announcement
+        return False
+
+    def start_due(self, unsettled: Version | None, now: float) -> None:
+        """Start the targets whose wait is over.
+
+        `unsettled` is the least version under which leases may be extended.
+        """
+        for target_id, ownership in self.owned.items():
+            if ownership.state is not OwnershipState.WAITING:
+                continue
+            if unsettled is not None and unsettled < ownership.since:
+                continue
+            if now >= ownership.wait_until:
+                ownership.state = OwnershipState.OWNED
+                self.started.append(target_id)
+
+    def take_started(self) -> list[TargetId]:
+        """Return the targets started since the last call."""
+        started = self.started
+        self.started = []
+        return started
+
+    def may_send(self, target: TargetId, now: float) -> bool:
+        """Whether a request may be written to a target at this moment."""
+        ownership = self.owned.get(target)
+        if ownership is None or ownership.state is OwnershipState.WAITING:
+            return False
+        if ownership.state is OwnershipState.RELEASING:
+            return now < ownership.send_until
+        return now < self.lease.valid_until(ownership.since, ownership.last)
+
+    def unconfirmed(self, now: float) -> bool:
+        """Whether a target is kept from service just by a missing lease."""
+        return any(
+            ownership.state is OwnershipState.OWNED
+            and not self.may_send(target_id, now)
+            for target_id, ownership in self.owned.items()
+        )
+
+    def state(self, target: TargetId) -> OwnershipState:
+        """Return the state of a target."""
+        ownership = self.owned.get(target)
+        return OwnershipState.NONE if ownership is None else ownership.state
+
+    def to_release(self, now: float) -> list[Release]:
+        """Return what has to be given up."""
+        return [
+            ownership.release
+            for ownership in self.owned.values()
+            if ownership.release is not None
+        ]
+
+    def on_release_done(self, release: Release) -> bool:
+        """Note that nothing is sent to a target any more.
+
+        Returns whether the release still stands and may be announced.
+        """
+        ownership = self.owned.get(release.target)
+        if ownership is not None and ownership.release is release:
+            self.owned.pop(release.target)
+            return release.clean
+        return False
+
+    def _place(self, key: OwnedTargetKey, view: View, now: float) -> None:
+        """Bring one target in line with the view."""
+        owner = self.table.owner(key.target, key.failure_domain)
+        ownership = self.owned.get(key.target)
+        if owner is not None and owner.incarnation == self.me:
+            self._take(key, view, now)
+        elif ownership is not None:
+            self._give_up(ownership, view, to=owner)
+
+    def _take(self, key: OwnedTargetKey, view: View, now: float) -> None:
+        """Own a target: go on where nobody else came between, else wait."""
+        ownership = self.owned.get(key.target)
+        if (
+            ownership is not None
+            and ownership.release is None
+            and ownership.last == view.version
+        ):
+            return
+        since = owned_since(view, key, self.me)
+        assert since is not None
+        if (
+            ownership is not None
+            and ownership.release is None
+            and since <= ownership.last
+        ):
+            ownership.last = Version(view.version)
+            self._start_announced(ownership)
+            return
+        ownership = Ownership(
+            key=key,
+            state=OwnershipState.WAITING,
+            since=since,
+            last=Version(view.version),
+            wait_until=now + self.times.lease_wait_s,
+        )
+        self.owned[key.target] = ownership
+        self._start_announced(ownership)
+
+    def _start_announced(self, ownership: Ownership) -> None:
+        """Start by a hand-over that came before the view."""
+        announcement = self.announced.pop(ownership.key.target, None)
+        if announcement is None:
+            return
+        if announcement.view_version > ownership.last:
+            self.announced[ownership.key.target] = announcement
+            return
+        self._start(ownership, announcement)
+
+    def _start(self, ownership: Ownership, announcement: Announcement) -> bool:
+        """Start by a hand-over made under a view since which it is ours."""
+        if ownership.state is not OwnershipState.WAITING:
+            return False
+        if not ownership.since <= announcement.view_version <= ownership.last:
+            return False
+        ownership.state = OwnershipState.OWNED
+        self.started.append(ownership.key.target)
+        return True
+
+    def _give_up(
+        self, ownership: Ownership, view: View, to: Member | None
+    ) -> None:
+        """Begin to release a target, or forget one that never started."""
+        if ownership.release is not None:
+            return
+        if ownership.state is OwnershipState.WAITING:
+            self.owned.pop(ownership.key.target)
+            return
+        ownership.state = OwnershipState.RELEASING
+        ownership.send_until = self.lease.valid_until(
+            ownership.since, ownership.last
+        )
+        ownership.release = Release(
+            target=ownership.key.target,
+            to=to,
+            view_version=Version(view.version),
+            clean=to is not None
+            and moved_directly(view, ownership.key, self.me, ownership.last),
+        )
