--- /dev/null
+++ b/tests/membership/fakes.py
@@ -0,0 +1,240 @@
+"""Fakes at the interfaces of membership: virtual time, store, network."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.tasks import TaskSet
+from bitternturn.membership.models import MembershipHooks, Runtime
+from bitternturn.membership.service import MembershipService
+from bitternturn.schema.config_pb2 import Target
+from bitternturn.schema.membership_pb2 import Member
+from bitternturn.schema.peers_pb2 import (
+    FetchReply,
+    Hello,
+    TargetState,
+    Versions,
+)
+from bitternturn.schema.settings_pb2 import MembershipSettings
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Jumps to the next timer instead of waiting for it."""
+
+    def __init__(self):
+        super().__init__()
+        self.seconds = 0.0
+        select = self._selector.select
+
+        def jump(timeout):
+            self.seconds += timeout or 0
+            return select(0)
+
+        self._selector.select = jump
+
+    def time(self):
+        return self.seconds
+
+
+def run(coroutine):
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        loop.close()
+
+
+@dataclass
+class Stored:
+    version: int
+    value: bytes
+
+
+@dataclass
+class FakeStore:
+    """One linearizable object, with outages."""
+
+    stored: Stored | None = None
+    last: int = 0
+    down: bool = False
+    cut: set = field(default_factory=set)
+    reads: int = 0
+    writes: int = 0
+
+    def client(self, name):
+        return StoreClient(self, name)
+
+
+class StoreClient:
+    def __init__(self, store, name):
+        self.store = store
+        self.name = name
+
+    async def _reach(self):
+        await asyncio.sleep(0.004)
+        if self.store.down or self.name in self.store.cut:
+            await asyncio.sleep(0.3)
+            raise BitternturnError(
+                code=ErrorCode.PLATFORM_UNREACHABLE, step='object_get'
+            )
+
+    async def async_get(self, kind, name):
+        await self._reach()
+        self.store.reads += 1
+        return self.store.stored
+
+    async def async_put(self, *, kind, name, value, if_version):
+        await self._reach()
+        stored = self.store.stored
+        if if_version != (stored.version if stored else 0):
+            raise BitternturnError(code=ErrorCode.CONFLICT, step='object_put')
+        self.store.writes += 1
+        self.store.last += 3
+        self.store.stored = Stored(self.store.last, value)
+        return self.store.last
+
+
+class FakeLink:
+    def __init__(self, net, sender, port):
+        self.net = net
+        self.sender = sender
+        self.port = port
+
+    async def _reach(self):
+        await asyncio.sleep(0.0015)
+        receiver = self.net.nodes.get(self.port)
+        if receiver is None or self.net.is_cut(self.sender, receiver):
+            await asyncio.sleep(1)
+            raise BitternturnError(
+                code=ErrorCode.PEER_UNREACHABLE, step='peer_call'
+            )
+        return receiver.service
+
+    def _hello(self):
+        me = self.sender.service.me
+        return Hello(incarnation=me.incarnation, member=me)
+
+    async def async_probe(self, request):
+        request.hello.CopyFrom(self._hello())
+        service = await self._reach()
+        reply = await service.handle_probe(request)
+        await asyncio.sleep(0.0015)
+        hello = Hello(incarnation=service.me.incarnation, member=service.me)
+        self.sender.service.observe(hello, reply.versions)
+        return reply
+
+    async def async_fetch(self, request):
+        service = await self._reach()
+        return FetchReply(versions=Versions(), view=service.view)
+
+    async def async_handover(self, request):
+        request.hello.CopyFrom(self._hello())
+        service = await self._reach()
+        return await service.handle_handover(request)
+
+
+class Node:
+    """An instance with its service, and what its owners' side was told."""
+
+    def __init__(self, net, number, domain):
+        self.net = net
+        self.name = f'i{number}'
+        self.domain = domain
+        self.port = number
+        self.adopted = []
+        self.events = []
+        self.tasks = TaskSet()
+        rng = random.Random(number)
+        self.service = MembershipService(
+            me=Member(
+                instance_id=self.name,
+                incarnation=rng.getrandbits(63),
+                failure_domain=domain,
+                peer_host='h',
+                peer_port=number,
+            ),
+            settings=MembershipSettings(),
+            objects=net.store.client(self.name),
+            links=lambda host, port: FakeLink(net, self, port),
+            runtime=Runtime(
+                now=asyncio.get_running_loop().time,
+                rng=rng,
+                tasks=self.tasks,
+                event=lambda kind, **info: self.events.append((kind, info)),
+            ),
+            hooks=MembershipHooks(
+                targets=lambda: net.targets,
+                release=self.async_release,
+                adopt=self.adopted.append,
+            ),
+        )
+
+    async def async_release(self, target):
+        await asyncio.sleep(0.02)
+        return TargetState(target=target, warm=True)
+
+    async def async_crash(self):
+        self.net.nodes.pop(self.port)
+        await self.tasks.async_stop()
+
+
+class Network:
+    """Instances that reach each other unless they are cut off."""
+
+    def __init__(self, targets=16, domains=('a', 'b', 'c', 'd')):
+        self.store = FakeStore()
+        self.domains = domains
+        self.targets = [
+            Target(id=f't{index}', failure_domain=domains[index % len(domains)])
+            for index in range(targets)
+        ]
+        self.nodes = {}
+        self.cuts = set()
+
+    def is_cut(self, one, other):
+        return one.domain != other.domain and bool(
+            {one.domain, other.domain} & self.cuts
+        )
+
+    async def async_add(self, count):
+        base = max(self.nodes, default=0)
+        for number in range(base + 1, base + count + 1):
+            domain = self.domains[number % len(self.domains)]
+            node = Node(self, number, domain)
+            self.nodes[number] = node
+            await node.service.async_start()
+
+    def senders(self, target):
+        now = asyncio.get_running_loop().time()
+        return [
+            node
+            for node in self.nodes.values()
+            if node.service.may_send(target.id, now)
+        ]
+
+    def unserved(self):
+        return [
+            target.id for target in self.targets if not self.senders(target)
+        ]
+
+    def doubled(self):
+        return [
+            target.id
+            for target in self.targets
+            if len(self.senders(target)) > 1
+        ]
+
+    async def async_until_served(self, limit_s):
+        """Return after how long every target had a sender."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while self.unserved():
+            await asyncio.sleep(0.01)
+            assert not self.doubled()
+            assert loop.time() - began < limit_s, self.unserved()
+        return loop.time() - began
--- /dev/null
+++ b/tests/membership/test_service.py
@@ -0,0 +1,141 @@
+"""Tests of the membership service over fakes, on virtual time."""
+
+import asyncio
+
+from bitternturn.membership.models import MembershipEvent
+from tests.membership.fakes import Network, run
+
+
+def started(node):
+    return [
+        info['target']
+        for kind, info in node.events
+        if kind is MembershipEvent.TARGET_STARTED
+    ]
+
+
+class TestJoining:
+    def test_every_target_gets_one_owner(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+
+        run(scenario())
+
+    def test_owner_is_in_the_targets_domain(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            for target in net.targets:
+                (owner,) = net.senders(target)
+                assert owner.domain == target.failure_domain
+
+        run(scenario())
+
+    def test_joins_when_the_outage_ends(self):
+        async def scenario():
+            net = Network()
+            net.store.down = True
+            await net.async_add(2)
+            await asyncio.sleep(20)
+            assert len(net.unserved()) == len(net.targets)
+            net.store.down = False
+            await net.async_until_served(15)
+
+        run(scenario())
+
+
+class TestLeaving:
+    def test_targets_pass_without_a_wait(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await asyncio.sleep(3)
+            node = net.nodes[1]
+            owned = set(started(node))
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            await node.service.async_leave()
+            assert loop.time() - began < net.nodes[2].service.times.lease_s
+            assert await net.async_until_served(0.2) < 0.2
+            assert owned
+            warm = {
+                state.target
+                for other in net.nodes.values()
+                for state in other.adopted
+                if state.warm
+            }
+            assert owned <= warm
+
+        run(scenario())
+
+
+class TestCrash:
+    def test_lost_domain_is_owned_again(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await asyncio.sleep(3)
+            for node in list(net.nodes.values()):
+                if node.domain == 'b':
+                    await node.async_crash()
+            assert net.unserved()
+            await net.async_until_served(3)
+
+        run(scenario())
+
+
+class TestOutage:
+    def test_owners_go_on_without_the_store(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await asyncio.sleep(3)
+            net.store.down = True
+            for _ in range(6000):
+                await asyncio.sleep(0.01)
+                assert net.unserved() == []
+            net.store.down = False
+            await asyncio.sleep(5)
+            assert net.unserved() == []
+            assert net.store.writes == 8
+
+        run(scenario())
+
+    def test_instance_cut_off_from_all_stops(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await asyncio.sleep(3)
+            net.cuts.add('b')
+            cut = [node for node in net.nodes.values() if node.domain == 'b']
+            net.store.cut |= {node.name for node in cut}
+            await asyncio.sleep(0.01)
+            await net.async_until_served(4)
+            await asyncio.sleep(2)
+            for target in net.targets:
+                assert not set(net.senders(target)) & set(cut)
+
+        run(scenario())
+
+    def test_cut_off_instance_comes_back(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            net.cuts.add('b')
+            net.store.cut |= {'i1', 'i5'}
+            await asyncio.sleep(10)
+            net.cuts.clear()
+            net.store.cut.clear()
+            await asyncio.sleep(10)
+            assert net.unserved() == []
+            assert len(net.nodes[1].service.view.members) == 8
+
+        run(scenario())
