Render a timeline as text, JSON and SVG swim lanes

Operators need to see a query's fan-out, hedges, refusals and switches of failure domains over all processes at a glance.

The drawing has a lane per instance, a row per target within it, bars for durations, thin lines from a query's entry to what it caused elsewhere, and vertical lines where a domain or target went out or came in.

--- a/bitternturn/timeline/const.py
+++ b/bitternturn/timeline/const.py
@@ -14,5 +14,8 @@
 LEGEND_HEIGHT: Final = 40
 MARK_RADIUS: Final = 4
 TICKS: Final = 10
+MARGIN: Final = 10
+SPAN_WIDTH: Final = 3
+HOP_WIDTH: Final = 0.5
 
 US_PER_MS: Final = 1000
--- /dev/null
+++ b/bitternturn/timeline/render.py
@@ -0,0 +1,68 @@
+"""A timeline as text or JSON."""
+
+from collections.abc import Iterator, Sequence
+from datetime import UTC, datetime
+from typing import Final
+
+import msgspec
+
+from bitternturn.core.clock import MS_PER_SECOND, stamp_to_ms
+from bitternturn.schema.timeline_pb2 import Event
+from bitternturn.timeline.const import US_PER_MS
+
+# Fields of an event that stand behind its kind when they are not empty.
+TEXT_FIELDS: Final = ('request_id', 'shard', 'target', 'peer', 'detail')
+
+
+def render_text(events: Sequence[Event]) -> str:
+    """Return one line per event."""
+    return ''.join(f'{_line(event)}\n' for event in events)
+
+
+def render_json(events: Sequence[Event]) -> bytes:
+    """Return a list of objects with all fields of each event."""
+    return msgspec.json.encode([event_to_json(event) for event in events])
+
+
+def event_to_json(event: Event) -> dict[str, str | int]:
+    """Return an event as JSON members, the clock in full."""
+    return {
+        field.name: getattr(event, field.name)
+        for field in Event.DESCRIPTOR.fields
+    }
+
+
+def event_from_json(content: dict[str, str | int]) -> Event:
+    """Return an event from the members that `event_to_json` gives."""
+    event = Event()
+    for name, member in content.items():
+        setattr(event, name, member)
+    return event
+
+
+def format_time(event: Event) -> str:
+    """Return the wall time of an event in UTC."""
+    seconds = stamp_to_ms(event.clock) / MS_PER_SECOND
+    moment = datetime.fromtimestamp(seconds, tz=UTC)
+    return moment.strftime('%H:%M:%S.%f')[:-3]
+
+
+def describe(event: Event) -> str:
+    """Return the fields of an event that are not empty."""
+    return ' '.join(_fields(event))
+
+
+def _line(event: Event) -> str:
+    """Return the line of an event."""
+    head = f'{format_time(event)} {event.instance_id:<12} {event.kind:<22}'
+    return f'{head} {describe(event)}'.rstrip()
+
+
+def _fields(event: Event) -> Iterator[str]:
+    """Yield each field with its name."""
+    for name in TEXT_FIELDS:
+        content = getattr(event, name)
+        if content:
+            yield f'{name}={content}'
+    if event.duration_us:
+        yield f'duration={event.duration_us / US_PER_MS:.1f}ms'
--- /dev/null
+++ b/bitternturn/timeline/svg.py
@@ -0,0 +1,233 @@
+"""A timeline as SVG: one swim lane per process, rows within by request."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from xml.sax.saxutils import escape
+
+from bitternturn.core.clock import COUNTER_BITS
+from bitternturn.schema.timeline_pb2 import Event
+from bitternturn.timeline import const
+from bitternturn.timeline.render import describe, format_time
+from bitternturn.timeline.styles import LEGEND, Shape, Style, style_of
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class Point:
+    """A place in the drawing, in pixels."""
+
+    x: float
+    y: float
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class Layout:
+    """Where instances and times stand."""
+
+    lanes: Mapping[str, int]
+    first_ms: float
+    span_ms: float
+
+    @property
+    def bottom(self) -> int:
+        """Return where the lowest lane ends."""
+        return const.HEADER_HEIGHT + len(self.lanes) * const.LANE_HEIGHT
+
+    @property
+    def height(self) -> int:
+        """Return the height of the whole drawing."""
+        return self.bottom + const.LEGEND_HEIGHT
+
+    def x_at(self, offset_ms: float) -> float:
+        """Return the place of a time after the first event."""
+        width = const.DRAWING_WIDTH - const.LABEL_WIDTH - const.MARGIN
+        return const.LABEL_WIDTH + width * offset_ms / self.span_ms
+
+    def top_of(self, instance_id: str) -> int:
+        """Return where the lane of an instance begins."""
+        lane = self.lanes[instance_id]
+        return const.HEADER_HEIGHT + lane * const.LANE_HEIGHT
+
+    def place(self, event: Event) -> Point:
+        """Return the place of an event's mark."""
+        row = _row_of(event)
+        offset = const.ROW_HEIGHT * (row + 1)
+        return Point(
+            x=self.x_at(_time_ms(event) - self.first_ms),
+            y=self.top_of(event.instance_id) + offset,
+        )
+
+
+def render_svg(events: Sequence[Event]) -> str:
+    """Return a drawing of merged events."""
+    layout = _make_layout(events)
+    parts = [
+        _open(layout),
+        *_draw_lanes(layout),
+        *_draw_axis(layout),
+        *_draw_spans(layout, events),
+        *_draw_hops(layout, events),
+        *(_draw_mark(layout, event) for event in events),
+        *_draw_legend(layout),
+        '</svg>',
+    ]
+    return '\n'.join(parts) + '\n'
+
+
+def _make_layout(events: Sequence[Event]) -> Layout:
+    """Return the lanes in order of names and the span of times."""
+    times = [_time_ms(event) for event in events] or [0]
+    names = sorted({event.instance_id for event in events})
+    return Layout(
+        lanes={name: lane for lane, name in enumerate(names)},
+        first_ms=min(times),
+        span_ms=max(max(times) - min(times), 1),
+    )
+
+
+def _time_ms(event: Event) -> float:
+    """Return the time of an event; the counter parts equal milliseconds."""
+    return event.clock / (1 << COUNTER_BITS)
+
+
+def _row_of(event: Event) -> int:
+    """Return the row of an event in its lane, the same for one target."""
+    if event.kind.startswith('query_'):
+        return 0
+    key = event.target or event.shard
+    # A sum of bytes, since hash() of a text differs between processes.
+    return 1 + sum(key.encode()) % (const.ROWS_PER_LANE - 1) if key else 0
+
+
+def _open(layout: Layout) -> str:
+    """Return the opening tag with the background."""
+    size = f'width="{const.DRAWING_WIDTH}" height="{layout.height}"'
+    return (
+        f'<svg xmlns="http://www.w3.org/2000/svg" {size} '
+        'font-family="sans-serif" font-size="11">\n'
+        f'<rect {size} fill="#ffffff"/>'
+    )
+
+
+def _draw_lanes(layout: Layout) -> Iterator[str]:
+    """Yield a band and a label for each process."""
+    for name, lane in layout.lanes.items():
+        top = layout.top_of(name)
+        fill = '#f4f6f9' if lane % 2 else '#e9edf3'
+        yield (
+            f'<rect x="0" y="{top}" width="{const.DRAWING_WIDTH}" '
+            f'height="{const.LANE_HEIGHT}" fill="{fill}"/>'
+        )
+        middle = top + const.LANE_HEIGHT // 2
+        yield _text(const.MARGIN, middle, name)
+
+
+def _draw_axis(layout: Layout) -> Iterator[str]:
+    """Yield lines and labels of times, from the first event on."""
+    for tick in range(const.TICKS + 1):
+        offset = layout.span_ms * tick / const.TICKS
+        x = layout.x_at(offset)
+        yield _line(
+            Point(x=x, y=const.HEADER_HEIGHT),
+            Point(x=x, y=layout.bottom),
+            '#c8cfda',
+        )
+        label = f'+{offset:.1f} ms'
+        yield _text(x, const.HEADER_HEIGHT - const.MARGIN, label, 'middle')
+
+
+def _draw_spans(layout: Layout, events: Sequence[Event]) -> Iterator[str]:
+    """Yield a bar for each event that ends something with a duration."""
+    for event in events:
+        if event.duration_us:
+            end = layout.place(event)
+            length_ms = event.duration_us / const.US_PER_MS
+            begun_ms = _time_ms(event) - layout.first_ms - length_ms
+            begin = Point(x=layout.x_at(max(begun_ms, 0)), y=end.y)
+            colour = style_of(event.kind).colour
+            yield _line(begin, end, colour, width=const.SPAN_WIDTH)
+
+
+def _draw_hops(layout: Layout, events: Sequence[Event]) -> Iterator[str]:
+    """Yield lines from each query's start to the events that follow it."""
+    starts = {
+        event.request_id: event
+        for event in events
+        if event.kind == 'query_started'
+    }
+    for event in events:
+        start = starts.get(event.request_id)
+        elsewhere = start and start.instance_id != event.instance_id
+        if start is not None and elsewhere:
+            yield _line(
+                layout.place(start),
+                layout.place(event),
+                style_of(event.kind).colour,
+                width=const.HOP_WIDTH,
+            )
+
+
+def _draw_mark(layout: Layout, event: Event) -> str:
+    """Return the mark of an event; its title tells the rest."""
+    style = style_of(event.kind)
+    place = layout.place(event)
+    title = escape(f'{format_time(event)} {event.kind} {describe(event)}')
+    mark = _shape(style, place)
+    if style.shape is Shape.LINE:
+        mark = _line(
+            Point(x=place.x, y=const.HEADER_HEIGHT),
+            Point(x=place.x, y=layout.bottom),
+            style.colour,
+            width=2,
+        )
+        name = f'{event.target or event.detail} {style.label}'
+        mark += _text(place.x, const.MARGIN * 2, name, 'middle')
+    return f'<g class="{escape(event.kind)}"><title>{title}</title>{mark}</g>'
+
+
+def _draw_legend(layout: Layout) -> Iterator[str]:
+    """Yield a mark and a label for each style."""
+    step = (const.DRAWING_WIDTH - const.MARGIN) / len(LEGEND)
+    y = layout.bottom + const.LEGEND_HEIGHT / 2
+    for position, style in enumerate(LEGEND):
+        x = const.MARGIN * 2 + position * step
+        yield _shape(style, Point(x=x, y=y))
+        yield _text(x + const.MARGIN, y + const.MARK_RADIUS, style.label)
+
+
+def _shape(style: Style, place: Point) -> str:
+    """Return one mark."""
+    x, y, size = place.x, place.y, const.MARK_RADIUS
+    fill = f'fill="{style.colour}"'
+    if style.shape is Shape.CIRCLE:
+        return f'<circle cx="{x:.1f}" cy="{y:.1f}" r="{size}" {fill}/>'
+    if style.shape is Shape.DIAMOND:
+        path = f'M{x - size:.1f} {y:.1f}l4 -4 4 4 -4 4z'
+        return f'<path d="{path}" {fill}/>'
+    if style.shape is Shape.CROSS:
+        path = f'M{x - size:.1f} {y - size:.1f}l8 8m0 -8l-8 8'
+        return f'<path d="{path}" stroke="{style.colour}" stroke-width="2"/>'
+    top, bottom = Point(x=x, y=y - size), Point(x=x, y=y + size)
+    return _line(top, bottom, style.colour, width=2)
+
+
+def _line(
+    begin: Point,
+    end: Point,
+    colour: str,
+    *,
+    width: float = 1,
+) -> str:
+    """Return a straight line."""
+    return (
+        f'<line x1="{begin.x:.1f}" y1="{begin.y:.1f}" '
+        f'x2="{end.x:.1f}" y2="{end.y:.1f}" '
+        f'stroke="{colour}" stroke-width="{width}"/>'
+    )
+
+
+def _text(x: float, y: float, label: str, anchor: str = 'start') -> str:
+    """Return a label."""
+    return (
+        f'<text x="{x:.1f}" y="{y:.1f}" text-anchor="{anchor}">'
+        f'{escape(label)}</text>'
+    )
