--- a/bitternturn/configuration/state.py
+++ b/bitternturn/configuration/state.py
@@ -28,6 +28,7 @@
         self._indexes: dict[IndexName, Index] = {}
         self._targets: dict[TargetId, Target] = {}
         self._out: frozenset[TargetId] = frozenset()
+        self._versions = Versions()
 
     def subscribe(self, subscriber: Subscriber) -> Callable[[], None]:
         """Call back with each kind that changes; returns the way to stop."""
@@ -44,6 +45,7 @@
         kept.CopyFrom(offered)
         self.objects[kind] = kept
         self._rebuild(kind)
+        self._versions = self._find_versions()
         for subscriber in list(self.subscribers):
             subscriber(kind)
         return True
@@ -55,11 +57,9 @@
 
     def versions(self) -> Versions:
         """Return the versions in force; the view's is left at 0."""
-        return Versions(
-            profiles=self.version(ConfigurationKind.PROFILES),
-            indexes=self.version(ConfigurationKind.INDEXES),
-            switches=self.version(ConfigurationKind.SWITCHES),
-        )
+        versions = Versions()
+        versions.CopyFrom(self._versions)
+        return versions
 
     def objects_newer_than(
         self,
@@ -73,10 +73,15 @@
         ]
 
     def is_behind(self, versions: Versions) -> bool:
-        """Whether somebody with these versions has a newer one."""
-        return any(
-            version_in(versions, kind) > self.version(kind)
-            for kind in ConfigurationKind
+        """Whether somebody with these versions has a newer one.
+
+        Called for each message of a peer.
+        """
+        held = self._versions
+        return (
+            versions.switches > held.switches
+            or versions.profiles > held.profiles
+            or versions.indexes > held.indexes
         )
 
     def profile(self, name: ProfileName) -> Profile | None:
@@ -99,6 +104,14 @@
         """Whether operators have taken out a target or its domain."""
         return target_id in self._out
 
+    def _find_versions(self) -> Versions:
+        """Return the versions of what is in force."""
+        return Versions(
+            profiles=self.version(ConfigurationKind.PROFILES),
+            indexes=self.version(ConfigurationKind.INDEXES),
+            switches=self.version(ConfigurationKind.SWITCHES),
+        )
+
     def _rebuild(self, kind: ConfigurationKind) -> None:
         """Refresh the look-ups of a kind."""
         accepted = self.objects[kind]
--- /dev/null
+++ b/tests/configuration/test_store.py
@@ -0,0 +1,203 @@
+"""Tests of acceptance, history and rollback against the stand-in."""
+
+import contextlib
+import random
+
+import pytest
+
+from bitternturn.configuration import const
+from bitternturn.configuration.models import (
+    ConfigurationConflict,
+    ConfigurationKind,
+    InvalidConfiguration,
+)
+from bitternturn.configuration.state import ConfigurationState
+from bitternturn.configuration.store import ConfigurationStore
+from bitternturn.configuration.switches import SwitchEdit, SwitchScope
+from bitternturn.core.clock import monotonic
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.ids import TargetId
+from bitternturn.platform.client import ObjectClient
+from bitternturn.schema.config_pb2 import Profiles
+from bitternturn.standins.object_faults import ObjectFaults, Outage
+from bitternturn.standins.objects import ObjectApi
+from tests.configuration.fakes import make_profile, profiles_at
+
+PROFILES = ConfigurationKind.PROFILES
+
+
+def make_store(api: ObjectApi, stack, name='i-1', **options):
+    client = ObjectClient(
+        host='127.0.0.1',
+        port=api.port,
+        timeout_s=2,
+        rng=random.Random(name),
+        now=monotonic,
+        **options,
+    )
+    stack.callback(client.close)
+    return ConfigurationStore(
+        client=client,
+        state=ConfigurationState(),
+        instance_id=name,
+        wall=lambda: 1234,
+    )
+
+
+@pytest.fixture
+async def stack():
+    async with contextlib.AsyncExitStack() as entered:
+        yield entered
+
+
+@pytest.fixture
+async def api(stack):
+    started = ObjectApi()
+    await started.async_start(host='127.0.0.1')
+    stack.push_async_callback(started.async_stop)
+    return started
+
+
+def profiles(*names: str) -> Profiles:
+    return profiles_at(1, *names).profiles
+
+
+async def accept(store, content, if_version):
+    return await store.async_accept(
+        kind=PROFILES, content=content, if_version=if_version
+    )
+
+
+class TestAccept:
+    async def test_accepted_content_is_in_force_here(self, api, stack):
+        store = make_store(api, stack)
+        version = await accept(store, profiles('desk'), 0)
+        assert store.state.version(PROFILES) == version
+        assert store.state.profile('desk') == make_profile('desk')
+
+    async def test_conflict_carries_both(self, api, stack):
+        first = make_store(api, stack)
+        second = make_store(api, stack, 'i-2')
+        version = await accept(first, profiles('desk'), 0)
+        with pytest.raises(ConfigurationConflict) as caught:
+            await accept(second, profiles('other'), 0)
+        assert caught.value.mine == profiles_at(0, 'other')
+        assert caught.value.theirs == profiles_at(version, 'desk')
+
+    async def test_a_write_between_check_and_update(self, api, stack):
+        first = make_store(api, stack)
+        second = make_store(api, stack, 'i-2')
+        put = first.client.async_put
+
+        async def put_late(**options):
+            first.client.async_put = put
+            await accept(second, profiles('theirs'), 0)
+            return await put(**options)
+
+        first.client.async_put = put_late
+        with pytest.raises(ConfigurationConflict) as caught:
+            await accept(first, profiles('mine'), 0)
+        assert caught.value.theirs.profiles == profiles('theirs')
+
+    async def test_invalid_content_is_not_written(self, api, stack):
+        store = make_store(api, stack)
+        with pytest.raises(InvalidConfiguration):
+            await accept(store, profiles('a', 'a'), 0)
+        assert api.calls == 0
+
+    async def test_lost_answer(self, api, stack):
+        store = make_store(api, stack)
+        api.set_faults(ObjectFaults(lost_answers=1))
+        version = await accept(store, profiles('desk'), 0)
+        standing = await store.client.async_get('control', 'profiles')
+        assert standing.version == version
+
+    async def test_outage(self, api, stack):
+        store = make_store(api, stack, attempts=1)
+        api.set_faults(ObjectFaults(outage=Outage.REFUSING))
+        with pytest.raises(BitternturnError) as caught:
+            await accept(store, profiles('desk'), 0)
+        assert caught.value.code is ErrorCode.PLATFORM_UNREACHABLE
+        assert store.state.version(PROFILES) == 0
+
+
+class TestHistory:
+    async def test_newest_first_and_bounded(self, api, stack):
+        store = make_store(api, stack)
+        accepted = [0]
+        for number in range(const.HISTORY_ENTRIES + 3):
+            content = profiles(f'p{number}')
+            accepted.append(await accept(store, content, accepted[-1]))
+        entries = await store.async_entries(PROFILES)
+        kept = accepted[-const.HISTORY_ENTRIES :]
+        assert [entry.version for entry in entries] == kept[::-1]
+        assert entries[0].instance_id == 'i-1'
+        oldest = await store.history.async_content(PROFILES, kept[0])
+        assert oldest == profiles_at(kept[0], 'p3')
+        with pytest.raises(BitternturnError) as caught:
+            await store.history.async_content(PROFILES, accepted[1])
+        assert caught.value.code is ErrorCode.NOT_FOUND
+        listed = await store.client.async_list('history')
+        assert len(listed.items) == const.HISTORY_ENTRIES + 1
+
+    async def test_a_version_that_was_not_kept_is_kept_later(self, api, stack):
+        store = make_store(api, stack)
+        content = profiles('first')
+        first = await store.client.async_put(
+            kind='control',
+            name='profiles',
+            value=content.SerializeToString(),
+            if_version=0,
+        )
+        second = await accept(store, profiles('second'), first)
+        entries = await store.async_entries(PROFILES)
+        assert [entry.version for entry in entries] == [second, first]
+
+    async def test_rollback_is_a_new_version(self, api, stack):
+        store = make_store(api, stack)
+        first = await accept(store, profiles('first'), 0)
+        second = await accept(store, profiles('second'), first)
+        third = await store.async_rollback(kind=PROFILES, to_version=first)
+        assert third > second
+        assert store.state.objects[PROFILES] == profiles_at(third, 'first')
+        with pytest.raises(ConfigurationConflict):
+            await store.async_rollback(
+                kind=PROFILES, to_version=first, if_version=second
+            )
+
+
+class TestSwitch:
+    async def test_two_edits_at_once_both_stand(self, api, stack):
+        stores = [make_store(api, stack, f'i-{number}') for number in (1, 2)]
+        put = stores[0].client.async_put
+        edits = [
+            SwitchEdit(
+                scope=SwitchScope.TARGET, name=name, out=True, reason='r'
+            )
+            for name in ('t1', 't2')
+        ]
+
+        async def put_late(**options):
+            stores[0].client.async_put = put
+            await stores[1].async_switch(edits[1])
+            return await put(**options)
+
+        stores[0].client.async_put = put_late
+        version = await stores[0].async_switch(edits[0])
+        state = stores[0].state
+        assert state.version(ConfigurationKind.SWITCHES) == version
+        assert state.is_out(TargetId('t1')) and state.is_out(TargetId('t2'))
+
+    async def test_out_again_changes_nothing_and_in_reverts(self, api, stack):
+        store = make_store(api, stack)
+        out = SwitchEdit(
+            scope=SwitchScope.FAILURE_DOMAIN, name='n', out=True, reason='r'
+        )
+        back = SwitchEdit(
+            scope=SwitchScope.FAILURE_DOMAIN, name='n', out=False, reason=''
+        )
+        version = await store.async_switch(out)
+        assert await store.async_switch(out) == version
+        assert await store.async_switch(back) > version
+        switches = store.state.objects[ConfigurationKind.SWITCHES].switches
+        assert len(switches.failure_domains) == 1
