Prove claims by a state machine over lost answers and late writes

Cause: a keeper that had refused a claim may drop it later, when the same token was granted by another keeper meanwhile. Change: a state machine with lost, refused and late writes and lost replies.

--- a/bitternturn/daemon/keepers.py
+++ b/bitternturn/daemon/keepers.py
@@ -23,9 +23,7 @@
     """Return links to the keepers of a key, by rendezvous of its bucket."""
     bucket = bucket_name(key)
     active = [
-        member
-        for member in view.members
-        if member.state == MEMBER_STATE_ACTIVE
+        member for member in view.members if member.state == MEMBER_STATE_ACTIVE
     ]
     active.sort(key=lambda member: _weight(bucket, member), reverse=True)
     return [link(member) for member in active[: const.KEEPERS]]
--- a/bitternturn/daemon/node.py
+++ b/bitternturn/daemon/node.py
@@ -37,7 +37,6 @@
 from bitternturn.peers.server import PeerServer
 from bitternturn.platform.client import ObjectClient
 from bitternturn.policy.load import EntryAdmission
-
 from bitternturn.schema.membership_pb2 import (
     MEMBER_STATE_ACTIVE,
     Member,
--- /dev/null
+++ b/bitternturn/standins/embedded.py
@@ -0,0 +1,145 @@
+"""A whole deployment in one process: stand-ins and instances on one loop."""
+
+import random
+from dataclasses import dataclass, field
+from typing import Final
+
+from google.protobuf.message import Message
+
+from bitternturn.configuration.const import KIND_CONTROL
+from bitternturn.core.clock import monotonic
+from bitternturn.core.ids import FailureDomain, InstanceId, Version
+from bitternturn.core.settings import parse_settings
+from bitternturn.daemon.lifecycle import (
+    CreateOperatorsHandler,
+    RunningNode,
+    async_shut_down,
+    async_start,
+)
+from bitternturn.platform.client import ObjectClient
+from bitternturn.platform.models import ListedInstance
+from bitternturn.schema.settings_pb2 import NodeSettings
+from bitternturn.standins.caller import Caller
+from bitternturn.standins.caller_models import EntryAddress
+from bitternturn.standins.deployments import (
+    DEFAULT_HOST,
+    Deployment,
+    build_profiles,
+    build_switches,
+)
+from bitternturn.standins.fleet import TargetFleet
+from bitternturn.standins.objects import ObjectApi
+
+CALL_TIMEOUT_S: Final = 1.0
+
+SETTINGS: Final = """
+[instance]
+id = '{name}'
+failure_domain = '{failure_domain}'
+region = 'embedded'
+cluster = '{cluster}'
+
+[listeners]
+callers = {{ host = '{host}', port = 0 }}
+peers = {{ host = '{host}', port = 0 }}
+operators = {{ host = '{host}', port = 0 }}
+
+[platform]
+objects = {{ host = '{host}', port = {objects_port} }}
+"""
+
+
+@dataclass(kw_only=True, slots=True)
+class EmbeddedTier:
+    """Object API, targets and instances of one deployment."""
+
+    deployment: Deployment
+    fleet: TargetFleet
+    create_operators: CreateOperatorsHandler
+    objects: ObjectApi = field(default_factory=ObjectApi)
+    nodes: list[RunningNode] = field(default_factory=list)
+
+    async def async_start(self, *, instances: int) -> None:
+        """Start everything; the instances are ready some time later."""
+        await self.objects.async_start(host=DEFAULT_HOST)
+        await self.fleet.async_start(host=DEFAULT_HOST)
+        await self.async_configure()
+        for number in range(instances):
+            await self.async_add(number)
+
+    async def async_stop(self) -> None:
+        """Shut the instances down gracefully, then close the stand-ins."""
+        for running in self.nodes:
+            await async_shut_down(running)
+        await self.fleet.async_stop()
+        await self.objects.async_stop()
+
+    async def async_configure(self) -> None:
+        """Write the deployment's configuration into the object API."""
+        client = self.objects_client()
+        first: dict[str, Message] = {
+            'indexes': self.fleet.indexes,
+            'profiles': build_profiles(self.deployment),
+            'switches': build_switches(self.deployment),
+        }
+        for name, message in first.items():
+            await client.async_put(
+                kind=KIND_CONTROL,
+                name=name,
+                value=message.SerializeToString(),
+                if_version=Version(0),
+            )
+        client.close()
+
+    async def async_add(self, number: int) -> RunningNode:
+        """Start one more instance and show it in the instance list."""
+        running = await async_start(
+            self._settings(number),
+            self.create_operators,
+        )
+        self.nodes.append(running)
+        member = running.node.member
+        self.objects.instances.set(
+            ListedInstance(
+                id=InstanceId(member.instance_id),
+                failure_domain=FailureDomain(member.failure_domain),
+                state='live',
+                peer=f'{member.peer_host}:{member.peer_port}',
+                operators=f'{member.operator_host}:{member.operator_port}',
+            ),
+            monotonic(),
+        )
+        return running
+
+    def caller(self) -> Caller:
+        """Return a caller that reaches every instance."""
+        return Caller(
+            addresses=[
+                EntryAddress(host=DEFAULT_HOST, port=it.node.callers.port)
+                for it in self.nodes
+            ],
+        )
+
+    def objects_client(self) -> ObjectClient:
+        """Return a client of the object API."""
+        return ObjectClient(
+            host=DEFAULT_HOST,
+            port=self.objects.port,
+            timeout_s=CALL_TIMEOUT_S,
+            rng=random.Random(self.deployment.name),
+            now=monotonic,
+        )
+
+    def _settings(self, number: int) -> NodeSettings:
+        """Return the settings of one instance."""
+        domains = self.deployment.failure_domains
+        return parse_settings(
+            SETTINGS.format(
+                name=f'{self.deployment.name}-{number}',
+                failure_domain=domains[number % len(domains)],
+                cluster=self.deployment.name,
+                host=DEFAULT_HOST,
+                objects_port=self.objects.port,
+            ),
+            source='embedded',
+        )
--- /dev/null
+++ b/tests/claims/test_machine.py
@@ -0,0 +1,168 @@
+"""State machine: a key is granted at most once, whatever the store does."""
+
+import asyncio
+import random
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+
+from bitternturn.claims.client import ClaimClient
+from bitternturn.claims.keeper import ClaimKeeper
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.ids import Version
+from bitternturn.core.tasks import TaskSet
+from bitternturn.platform.models import StoredObject
+from bitternturn.schema.peers_pb2 import (
+    CLAIM_STATE_DONE,
+    CLAIM_STATE_GRANTED,
+    ClaimOutcome,
+    ClaimReply,
+    ClaimRequest,
+    Hello,
+)
+
+KEYS = st.sampled_from([f'key-{number}' for number in range(6)])
+FAULTS = st.sampled_from(['none', 'refused', 'lost', 'late'])
+
+
+class FaultyStore:
+    """Conditional updates whose answers may be lost or that land late."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+        self.faults = []
+        self.delayed = []
+
+    async def async_get(self, kind, name):
+        return self.objects.get(name)
+
+    async def async_put(self, *, kind, name, value, if_version):
+        fault = self.faults.pop(0) if self.faults else 'none'
+        if fault == 'refused':
+            raise failure(ErrorCode.PLATFORM_UNREACHABLE)
+        if fault == 'late':
+            self.delayed.append((name, value, if_version))
+            raise failure(ErrorCode.UNKNOWN_RESULT)
+        version = self.commit(name, value, if_version)
+        if version is None:
+            raise failure(ErrorCode.CONFLICT)
+        if fault == 'lost':
+            raise failure(ErrorCode.UNKNOWN_RESULT)
+        return version
+
+    def commit(self, name, value, if_version):
+        present = self.objects.get(name)
+        if (present.version if present else 0) != if_version:
+            return None
+        self.version += 1
+        self.objects[name] = StoredObject(
+            kind='claims',
+            name=name,
+            version=Version(self.version),
+            value=value,
+        )
+        return Version(self.version)
+
+
+def failure(code):
+    return BitternturnError(code=code, step='put', peer='store')
+
+
+class LossyPeer:
+    """A link to a keeper whose answers may be lost on the way."""
+
+    def __init__(self, keeper, lost):
+        self.keeper = keeper
+        self.lost = lost
+
+    async def async_claim(self, request: ClaimRequest) -> ClaimReply:
+        reply = await self.keeper.async_handle(request)
+        if self.lost.pop(0) if self.lost else False:
+            raise failure(ErrorCode.PEER_UNREACHABLE)
+        return reply
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Two keepers and entries that claim, run and record."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.store = FaultyStore()
+        self.tasks = TaskSet()
+        self.lost = []
+        keepers = [
+            ClaimKeeper(objects=self.store, wall_ms=lambda: 1, tasks=self.tasks)
+            for _ in range(2)
+        ]
+        self.client = ClaimClient(
+            keepers=lambda key: [LossyPeer(k, self.lost) for k in keepers],
+            hello=Hello,
+            rng=random.Random(1),
+            tasks=self.tasks,
+        )
+        self.runs = Counter()
+
+    def teardown(self):
+        self.loop.run_until_complete(self.tasks.async_stop())
+        self.loop.close()
+
+    @rule()
+    def land_late_write(self):
+        if self.store.delayed:
+            self.store.commit(*self.store.delayed.pop(0))
+
+    @rule(
+        key=KEYS,
+        end=st.sampled_from(['done', 'not run', 'crash']),
+        faults=st.lists(FAULTS, max_size=3),
+        lost=st.lists(st.booleans(), max_size=2),
+    )
+    def send(self, key, end, faults, lost):
+        self.store.faults = faults
+        self.lost[:] = lost
+        self.loop.run_until_complete(self._async_send(key, end))
+
+    @rule(keys=st.lists(KEYS, min_size=2, max_size=3))
+    def race(self, keys):
+        async def async_race():
+            await asyncio.gather(
+                *(self._async_send(key, 'crash') for key in keys)
+            )
+
+        self.loop.run_until_complete(async_race())
+
+    async def _async_send(self, key, end):
+        ticket = self.client.ticket(key=key, index='i', body=b'{}')
+        found = await self.client.async_claim(ticket)
+        if found.reply.state == CLAIM_STATE_DONE:
+            assert self.runs[key] == 1
+        if found.reply.state != CLAIM_STATE_GRANTED:
+            return
+        if end == 'not run':
+            await self._async_record(found.ticket, ClaimOutcome(done=False))
+            return
+        self.runs[key] += 1
+        if end == 'done':
+            outcome = ClaimOutcome(done=True, status=200, body=b'x')
+            await self._async_record(found.ticket, outcome)
+
+    async def _async_record(self, ticket, outcome):
+        request = self.client._request(ticket)
+        request.outcome.CopyFrom(outcome)
+        await self.client._try_record(request)
+
+    @invariant()
+    def at_most_once(self):
+        assert max(self.runs.values(), default=0) <= 1
+
+
+TestClaims = ClaimMachine.TestCase
+TestClaims.settings = settings(max_examples=300)
