Serve the operators from the daemon, and let links say who calls

Cause: membership named only its incarnation, so peers would refuse its calls; a cancelled call left a connection in use that may have gone silent. Change: links and the server fill in the whole hello; a cancelled call drops its connection.

--- a/bitternturn/cli/demo.py
+++ b/bitternturn/cli/demo.py
@@ -9,7 +9,6 @@
 import msgspec
 from tabulate import tabulate
 
-from bitternturn.administration.assemble import create_operators
 from bitternturn.cli.demo_queries import (
     ASSOCIATION_PLAN,
     ATLAS_PLAN,
@@ -42,7 +41,9 @@
 async def async_demo(*, serve: bool) -> int:
     """Run the demonstration of both deployments; return the exit code."""
     started = monotonic()
-    tiers = [await _async_build(plan) for plan in (ATLAS_PLAN, ASSOCIATION_PLAN)]
+    tiers = [
+        await _async_build(plan) for plan in (ATLAS_PLAN, ASSOCIATION_PLAN)
+    ]
     try:
         for tier in tiers:
             await _async_wait_ready(tier)
@@ -75,7 +76,6 @@
     tier = EmbeddedTier(
         deployment=deployment,
         fleet=fleet,
-        create_operators=create_operators,
     )
     await tier.async_start(instances=INSTANCES)
     return tier
@@ -85,7 +85,7 @@
     """Wait until every instance takes queries."""
     async with asyncio.timeout(READY_LIMIT_S):
         for running in tier.nodes:
-            while running.node.unready():
+            while running.node.unready():  # noqa: ASYNC110
                 await asyncio.sleep(READY_POLL_S)
 
 
@@ -208,7 +208,7 @@
         body = msgspec.json.encode(query.body()).decode()
         say(f'\n{plan.deployment}:')
         say(
-            f"  curl -s http://{node.callers.host}:{node.callers.port}"
+            f'  curl -s http://{node.callers.host}:{node.callers.port}'
             f"/v1/query/{query.index} -d '{body}'",
         )
         say(f'  curl -s http://{operators.host}:{operators.port}/v1/status')
--- a/bitternturn/configuration/state.py
+++ b/bitternturn/configuration/state.py
@@ -88,6 +88,10 @@
         """Return a profile."""
         return self._profiles.get(name)
 
+    def profile_names(self) -> Iterable[ProfileName]:
+        """Return the names of all profiles."""
+        return self._profiles.keys()
+
     def index(self, name: IndexName) -> Index | None:
         """Return an index."""
         return self._indexes.get(name)
--- a/bitternturn/daemon/lifecycle.py
+++ b/bitternturn/daemon/lifecycle.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import logbook
@@ -11,16 +10,13 @@
 from bitternturn.core.errors import BitternturnError
 from bitternturn.daemon import const
 from bitternturn.daemon.node import Node
-from bitternturn.http.models import Request, Response
+from bitternturn.daemon.operators import create_operators
 from bitternturn.http.server import HttpServer
 from bitternturn.schema.settings_pb2 import NodeSettings
 from bitternturn.timeline.models import EventKind
 
 LOGGER = logbook.Logger('daemon')
 
-OperatorsHandler = Callable[[Request], Awaitable[Response]]
-CreateOperatorsHandler = Callable[[Node], OperatorsHandler]
-
 
 @dataclass(kw_only=True, slots=True)
 class RunningNode:
@@ -30,10 +26,7 @@
     operators: HttpServer
 
 
-async def async_start(
-    settings: NodeSettings,
-    create_operators: CreateOperatorsHandler,
-) -> RunningNode:
+async def async_start(settings: NodeSettings) -> RunningNode:
     """Start an instance; it takes queries once `Node.unready` is empty."""
     node = Node(settings=settings)
     listeners = settings.listeners
@@ -56,6 +49,7 @@
     await node.hints.async_read()
     node.tasks.spawn(node.hints.async_follow(), name='instance list')
     node.tasks.spawn(node.spread.async_run(), name='configuration')
+    node.owners.start()
     await node.membership.async_start()
     node.tasks.spawn(_async_housekeeping(node), name='housekeeping')
     node.tasks.spawn(_async_watch_lag(node), name='loop lag')
@@ -84,6 +78,7 @@
     node = running.node
     node.event(EventKind.INSTANCE_STOPPED, detail=node.instance_id)
     await node.callers.async_stop()
+    await node.owners.async_stop()
     await running.operators.async_stop()
     await node.peer_server.async_stop()
     await node.pool.async_stop()
@@ -91,12 +86,9 @@
     node.objects.close()
 
 
-async def async_serve(
-    settings: NodeSettings,
-    create_operators: CreateOperatorsHandler,
-) -> None:
+async def async_serve(settings: NodeSettings) -> None:
     """Run an instance until SIGTERM or SIGINT; a second one ends it at once."""
-    running = await async_start(settings, create_operators)
+    running = await async_start(settings)
     node = running.node
     LOGGER.info(
         'serving callers on port {}, peers on {}, operators on {}',
--- a/bitternturn/daemon/node.py
+++ b/bitternturn/daemon/node.py
@@ -11,6 +11,7 @@
 from bitternturn.claims.client import ClaimClient
 from bitternturn.claims.keeper import ClaimKeeper
 from bitternturn.claims.models import ClaimPeer
+from bitternturn.configuration.models import ConfigurationKind
 from bitternturn.configuration.spread import ConfigurationSpread
 from bitternturn.configuration.state import ConfigurationState
 from bitternturn.configuration.store import ConfigurationStore
@@ -31,7 +32,13 @@
 from bitternturn.http.server import HttpServer, ServerLimits
 from bitternturn.membership.models import MembershipHooks, Runtime
 from bitternturn.membership.service import MembershipService
+from bitternturn.owners.models import (
+    Ownership,
+    queue_capacity,
+    to_pool_settings,
+)
 from bitternturn.owners.service import OwnerService
+from bitternturn.peers.handshake import set_protocol
 from bitternturn.peers.models import PeerHandlers
 from bitternturn.peers.pool import Link, PeerAddress, PeerPool
 from bitternturn.peers.server import PeerServer
@@ -122,13 +129,13 @@
     def hello(self) -> Hello:
         """Return who this instance is, for its peers."""
         member = self.membership.me
-        return Hello(
-            protocol=const.PROTOCOL,
-            oldest_protocol=const.OLDEST_PROTOCOL,
-            cluster=self.settings.instance.cluster,
-            instance_id=self.instance_id,
-            incarnation=member.incarnation,
-            member=member,
+        return set_protocol(
+            Hello(
+                cluster=self.settings.instance.cluster,
+                instance_id=self.instance_id,
+                incarnation=member.incarnation,
+                member=member,
+            ),
         )
 
     def link_to(self, member: Member) -> Link:
@@ -144,7 +151,7 @@
     def _build_peers(self) -> None:
         """Build what speaks to peers."""
         self.handlers = PeerHandlers(
-            run=lambda group, item: self.owners.async_run(group, item),
+            run=lambda group, item: self.owners.submit(group, item),
             probe=lambda request: self.membership.handle_probe(request),
             fetch=self._async_fetch,
             handover=lambda request: self.membership.handle_handover(request),
@@ -188,11 +195,15 @@
         )
         self.owners = OwnerService(
             target_of=self.configuration.target,
-            may_send=self.membership.may_send,
-            is_out=self.configuration.is_out,
+            ownership=Ownership(
+                owns=self.membership.owns,
+                may_send=self.membership.may_send,
+                is_out=self.configuration.is_out,
+            ),
+            pool=to_pool_settings(self.settings.connections),
+            queue_capacity=queue_capacity(self.settings.limits),
             now=self.now,
-            connections=self.settings.connections,
-            limits=self.settings.limits,
+            rng=self.rng,
             event=self.event,
             tasks=self.tasks,
         )
@@ -207,7 +218,7 @@
             now=self.now,
             tasks=self.tasks,
         )
-        self.configuration.subscribe(lambda kind: self.membership.on_targets())
+        self.configuration.subscribe(self._on_configuration)
 
     def _build_callers(self) -> None:
         """Build the entry and the claims."""
@@ -248,6 +259,12 @@
             limits=_limits(self.settings),
         )
 
+    def _on_configuration(self, kind: ConfigurationKind) -> None:
+        """Follow a change of the targets and of what is out."""
+        if kind is ConfigurationKind.INDEXES:
+            self.membership.on_targets()
+        self.owners.wake()
+
     def _own_address(self) -> PeerAddress:
         """Return where this instance listens for peers."""
         return PeerAddress(self.member.peer_host, self.member.peer_port)
--- a/bitternturn/membership/service.py
+++ b/bitternturn/membership/service.py
@@ -17,6 +17,7 @@
     MembershipEvent,
     MembershipHooks,
     ObjectStore,
+    OwnershipState,
     Runtime,
     times_of,
 )
@@ -83,6 +84,20 @@
         """Return the owner of a target under the latest view known."""
         return self.state.owner(target)
 
+    def owns(self, target: TargetId) -> bool:
+        """Whether this instance takes work for a target, if only to wait."""
+        state = self.ownership_state(target)
+        return state in {OwnershipState.WAITING, OwnershipState.OWNED}
+
+    def ownership_state(self, target: TargetId) -> OwnershipState:
+        """Return what this instance may do with a target."""
+        return self.state.ownership.state(target)
+
+    def lease_s(self, now: float) -> float:
+        """Return how long the lease of the latest view still lasts."""
+        until = self.state.lease.valid_until(self.state.version)
+        return max(0, until - now)
+
     async def async_start(self) -> None:
         """Join, or fetch the view from a peer and join as soon as it works."""
         if not await self._async_try_join():
--- a/bitternturn/peers/calls.py
+++ b/bitternturn/peers/calls.py
@@ -1,5 +1,7 @@
 """Single calls to one peer, on a connection of their own."""
 
+import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +18,7 @@
 # asyncio.TimeoutError is among the OSErrors.
 _UNANSWERED = (OSError, ProtocolError, StreamTerminatedError)
 _CODES = {code.value: code for code in ErrorCode}
+_HELLO = 'hello'
 
 
 @dataclass(kw_only=True, slots=True)
@@ -39,11 +42,19 @@
     else the code that the peer's handler raised.
     """
 
-    def __init__(self, *, host: str, port: int, observe: Observe) -> None:
-        """Prepare; the first call connects."""
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        hello: Callable[[], peers_pb2.Hello],
+        observe: Observe,
+    ) -> None:
+        """Prepare; the first call connects. `hello` tells who calls."""
         self.host = host
         self.port = port
         self.peer = f'{host}:{port}'
+        self.hello = hello
         self.observe = observe
         self.peer_hello = peers_pb2.Hello()
         self._connection: Connection | None = None
@@ -131,6 +142,8 @@
         timeout_s: float,
     ) -> Any:
         """Make one call by the name of its method."""
+        if _HELLO in request.DESCRIPTOR.fields_by_name:
+            request.hello.CopyFrom(self.hello())
         if self._connection is None:
             self._connection = Connection(
                 channel=Channel(self.host, self.port),
@@ -142,6 +155,11 @@
             return await method(request, timeout=timeout_s)
         except GRPCError as error:
             raise self._convert(error, name) from error
+        except asyncio.CancelledError:
+            # The connection may have gone silent.
+            if self._connection is connection:
+                self.drop()
+            raise
         except _UNANSWERED as error:
             if self._connection is connection:
                 self.drop()
--- a/bitternturn/peers/link.py
+++ b/bitternturn/peers/link.py
@@ -57,7 +57,12 @@
         settings: LinkSettings = DEFAULT_LINK_SETTINGS,
     ) -> None:
         """Prepare; the first sub-request connects."""
-        super().__init__(host=host, port=port, observe=handlers.observe)
+        super().__init__(
+            host=host,
+            port=port,
+            hello=handlers.hello,
+            observe=handlers.observe,
+        )
         self.handlers = handlers
         self.tasks = tasks
         self.now = now
--- a/bitternturn/peers/server.py
+++ b/bitternturn/peers/server.py
@@ -24,6 +24,7 @@
     ClaimRequest,
     FetchRequest,
     HandoverRequest,
+    ProbeReply,
     ProbeRequest,
     TimelineRequest,
     Versions,
@@ -150,7 +151,7 @@
     async def Probe(self, stream: Any) -> None:
         """Answer a probe."""
         await self._async_answer(
-            stream, ProbeRequest.FromString, self.handlers.probe
+            stream, ProbeRequest.FromString, self._async_probe
         )
 
     async def Fetch(self, stream: Any) -> None:
@@ -181,6 +182,12 @@
             self.handlers.timeline,
         )
 
+    async def _async_probe(self, request: ProbeRequest) -> ProbeReply:
+        """Answer a probe under the name of this instance."""
+        reply = await self.handlers.probe(request)
+        reply.hello.CopyFrom(self.handlers.hello())
+        return reply
+
     async def _async_answer(
         self,
         stream: Any,
--- a/bitternturn/standins/embedded.py
+++ b/bitternturn/standins/embedded.py
@@ -11,7 +11,6 @@
 from bitternturn.core.ids import FailureDomain, InstanceId, Version
 from bitternturn.core.settings import parse_settings
 from bitternturn.daemon.lifecycle import (
-    CreateOperatorsHandler,
     RunningNode,
     async_shut_down,
     async_start,
@@ -55,7 +54,6 @@
 
     deployment: Deployment
     fleet: TargetFleet
-    create_operators: CreateOperatorsHandler
     objects: ObjectApi = field(default_factory=ObjectApi)
     nodes: list[RunningNode] = field(default_factory=list)
 
@@ -93,10 +91,7 @@
 
     async def async_add(self, number: int) -> RunningNode:
         """Start one more instance and show it in the instance list."""
-        running = await async_start(
-            self._settings(number),
-            self.create_operators,
-        )
+        running = await async_start(self._settings(number))
         self.nodes.append(running)
         member = running.node.member
         self.objects.instances.set(
