--- /dev/null
+++ b/tests/configuration/test_spread.py
@@ -0,0 +1,247 @@
+"""Tests of the spread of configurations."""
+
+import asyncio
+import random
+
+import pytest
+
+from bitternturn.configuration.models import ConfigurationKind
+from bitternturn.configuration.spread import (
+    ConfigurationSpread,
+    SpreadCallbacks,
+)
+from bitternturn.configuration.state import ConfigurationState
+from bitternturn.configuration.switches import announce_changes
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.tasks import TaskSet
+from bitternturn.platform.models import ObjectList, StoredObject
+from bitternturn.schema.membership_pb2 import Member, View
+from bitternturn.schema.peers_pb2 import FetchReply, Versions
+from bitternturn.timeline.models import EventKind
+from tests.configuration.fakes import profiles_at, switches_at
+
+PROFILES = ConfigurationKind.PROFILES
+PEER = Member(instance_id='i-2')
+
+
+def failure(code=ErrorCode.PLATFORM_UNREACHABLE) -> BitternturnError:
+    return BitternturnError(code=code, step='test')
+
+
+def stored_profiles(version: int, *names: str) -> StoredObject:
+    content = profiles_at(version, *names).profiles
+    return StoredObject(
+        kind='control',
+        name='profiles',
+        version=version,
+        value=content.SerializeToString(),
+    )
+
+
+class ScriptedClient:
+    """Plays lists and watches; an exception among them is raised."""
+
+    def __init__(self, *, lists=(), watches=()):
+        self.lists = list(lists)
+        self.watches = list(watches)
+        self.watched_from = []
+        self.done = asyncio.Event()
+
+    async def async_list(self, kind):
+        if not self.lists:
+            raise failure()
+        listed = self.lists.pop(0)
+        if isinstance(listed, Exception):
+            raise listed
+        return listed
+
+    async def watch(self, kind, from_version):
+        self.watched_from.append(from_version)
+        if not self.watches:
+            self.done.set()
+            await asyncio.Event().wait()
+        for step in self.watches.pop(0):
+            if isinstance(step, Exception):
+                raise step
+            yield step
+
+
+class Node:
+    """A spread with its pieces."""
+
+    def __init__(self, client, *, fetch=None, peers=()):
+        self.state = ConfigurationState()
+        self.tasks = TaskSet()
+        self.views = []
+        self.time = 0.0
+        self.spread = ConfigurationSpread(
+            client=client,
+            state=self.state,
+            callbacks=SpreadCallbacks(
+                fetch=fetch or self.async_refuse,
+                peers=lambda: peers,
+                view=lambda: self.views[-1] if self.views else None,
+                on_view=self.views.append,
+            ),
+            rng=random.Random(1),
+            now=lambda: self.time,
+            tasks=self.tasks,
+            retry_base_s=0,
+        )
+
+    async def async_refuse(self, member, versions):
+        raise failure(ErrorCode.PEER_UNREACHABLE)
+
+    async def async_settle(self):
+        while self.tasks.running:
+            await asyncio.gather(*self.tasks.running)
+
+
+@pytest.fixture
+async def running():
+    nodes = []
+
+    def start(node):
+        node.tasks.spawn(node.spread.async_run())
+        nodes.append(node)
+
+    yield start
+    for node in nodes:
+        await node.tasks.async_stop()
+
+
+class TestWatch:
+    async def test_list_then_watch_then_resume_where_it_ended(self, running):
+        view = StoredObject(
+            kind='control',
+            name='view',
+            version=4,
+            value=View(members=[PEER]).SerializeToString(),
+        )
+        client = ScriptedClient(
+            lists=[ObjectList(version=5, items=(view, stored_profiles(2)))],
+            watches=[
+                [stored_profiles(7, 'a'), failure()],
+                [stored_profiles(9, 'b'), failure()],
+            ],
+        )
+        node = Node(client)
+        running(node)
+        await client.done.wait()
+        assert client.watched_from == [5, 7, 9]
+        assert node.state.version(PROFILES) == 9
+        assert node.views == [View(version=4, members=[PEER])]
+        assert node.spread.versions() == Versions(view=4, profiles=9)
+
+    async def test_gone_watch_lists_again(self, running):
+        client = ScriptedClient(
+            lists=[
+                ObjectList(version=5, items=()),
+                ObjectList(version=50, items=(stored_profiles(44, 'a'),)),
+            ],
+            watches=[[failure(ErrorCode.WATCH_GONE)]],
+        )
+        node = Node(client)
+        running(node)
+        await client.done.wait()
+        assert client.watched_from == [5, 50]
+        assert node.state.version(PROFILES) == 44
+
+    async def test_unusable_and_deleted_objects_change_nothing(self):
+        node = Node(ScriptedClient())
+        node.spread.take_stored(stored_profiles(3, 'a'))
+        for fields in (
+            {'name': 'profiles', 'value': b'\xff', 'version': 4},
+            {'name': 'profiles', 'deleted': True, 'version': 5},
+            {'name': 'view', 'value': b'\xff', 'version': 6},
+            {'name': 'other', 'value': b'', 'version': 7},
+        ):
+            node.spread.take_stored(StoredObject(kind='control', **fields))
+        assert node.state.objects[PROFILES] == profiles_at(3, 'a')
+        assert node.views == []
+
+
+class TestStart:
+    async def test_loads_from_peers_while_the_store_is_down(self, running):
+        async def fetch(member, versions):
+            if member.instance_id == 'dead':
+                raise failure(ErrorCode.PEER_UNREACHABLE)
+            return FetchReply(objects=[profiles_at(3, 'a')])
+
+        peers = [Member(instance_id='dead'), PEER]
+        node = Node(ScriptedClient(), fetch=fetch, peers=peers)
+        running(node)
+        await node.spread.loaded.wait()
+        assert node.state.version(PROFILES) == 3
+        assert node.spread.why_not_loaded == ''
+
+    async def test_says_why_it_is_not_loaded(self, running):
+        asked = asyncio.Event()
+
+        async def fetch(member, versions):
+            asked.set()
+            return FetchReply()
+
+        node = Node(ScriptedClient(), fetch=fetch, peers=[PEER])
+        running(node)
+        await asked.wait()
+        assert not node.spread.loaded.is_set()
+        assert 'platform_unreachable' in node.spread.why_not_loaded
+
+
+class TestObserve:
+    async def test_fetches_from_the_peer_that_is_ahead(self):
+        asked = []
+
+        async def fetch(member, versions):
+            asked.append((member, versions))
+            return FetchReply(
+                objects=[profiles_at(8, 'a')], view=View(version=6)
+            )
+
+        node = Node(ScriptedClient(), fetch=fetch)
+        node.state.offer(profiles_at(3))
+        node.spread.observe(PEER, Versions(profiles=3))
+        assert not node.tasks.running
+        for _ in range(3):
+            node.spread.observe(PEER, Versions(profiles=8, view=6))
+        await node.async_settle()
+        assert asked == [(PEER, Versions(profiles=3))]
+        assert node.spread.versions() == Versions(profiles=8, view=6)
+
+    async def test_turns_to_the_store_when_the_peer_fails(self):
+        listed = ObjectList(version=9, items=(stored_profiles(8, 'a'),))
+        node = Node(ScriptedClient(lists=[listed]))
+        node.spread.observe(PEER, Versions(profiles=8))
+        await node.async_settle()
+        assert node.state.version(PROFILES) == 8
+
+    async def test_waits_between_fetches_that_do_not_help(self):
+        node = Node(ScriptedClient())
+        node.spread.retry_base_s = 4
+        node.spread.observe(PEER, Versions(profiles=8))
+        await node.async_settle()
+        node.spread.observe(PEER, Versions(profiles=8))
+        assert not node.tasks.running
+        node.time = 4.0
+        node.spread.observe(PEER, Versions(profiles=8))
+        assert node.tasks.running
+        await node.async_settle()
+
+
+class TestAnnouncement:
+    def test_versions_and_switches(self):
+        state = ConfigurationState()
+        told = []
+        announce_changes(
+            state, lambda kind, **fields: told.append((kind, fields['detail']))
+        )
+        state.offer(switches_at(1, domains=('n',)))
+        state.offer(switches_at(2, targets=('t1',)))
+        assert told == [
+            (EventKind.CONFIGURATION_IN_FORCE, 'switches 1'),
+            (EventKind.DOMAIN_OUT, 'n test'),
+            (EventKind.CONFIGURATION_IN_FORCE, 'switches 2'),
+            (EventKind.DOMAIN_IN, 'n'),
+            (EventKind.TARGET_OUT, 't1 test'),
+        ]
