Serve the operators' calls

Operators and their tools drive the tier by HTTP: configurations, switches, status, timeline and metrics.

One table of routes serves the calls and their OpenAPI document. A conflict answers both versions, an invalid content all of its faults by path, and a misspelt failure domain or target is refused with the known names, since switching a name that nothing has would look like a success.

--- /dev/null
+++ b/bitternturn/administration/const.py
@@ -0,0 +1,14 @@
+"""Statuses and headers of the administration API."""
+
+from typing import Final
+
+STATUS_UNPROCESSABLE: Final = 422
+
+HEADER_IF_VERSION: Final = 'if-version'
+HEADER_ALLOW: Final = 'allow'
+
+API_TITLE: Final = 'bitternturn administration'
+API_VERSION: Final = '1'
+OPENAPI_VERSION: Final = '3.1.0'
+
+MAX_REASON_LENGTH: Final = 500
--- /dev/null
+++ b/bitternturn/administration/handler.py
@@ -0,0 +1,35 @@
+"""Handler of the operators' listener."""
+
+from bitternturn.administration.configuration_calls import (
+    configuration_routes,
+)
+from bitternturn.administration.models import AdministrationPieces
+from bitternturn.administration.openapi import describe_routes
+from bitternturn.administration.operation_calls import operation_routes
+from bitternturn.administration.routing import Call, Route, create_router
+from bitternturn.http.models import Response, json_response
+from bitternturn.http.server import Handler
+
+
+def create_handler(*, pieces: AdministrationPieces) -> Handler:
+    """Return the handler of all calls in docs/INTERFACES.md, "Operators"."""
+    return create_router(create_routes(pieces))
+
+
+def create_routes(pieces: AdministrationPieces) -> list[Route]:
+    """Return the table of routes, with the document that describes it."""
+    routes = [*configuration_routes(pieces), *operation_routes(pieces)]
+
+    async def async_describe(call: Call) -> Response:
+        """Answer the OpenAPI document."""
+        return json_response(describe_routes(routes))
+
+    routes.append(
+        Route(
+            method='GET',
+            path='/openapi.json',
+            summary='This document.',
+            handler=async_describe,
+        ),
+    )
+    return routes
--- /dev/null
+++ b/bitternturn/administration/openapi.py
@@ -0,0 +1,97 @@
+"""OpenAPI document from the table of routes."""
+
+import re
+from collections.abc import Sequence
+from typing import Any
+
+from bitternturn.administration import const
+from bitternturn.administration.routing import Route
+
+NAMED_PART = re.compile(r'\{(\w+)\}')
+
+
+def describe_routes(routes: Sequence[Route]) -> dict[str, Any]:
+    """Return the document of all routes."""
+    paths: dict[str, dict[str, Any]] = {}
+    for route in routes:
+        operations = paths.setdefault(route.path, {})
+        operations[route.method.lower()] = _describe(route)
+    return {
+        'openapi': const.OPENAPI_VERSION,
+        'info': {'title': const.API_TITLE, 'version': const.API_VERSION},
+        'paths': paths,
+        'components': {'schemas': {'Error': _error_schema()}},
+    }
+
+
+def _describe(route: Route) -> dict[str, Any]:
+    """Return the operation of one route."""
+    operation: dict[str, Any] = {
+        'summary': route.summary,
+        'parameters': _parameters(route),
+        'responses': {
+            '200': {
+                'description': 'done',
+                'content': {route.content_type: {}},
+            },
+            **{
+                str(status): _error_response(text)
+                for status, text in route.answers.items()
+            },
+        },
+    }
+    if route.body:
+        operation['requestBody'] = {
+            'required': True,
+            'description': route.body,
+            'content': {'application/json': {'schema': {'type': 'object'}}},
+        }
+    return operation
+
+
+def _parameters(route: Route) -> list[dict[str, Any]]:
+    """Return the parameters in the path, the query and the headers."""
+    named = NAMED_PART.findall(route.path)
+    return [
+        *(_parameter(name, 'path', required=True) for name in named),
+        *(_parameter(name, 'query') for name in route.arguments),
+        *(_parameter(name, 'header') for name in route.headers),
+        *(
+            _parameter(name, 'header', required=True)
+            for name in route.required_headers
+        ),
+    ]
+
+
+def _parameter(
+    name: str,
+    place: str,
+    *,
+    required: bool = False,
+) -> dict[str, Any]:
+    """Return one parameter."""
+    return {
+        'name': name,
+        'in': place,
+        'required': required,
+        'schema': {'type': 'string'},
+    }
+
+
+def _error_response(text: str) -> dict[str, Any]:
+    """Return the response of one error."""
+    schema = {'$ref': '#/components/schemas/Error'}
+    return {
+        'description': text,
+        'content': {'application/json': {'schema': schema}},
+    }
+
+
+def _error_schema() -> dict[str, Any]:
+    """Return the schema of the body of errors."""
+    members = ('code', 'step', 'peer', 'message')
+    return {
+        'type': 'object',
+        'required': list(members),
+        'properties': {name: {'type': 'string'} for name in members},
+    }
--- /dev/null
+++ b/bitternturn/administration/operation_calls.py
@@ -0,0 +1,205 @@
+"""Calls that switch, watch and measure."""
+
+from typing import Final
+
+from bitternturn.administration import const
+from bitternturn.administration.configuration_calls import (
+    CONFLICT,
+    STORE_DOWN,
+    STORE_UNKNOWN,
+    bad_request,
+    read_body,
+    read_number,
+)
+from bitternturn.administration.models import AdministrationPieces
+from bitternturn.administration.routing import Call, CallHandler, Route
+from bitternturn.configuration.models import ConfigurationKind
+from bitternturn.configuration.switches import (
+    SwitchEdit,
+    SwitchScope,
+    switches_of,
+)
+from bitternturn.core.const import UINT32_MAX
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.metrics import CONTENT_TYPE
+from bitternturn.http import const as http
+from bitternturn.http.models import Response, json_response
+from bitternturn.schema.peers_pb2 import TimelineRequest
+from bitternturn.timeline.const import DEFAULT_EVENT_LIMIT
+from bitternturn.timeline.render import event_to_json
+
+STEP_SWITCH: Final = 'switch'
+SCOPES: Final = {
+    'domains': SwitchScope.FAILURE_DOMAIN,
+    'targets': SwitchScope.TARGET,
+}
+
+
+def operation_routes(pieces: AdministrationPieces) -> list[Route]:
+    """Return the routes for switches, status, timeline, metrics, health."""
+    return [
+        *_switch_routes(pieces),
+        Route(
+            method='GET',
+            path='/v1/status',
+            summary='This instance: view, versions, targets, profiles.',
+            handler=_create_status(pieces),
+        ),
+        Route(
+            method='GET',
+            path='/v1/timeline',
+            summary='Events of all instances, merged.',
+            handler=_create_timeline(pieces),
+            arguments=('since', 'request', 'target', 'limit'),
+            answers={http.STATUS_BAD_REQUEST: 'argument is no number'},
+        ),
+        Route(
+            method='GET',
+            path='/metrics',
+            summary='Metrics in the Prometheus text form.',
+            handler=_create_metrics(pieces),
+            content_type='text/plain',
+        ),
+        Route(
+            method='GET',
+            path='/healthz',
+            summary='200 while the loop runs.',
+            handler=_async_health,
+        ),
+    ]
+
+
+def _switch_routes(pieces: AdministrationPieces) -> list[Route]:
+    """Return the routes that take failure domains and targets out and in."""
+    return [
+        Route(
+            method='POST',
+            path=f'/v1/{plural}/{{name}}/{verb}',
+            summary=f'Take one of the {plural} {verb} of service.'
+            if verb == 'out'
+            else f'Bring one of the {plural} back.',
+            handler=_create_switch(pieces, scope, out=verb == 'out'),
+            body='{"reason": text}',
+            answers={
+                http.STATUS_NOT_FOUND: 'no such name',
+                http.STATUS_CONFLICT: CONFLICT,
+                http.STATUS_UNAVAILABLE: STORE_DOWN,
+                http.STATUS_TIMEOUT: STORE_UNKNOWN,
+            },
+        )
+        for plural, scope in SCOPES.items()
+        for verb in ('out', 'in')
+    ]
+
+
+def _create_switch(
+    pieces: AdministrationPieces,
+    scope: SwitchScope,
+    *,
+    out: bool,
+) -> CallHandler:
+    """Return the handler that takes something out or in."""
+
+    async def async_switch(call: Call) -> Response:
+        """Switch the name in the path."""
+        reason = read_body(call).get('reason', '')
+        if not isinstance(reason, str):
+            raise bad_request('"reason" must be a text')
+        name = call.names['name']
+        _require_known(pieces, scope, name)
+        version = await pieces.store.async_switch(
+            SwitchEdit(
+                scope=scope,
+                name=name,
+                out=out,
+                reason=reason[: const.MAX_REASON_LENGTH],
+            ),
+        )
+        return json_response({'version': version})
+
+    return async_switch
+
+
+def _require_known(
+    pieces: AdministrationPieces,
+    scope: SwitchScope,
+    name: str,
+) -> None:
+    """Refuse a name that nothing has: a misspelt one would switch nothing.
+
+    Raises BitternturnError NOT_FOUND.
+    """
+    known = _known_names(pieces, scope)
+    if known and name not in known:
+        raise BitternturnError(
+            f'no "{name}"; known: {", ".join(sorted(known))}',
+            code=ErrorCode.NOT_FOUND,
+            step=STEP_SWITCH,
+        )
+
+
+def _known_names(pieces: AdministrationPieces, scope: SwitchScope) -> set[str]:
+    """Return the names to switch; empty while no indexes are in force."""
+    if ConfigurationKind.INDEXES not in pieces.state.objects:
+        return set()
+    targets = pieces.state.targets()
+    if scope is SwitchScope.TARGET:
+        known = {target.id for target in targets}
+    else:
+        known = {target.failure_domain for target in targets}
+        members = pieces.status().members
+        known.update(member.failure_domain for member in members)
+    accepted = pieces.state.objects.get(ConfigurationKind.SWITCHES)
+    if accepted is not None:
+        listed = switches_of(accepted.switches, scope)
+        known.update(switch.name for switch in listed)
+    return known
+
+
+def _create_status(pieces: AdministrationPieces) -> CallHandler:
+    """Return the handler that reports this instance."""
+
+    async def async_status(call: Call) -> Response:
+        """Answer the report."""
+        return json_response(pieces.status())
+
+    return async_status
+
+
+def _create_timeline(pieces: AdministrationPieces) -> CallHandler:
+    """Return the handler that reads the timeline."""
+
+    async def async_timeline(call: Call) -> Response:
+        """Answer the events that match the arguments."""
+        request = call.request
+        limit = request.argument('limit', str(DEFAULT_EVENT_LIMIT))
+        events = await pieces.timeline(
+            TimelineRequest(
+                since=read_number(request.argument('since', '0'), 'since'),
+                request_id=request.argument('request'),
+                target=request.argument('target'),
+                limit=read_number(limit, 'limit', largest=UINT32_MAX),
+            ),
+        )
+        listed = [event_to_json(event) for event in events]
+        return json_response({'events': listed})
+
+    return async_timeline
+
+
+def _create_metrics(pieces: AdministrationPieces) -> CallHandler:
+    """Return the handler that renders the metrics."""
+
+    async def async_metrics(call: Call) -> Response:
+        """Answer the Prometheus text form."""
+        return Response(
+            headers={'content-type': CONTENT_TYPE},
+            body=pieces.metrics(),
+        )
+
+    return async_metrics
+
+
+async def _async_health(call: Call) -> Response:
+    """Answer that the loop runs."""
+    return json_response({'healthy': True})
--- /dev/null
+++ b/tests/administration/test_configuration_calls.py
@@ -0,0 +1,138 @@
+"""Tests of the calls on configurations."""
+
+import pytest
+
+from bitternturn.administration.codec import message_to_json
+from bitternturn.standins.object_faults import ObjectFaults, Outage
+from tests.administration.fakes import Administration
+from tests.configuration.fakes import make_profile, profiles_at
+
+PROFILES = '/v1/configuration/profiles'
+
+
+def content(*names: str):
+    return message_to_json(profiles_at(1, *names).profiles)
+
+
+async def accept(administration, names, version):
+    status, answer = await administration.async_call(
+        'PUT', PROFILES, {'content': content(*names)}, if_version=version
+    )
+    assert status == 200
+    return answer['version']
+
+
+class TestGet:
+    async def test_nothing_yet(self, api, stack):
+        administration = Administration(api, stack)
+        answer = await administration.async_call('GET', PROFILES)
+        assert answer == (200, {'version': 0, 'content': {'profiles': []}})
+
+    async def test_unknown_kind(self, api, stack):
+        administration = Administration(api, stack)
+        path = '/v1/configuration/colours'
+        status, answer = await administration.async_call('GET', path)
+        assert (status, answer['code']) == (404, 'not_found')
+
+
+class TestPut:
+    async def test_accepted_is_read_again(self, api, stack):
+        administration = Administration(api, stack)
+        version = await accept(administration, ['desk'], 0)
+        status, answer = await administration.async_call('GET', PROFILES)
+        assert answer == {'version': version, 'content': content('desk')}
+        assert administration.store.state.profile('desk') == make_profile()
+
+    async def test_conflict_shows_both(self, api, stack):
+        administration = Administration(api, stack)
+        version = await accept(administration, ['theirs'], 0)
+        status, answer = await administration.async_call(
+            'PUT', PROFILES, {'content': content('mine')}, if_version=0
+        )
+        assert (status, answer['code']) == (409, 'conflict')
+        assert answer['mine'] == {'version': 0, 'content': content('mine')}
+        assert answer['theirs'] == {
+            'version': version,
+            'content': content('theirs'),
+        }
+
+    async def test_all_problems_by_path(self, api, stack):
+        administration = Administration(api, stack)
+        bad = content('a', 'a')
+        bad['profiles'][0]['deadline_ms'] = 0
+        status, answer = await administration.async_call(
+            'PUT', PROFILES, {'content': bad}, if_version=0
+        )
+        assert (status, answer['code']) == (422, 'invalid_configuration')
+        assert [error['path'] for error in answer['errors']] == [
+            'profiles[1].name',
+            'profiles[0].deadline_ms',
+        ]
+
+    @pytest.mark.parametrize(
+        ('body', 'headers'),
+        [
+            ({'content': {}}, {}),
+            ({'content': {}}, {'if_version': 'x'}),
+            ({'content': {}}, {'if_version': 2**64}),
+            ({'content': {}}, {'if_version': '9' * 5000}),
+            ({}, {'if_version': 0}),
+            ([], {'if_version': 0}),
+        ],
+    )
+    async def test_calls_not_as_described(self, api, stack, body, headers):
+        administration = Administration(api, stack)
+        status, answer = await administration.async_call(
+            'PUT', PROFILES, body, **headers
+        )
+        assert (status, answer['code']) == (400, 'bad_request')
+        assert api.calls == 0
+
+    async def test_outage(self, api, stack):
+        administration = Administration(api, stack, attempts=1)
+        api.set_faults(ObjectFaults(outage=Outage.REFUSING))
+        status, answer = await administration.async_call(
+            'PUT', PROFILES, {'content': content()}, if_version=0
+        )
+        assert (status, answer['code']) == (503, 'platform_unreachable')
+        assert answer['peer']
+
+
+class TestHistory:
+    async def test_list_read_and_rollback(self, api, stack):
+        administration = Administration(api, stack)
+        first = await accept(administration, ['first'], 0)
+        second = await accept(administration, ['second'], first)
+        _, answer = await administration.async_call(
+            'GET', f'{PROFILES}/history'
+        )
+        versions = [entry['version'] for entry in answer['versions']]
+        assert versions == [second, first]
+        _, kept = await administration.async_call(
+            'GET', f'{PROFILES}/history/{first}'
+        )
+        assert kept == {'version': first, 'content': content('first')}
+        status, answer = await administration.async_call(
+            'POST', f'{PROFILES}/rollback', {'version': first}
+        )
+        assert status == 200
+        assert answer['version'] > second
+        _, present = await administration.async_call('GET', PROFILES)
+        assert present['content'] == content('first')
+
+    async def test_rollback_on_an_old_version(self, api, stack):
+        administration = Administration(api, stack)
+        first = await accept(administration, ['first'], 0)
+        await accept(administration, ['second'], first)
+        path = f'{PROFILES}/rollback'
+        body = {'version': first}
+        status, _ = await administration.async_call(
+            'POST', path, body, if_version=first
+        )
+        assert status == 409
+        status, _ = await administration.async_call(
+            'POST', path, {'version': 999}
+        )
+        assert status == 404
+        status, _ = await administration.async_call('POST', path, {})
+        assert status == 400
--- a/tests/configuration/fakes.py
+++ b/tests/configuration/fakes.py
@@ -1,5 +1,11 @@
-"""Configurations and an object API in memory."""
+"""Configurations, and a store on the object API's stand-in."""
 
+import random
+
+from bitternturn.configuration.state import ConfigurationState
+from bitternturn.configuration.store import ConfigurationStore
+from bitternturn.core.clock import monotonic
+from bitternturn.platform.client import ObjectClient
 from bitternturn.schema.config_pb2 import (
     PREFERENCE_TIME,
     PRIORITY_NORMAL,
@@ -15,6 +21,7 @@
     Switches,
     Target,
 )
+from bitternturn.standins.objects import ObjectApi
 
 
 def make_profile(name: str = 'desk', **changes) -> Profile:
@@ -81,3 +88,21 @@
             targets=[switch_out(name) for name in targets],
         ),
     )
+
+
+def make_store(api: ObjectApi, stack, name='i-1', **options):
+    client = ObjectClient(
+        host='127.0.0.1',
+        port=api.port,
+        timeout_s=2,
+        rng=random.Random(name),
+        now=monotonic,
+        **options,
+    )
+    stack.callback(client.close)
+    return ConfigurationStore(
+        client=client,
+        state=ConfigurationState(),
+        instance_id=name,
+        wall=lambda: 1234,
+    )
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -1,8 +1,5 @@
 """Tests of acceptance, history and rollback against the stand-in."""
 
-import contextlib
-import random
-
 import pytest
 
 from bitternturn.configuration import const
@@ -11,53 +8,16 @@
     ConfigurationKind,
     InvalidConfiguration,
 )
-from bitternturn.configuration.state import ConfigurationState
-from bitternturn.configuration.store import ConfigurationStore
 from bitternturn.configuration.switches import SwitchEdit, SwitchScope
-from bitternturn.core.clock import monotonic
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import TargetId
-from bitternturn.platform.client import ObjectClient
 from bitternturn.schema.config_pb2 import Profiles
 from bitternturn.standins.object_faults import ObjectFaults, Outage
-from bitternturn.standins.objects import ObjectApi
-from tests.configuration.fakes import make_profile, profiles_at
+from tests.configuration.fakes import make_profile, make_store, profiles_at
 
 PROFILES = ConfigurationKind.PROFILES
 
 
-def make_store(api: ObjectApi, stack, name='i-1', **options):
-    client = ObjectClient(
-        host='127.0.0.1',
-        port=api.port,
-        timeout_s=2,
-        rng=random.Random(name),
-        now=monotonic,
-        **options,
-    )
-    stack.callback(client.close)
-    return ConfigurationStore(
-        client=client,
-        state=ConfigurationState(),
-        instance_id=name,
-        wall=lambda: 1234,
-    )
-
-
-@pytest.fixture
-async def stack():
-    async with contextlib.AsyncExitStack() as entered:
-        yield entered
-
-
-@pytest.fixture
-async def api(stack):
-    started = ObjectApi()
-    await started.async_start(host='127.0.0.1')
-    stack.push_async_callback(started.async_stop)
-    return started
-
-
 def profiles(*names: str) -> Profiles:
     return profiles_at(1, *names).profiles
 
