Add the operators' command line

Operators drive the tier from a shell and from scripts.

One module per command, all thin clients of the administration API. The output of 'config get' carries its version, so that get, edit, apply can't lose another operator's edit.

--- /dev/null
+++ b/bitternturn/cli/client.py
@@ -0,0 +1,199 @@
+"""Client of the administration API."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+import msgspec
+from google.protobuf import json_format
+
+from bitternturn.administration.const import HEADER_IF_VERSION
+from bitternturn.administration.models import StatusReport
+from bitternturn.cli import const
+from bitternturn.configuration.models import (
+    CONTENT_TYPES,
+    ConfigurationKind,
+    Content,
+    wrap_content,
+)
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.ids import Version
+from bitternturn.http.client import async_connect
+from bitternturn.http.const import STATUS_OK
+from bitternturn.http.models import Response
+from bitternturn.schema.config_pb2 import (
+    ConfigurationObject,
+    Indexes,
+    Profiles,
+    Switches,
+)
+
+STEP_CALL: Final = 'call operators'
+NO_ARGUMENTS: Final[Mapping[str, str]] = {}
+
+
+class RemoteError(BitternturnError):
+    """An instance refused a call; holds the members of its answer."""
+
+    def __init__(self, *, peer: str, answer: Mapping[str, Any]) -> None:
+        """Take code, step and message from the answer."""
+        super().__init__(
+            str(answer.get('message', '')),
+            code=_code(str(answer.get('code', ''))),
+            step=str(answer.get('step', STEP_CALL)),
+            peer=str(answer.get('peer') or peer),
+        )
+        self.answer = answer
+
+
+class OperatorClient:
+    """Calls one instance's operators' listener."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        timeout_s: float = const.DEFAULT_CALL_TIMEOUT_S,
+    ) -> None:
+        """Hold the address; each call opens a connection."""
+        self.host = host
+        self.port = port
+        self.peer = f'{host}:{port}'
+        self.timeout_s = timeout_s
+
+    async def async_call(
+        self,
+        method: str,
+        path: str,
+        *,
+        arguments: Mapping[str, str] = NO_ARGUMENTS,
+        content: Any = None,
+        if_version: Version | None = None,
+    ) -> Any:
+        """Return the decoded answer.
+
+        Raises RemoteError, or BitternturnError CONNECTION_LOST or BAD_ANSWER.
+        """
+        headers = {'connection': 'close'}
+        if if_version is not None:
+            headers[HEADER_IF_VERSION] = str(if_version)
+        body = b'' if content is None else msgspec.json.encode(content)
+        given = {name: text for name, text in arguments.items() if text}
+        target = f'{path}?{urlencode(given)}' if given else path
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                response = await self._async_exchange(
+                    method,
+                    target,
+                    headers,
+                    body,
+                )
+        except TimeoutError as error:
+            raise BitternturnError(
+                f'no answer in {self.timeout_s:g} s',
+                code=ErrorCode.CONNECTION_LOST,
+                step=STEP_CALL,
+                peer=self.peer,
+            ) from error
+        return self._decode(response)
+
+    async def async_configuration(
+        self,
+        kind: ConfigurationKind,
+    ) -> ConfigurationObject:
+        """Return what is in force at the instance."""
+        answer = await self.async_call('GET', configuration_path(kind))
+        return read_accepted(kind, answer)
+
+    async def async_profiles(self) -> tuple[Profiles, Version]:
+        """Return the profiles and their version."""
+        accepted = await self.async_configuration(ConfigurationKind.PROFILES)
+        return accepted.profiles, Version(accepted.version)
+
+    async def async_indexes(self) -> tuple[Indexes, Version]:
+        """Return the indexes and their version."""
+        accepted = await self.async_configuration(ConfigurationKind.INDEXES)
+        return accepted.indexes, Version(accepted.version)
+
+    async def async_switches(self) -> Switches:
+        """Return the switches."""
+        accepted = await self.async_configuration(ConfigurationKind.SWITCHES)
+        return accepted.switches
+
+    async def async_status(self) -> StatusReport:
+        """Return the report of the instance."""
+        answer = await self.async_call('GET', '/v1/status')
+        try:
+            return msgspec.convert(answer, type=StatusReport)
+        except msgspec.ValidationError as error:
+            raise self._bad_answer(error) from error
+
+    async def _async_exchange(
+        self,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> Response:
+        """Make one call on a connection of its own."""
+        connection = await async_connect(host=self.host, port=self.port)
+        try:
+            return await connection.async_exchange(
+                method=method,
+                path=target,
+                headers=headers,
+                body=body,
+            )
+        finally:
+            connection.close()
+
+    def _decode(self, response: Response) -> Any:
+        """Return the body of an answer; raises for an error's."""
+        try:
+            answer = msgspec.json.decode(response.body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise self._bad_answer(error) from error
+        if response.status == STATUS_OK:
+            return answer
+        raise RemoteError(peer=self.peer, answer=answer)
+
+    def _bad_answer(self, error: Exception) -> BitternturnError:
+        """Return the error for an answer that can't be decoded."""
+        return BitternturnError(
+            str(error),
+            code=ErrorCode.BAD_ANSWER,
+            step=STEP_CALL,
+            peer=self.peer,
+        )
+
+
+def configuration_path(kind: ConfigurationKind) -> str:
+    """Return the path of a kind of configuration."""
+    return f'/v1/configuration/{kind.value}'
+
+
+def switch_path(plural: str, name: str, verb: str) -> str:
+    """Return the path that takes something out or in."""
+    return f'/v1/{plural}/{quote(name, safe="")}/{verb}'
+
+
+def read_accepted(kind: ConfigurationKind, answer: Any) -> ConfigurationObject:
+    """Return an accepted configuration from JSON members."""
+    content: Content = CONTENT_TYPES[kind]()
+    # An instance of a later release may know more fields.
+    json_format.ParseDict(
+        answer['content'],
+        content,
+        ignore_unknown_fields=True,
+    )
+    return wrap_content(content, Version(answer['version']))
+
+
+def _code(text: str) -> ErrorCode:
+    """Return the code of a text; INTERNAL for one that is not known."""
+    try:
+        return ErrorCode(text)
+    except ValueError:
+        return ErrorCode.INTERNAL
--- /dev/null
+++ b/bitternturn/cli/edits.py
@@ -0,0 +1,53 @@
+"""Edits that several commands make."""
+
+from bitternturn.administration.codec import message_to_json
+from bitternturn.cli.client import (
+    OperatorClient,
+    configuration_path,
+    switch_path,
+)
+from bitternturn.cli.models import Invocation, Run
+from bitternturn.cli.output import print_version
+from bitternturn.configuration.models import ConfigurationKind, Content
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.ids import Version
+
+
+async def async_put_content(
+    client: OperatorClient,
+    kind: ConfigurationKind,
+    content: Content,
+    if_version: Version,
+) -> Version:
+    """Accept a content made on a version; return the new version."""
+    answer = await client.async_call(
+        'PUT',
+        configuration_path(kind),
+        content={'content': message_to_json(content)},
+        if_version=if_version,
+    )
+    return Version(answer['version'])
+
+
+def create_switch(plural: str, verb: str) -> Run:
+    """Return the action that takes something out or in."""
+
+    async def async_switch(call: Invocation) -> None:
+        """Switch the name that was given."""
+        answer = await call.client.async_call(
+            'POST',
+            switch_path(plural, call.arguments[0], verb),
+            content={'reason': call.flags.reason},
+        )
+        print_version(answer['version'], as_json=call.json)
+
+    return async_switch
+
+
+def not_found(what: str, name: str) -> BitternturnError:
+    """Return the error for a name that nothing has."""
+    return BitternturnError(
+        f'no {what} "{name}"',
+        code=ErrorCode.NOT_FOUND,
+        step=f'find {what}',
+    )
--- /dev/null
+++ b/bitternturn/cli/registry.py
@@ -0,0 +1,29 @@
+"""All commands by name."""
+
+from typing import Final
+
+from bitternturn.cli.config import COMMAND as CONFIG
+from bitternturn.cli.domain import COMMAND as DOMAIN
+from bitternturn.cli.index import COMMAND as INDEX
+from bitternturn.cli.instance import COMMAND as INSTANCE
+from bitternturn.cli.models import Command
+from bitternturn.cli.profile import COMMAND as PROFILE
+from bitternturn.cli.serve import COMMAND as SERVE
+from bitternturn.cli.status import COMMAND as STATUS
+from bitternturn.cli.target import COMMAND as TARGET
+from bitternturn.cli.timeline import COMMAND as TIMELINE
+
+COMMANDS: Final[dict[str, Command]] = {
+    command.name: command
+    for command in (
+        SERVE,
+        STATUS,
+        PROFILE,
+        INDEX,
+        DOMAIN,
+        TARGET,
+        INSTANCE,
+        CONFIG,
+        TIMELINE,
+    )
+}
--- /dev/null
+++ b/bitternturn/cli/serve.py
@@ -0,0 +1,26 @@
+"""Command `serve`: runs one instance."""
+
+from bitternturn.cli.models import Action, Command, Invocation
+from bitternturn.core.ids import InstanceId
+from bitternturn.core.log import set_up_logs
+from bitternturn.core.settings import load_settings
+
+
+async def _async_serve(call: Invocation) -> None:
+    """Run the daemon until it is told to stop."""
+    settings = load_settings(call.arguments[0])
+    set_up_logs(settings.log, InstanceId(settings.instance.id))
+    # Imported here: the other commands need no daemon.
+    from bitternturn.daemon.node import (  # type: ignore[import-not-found, unused-ignore]
+        async_serve,
+    )
+
+    await async_serve(settings)
+
+
+COMMAND = Command(
+    name='serve',
+    summary='Run one instance.',
+    example='bitternturn serve node.toml',
+    actions={'': Action(run=_async_serve, arguments=('SETTINGS',))},
+)
--- a/bitternturn/timeline/render.py
+++ b/bitternturn/timeline/render.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator, Sequence
 from datetime import UTC, datetime
-from typing import Final
+from typing import Any, Final
 
 import msgspec
+from google.protobuf import json_format
 
 from bitternturn.core.clock import MS_PER_SECOND, stamp_to_ms
 from bitternturn.schema.timeline_pb2 import Event
@@ -32,12 +33,14 @@
     }
 
 
-def event_from_json(content: dict[str, str | int]) -> Event:
+def event_from_json(content: dict[str, Any]) -> Event:
     """Return an event from the members that `event_to_json` gives."""
-    event = Event()
-    for name, member in content.items():
-        setattr(event, name, member)
-    return event
+    return json_format.ParseDict(
+        content,
+        Event(),
+        # An instance of a later release may know more fields.
+        ignore_unknown_fields=True,
+    )
 
 
 def format_time(event: Event) -> str:
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,264 @@
+"""Tests of the commands against the administration's handler."""
+
+import json
+
+import pytest
+
+from bitternturn.administration.codec import message_to_json
+from bitternturn.cli import const
+from bitternturn.cli.main import async_main
+from bitternturn.cli.registry import COMMANDS
+from bitternturn.core.clock import COUNTER_BITS
+from bitternturn.core.ids import TargetId
+from bitternturn.http.server import HttpServer
+from bitternturn.schema.config_pb2 import ConfigurationObject
+from bitternturn.schema.peers_pb2 import TimelineRequest
+from bitternturn.standins.object_faults import ObjectFaults, Outage
+from tests.administration.fakes import Administration
+from tests.configuration.fakes import make_indexes
+
+DESK = {
+    'name': 'desk',
+    'priority': 'PRIORITY_NORMAL',
+    'deadline_ms': 100,
+    'least_coverage': 0.5,
+    'wanted_coverage': 1,
+    'preference': 'PREFERENCE_TIME',
+    'repeatable': True,
+    'hedge_budget': 0.05,
+    'retry_budget': 0.1,
+    'result_limit': 10,
+}
+
+
+@pytest.fixture
+async def shell(api, stack, capsys, monkeypatch, tmp_path):
+    administration = Administration(api, stack, attempts=1)
+    administration.store.state.offer(
+        ConfigurationObject(version=1, indexes=make_indexes())
+    )
+    server = HttpServer(handler=administration.handler)
+    await server.async_start(host='127.0.0.1', port=0)
+    stack.push_async_callback(server.async_stop)
+    address = f'127.0.0.1:{server.port}'
+    monkeypatch.setenv(const.ENV_OPERATORS, address)
+    return Shell(administration, api, capsys, tmp_path)
+
+
+class Shell:
+    """Runs commands and keeps what they printed."""
+
+    def __init__(self, administration, api, capsys, directory):
+        self.administration = administration
+        self.api = api
+        self.capsys = capsys
+        self.directory = directory
+        self.error = ''
+
+    async def async_run(self, *arguments, expect=const.EXIT_OK) -> str:
+        code = await async_main(['bitternturn', *arguments])
+        printed = self.capsys.readouterr()
+        self.error = printed.err
+        assert code == expect, printed.err
+        return printed.out
+
+    async def async_json(self, *arguments):
+        return json.loads(await self.async_run(*arguments, '--json'))
+
+    def write(self, content) -> str:
+        path = self.directory / 'document.json'
+        path.write_text(json.dumps(content))
+        return str(path)
+
+
+class TestProfile:
+    async def test_put_get_list_delete(self, shell):
+        printed = await shell.async_run('profile', 'put', shell.write(DESK))
+        assert printed.startswith('accepted as version ')
+        assert await shell.async_json('profile', 'get', 'desk') == DESK
+        changed = shell.write({**DESK, 'deadline_ms': 70})
+        await shell.async_run('profile', 'put', changed)
+        rows = (await shell.async_run('profile', 'list')).splitlines()
+        assert len(rows) == 3
+        assert rows[-1].split()[:4] == ['desk', 'normal', '70', '50.0%']
+        await shell.async_run('profile', 'delete', 'desk')
+        assert await shell.async_json('profile', 'list') == []
+
+    async def test_missing(self, shell):
+        for verb in ('get', 'delete'):
+            await shell.async_run(
+                'profile', verb, 'x', expect=const.EXIT_NOT_FOUND
+            )
+            assert 'no profile "x"' in shell.error
+
+    async def test_invalid_names_every_path(self, shell):
+        broken = shell.write({**DESK, 'deadline_ms': 0, 'result_limit': 0})
+        await shell.async_run(
+            'profile', 'put', broken, expect=const.EXIT_INVALID
+        )
+        assert 'profiles[0].deadline_ms: must be' in shell.error
+        assert 'profiles[0].result_limit: must be' in shell.error
+        assert 'next: ' in shell.error
+
+
+class TestConfig:
+    async def test_get_edit_apply_diff_rollback(self, shell):
+        await shell.async_run('profile', 'put', shell.write(DESK))
+        document = await shell.async_json('config', 'get', 'profiles')
+        first = str(document['version'])
+        document['content']['profiles'][0]['deadline_ms'] = 70
+        path = shell.write(document)
+        await shell.async_run('config', 'check', 'profiles', path)
+        accepted = await shell.async_json('config', 'apply', 'profiles', path)
+        diff = await shell.async_run('config', 'diff', 'profiles', first)
+        changed = [
+            line.split()[-1]
+            for line in diff.splitlines()
+            if 'deadline_ms' in line
+        ]
+        assert changed == ['100,', '70,']
+        history = await shell.async_json('config', 'history', 'profiles')
+        versions = [entry['version'] for entry in history]
+        assert versions == [accepted['version'], int(first)]
+        await shell.async_run('config', 'rollback', 'profiles', first)
+        assert await shell.async_json('profile', 'get', 'desk') == DESK
+
+    async def test_conflict_shows_both_versions(self, shell):
+        document = await shell.async_json('config', 'get', 'profiles')
+        await shell.async_run('profile', 'put', shell.write(DESK))
+        path = shell.write(document)
+        await shell.async_run(
+            'config', 'apply', 'profiles', path, expect=const.EXIT_CONFLICT
+        )
+        assert 'yours: made on version 0' in shell.error
+        assert '"name":"desk"' in shell.error
+
+    async def test_content_without_a_version(self, shell):
+        path = shell.write({'profiles': [DESK]})
+        apply = ('config', 'apply', 'profiles', path)
+        await shell.async_run(*apply, expect=const.EXIT_USAGE)
+        await shell.async_run(*apply, '--if_version', '0')
+
+    async def test_check_calls_nobody(self, shell):
+        path = shell.write({'profiles': [DESK, DESK]})
+        await shell.async_run(
+            'config',
+            'check',
+            'profiles',
+            path,
+            '--operators=127.0.0.1:1',
+            expect=const.EXIT_INVALID,
+        )
+        assert 'profiles[1].name: "desk" stands twice' in shell.error
+
+
+class TestIndex:
+    async def test_put_adds_and_replaces(self, shell):
+        shell.administration.store.state.objects.clear()
+        index = message_to_json(make_indexes().indexes[0])
+        await shell.async_run('index', 'put', shell.write(index))
+        index['maps'][0]['snapshot'] = 9
+        await shell.async_run('index', 'put', shell.write(index))
+        index['name'] = 'other'
+        for target in index['targets']:
+            target['id'] = f'o-{target["id"]}'
+        index['maps'][0]['shards'][0]['targets'] = ['o-t1']
+        await shell.async_run('index', 'put', shell.write(index))
+        rows = await shell.async_json('index', 'list')
+        assert [(row['name'], row['maps'][0]['snapshot']) for row in rows] == [
+            ('ledger', '9'),
+            ('other', '9'),
+        ]
+
+
+class TestSwitches:
+    async def test_domain_out_list_in(self, shell):
+        await shell.async_run('domain', 'out', 'south', '--reason', 'power')
+        assert shell.administration.store.state.is_out(TargetId('t2'))
+        rows = await shell.async_json('domain', 'list')
+        assert {row['name']: row['state'] for row in rows} == {
+            'north': 'in',
+            'south': 'out',
+            'west': 'in',
+        }
+        targets = await shell.async_json('target', 'list')
+        assert [row['switch'] for row in targets] == ['in', 'out']
+        assert targets[0]['state'] == 'cold'
+        table = await shell.async_run('target', 'list')
+        assert 'power' in table
+        await shell.async_run('domain', 'in', 'south')
+        assert not shell.administration.store.state.is_out(TargetId('t2'))
+
+    async def test_misspelt_target(self, shell):
+        await shell.async_run(
+            'target', 'out', 't9', expect=const.EXIT_NOT_FOUND
+        )
+        assert 'known: t1, t2' in shell.error
+
+    async def test_outage(self, shell):
+        shell.api.set_faults(ObjectFaults(outage=Outage.REFUSING))
+        await shell.async_run(
+            'target', 'out', 't1', expect=const.EXIT_UNREACHABLE
+        )
+        assert 'nothing was changed' in shell.error
+
+
+class TestReports:
+    async def test_status_and_instances(self, shell):
+        printed = await shell.async_run('status')
+        assert 'not ready: no lease' in printed
+        assert (await shell.async_json('status'))['versions']['view'] == 3
+        rows = await shell.async_json('instance', 'list')
+        assert [row['instance_id'] for row in rows] == ['i-1', 'i-2']
+
+    async def test_index_list(self, shell):
+        row = (await shell.async_run('index', 'list')).splitlines()[-1]
+        assert row.split() == ['ledger', '2', '1', '1', '1']
+
+    async def test_timeline_forms(self, shell):
+        stamp = 5 << COUNTER_BITS
+        printed = await shell.async_run(
+            'timeline', '--request=r1', '--since', str(stamp)
+        )
+        assert 'query_started' in printed
+        assert shell.administration.asked == [
+            TimelineRequest(since=stamp, request_id='r1', limit=5000)
+        ]
+        svg = await shell.async_run('timeline', '--format', 'svg')
+        assert svg.startswith('<svg')
+        events = await shell.async_json('timeline')
+        assert events[0]['request_id'] == 'r1'
+
+
+class TestUsage:
+    @pytest.mark.parametrize(
+        'arguments',
+        [
+            ['fly'],
+            ['profile'],
+            ['profile', 'get'],
+            ['profile', 'fly', 'x'],
+            ['status', '--colour'],
+            ['status', '--operators', 'nowhere'],
+            ['timeline', '--since', 'noon'],
+            ['config', 'get', 'colours'],
+            ['profile', 'put', '/nonexistent.json'],
+            ['serve', '/nonexistent.toml'],
+        ],
+    )
+    async def test_wrong_calls(self, shell, arguments):
+        await shell.async_run(*arguments, expect=const.EXIT_USAGE)
+        assert shell.error.startswith('bitternturn: ')
+        assert 'next: ' in shell.error
+
+    async def test_unreachable_names_the_peer(self, shell):
+        await shell.async_run(
+            'status', '--operators=127.0.0.1:1', expect=const.EXIT_UNREACHABLE
+        )
+        assert 'peer 127.0.0.1:1' in shell.error
+
+    @pytest.mark.parametrize('name', COMMANDS)
+    async def test_help_has_an_example(self, shell, name):
+        printed = await shell.async_run(name, '--help')
+        assert f'  bitternturn {name} ' in printed.partition('example:')[2]
+        assert name in await shell.async_run('--help')
