--- a/bitternturn/platform/client.py
+++ b/bitternturn/platform/client.py
@@ -11,12 +11,13 @@
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import Version
 from bitternturn.http import const as http
-from bitternturn.http.models import Response
 from bitternturn.platform import const
 from bitternturn.platform.budget import CallBudget, make_backoff
 from bitternturn.platform.models import (
+    Answer,
     ObjectList,
     StoredObject,
+    TimedObject,
     WriteBody,
     WriteReply,
     decode_object,
@@ -89,10 +90,20 @@
 
         Raises BitternturnError PLATFORM_BUSY or PLATFORM_UNREACHABLE.
         """
-        response = await self.async_read(_object_path(kind, name))
-        if response.status == http.STATUS_NOT_FOUND:
-            return None
-        return self._decode(response, _object_path(kind, name))
+        return (await self.async_get_timed(kind, name)).stored
+
+    async def async_get_timed(self, kind: str, name: str) -> TimedObject:
+        """Return what `async_get` does and when that very read was started.
+
+        `reached_at` may belong to a later call, so it can't tell how old
+        the object is at most.
+        """
+        path = _object_path(kind, name)
+        response = await self.async_read(path)
+        stored = None
+        if response.status != http.STATUS_NOT_FOUND:
+            stored = self._decode(response, path)
+        return TimedObject(stored=stored, started_at=response.started_at)
 
     async def async_list(self, kind: str) -> ObjectList:
         """Return all objects of a kind.
@@ -195,7 +206,7 @@
             async for line in lines:
                 yield self._decode_line(line, path)
 
-    async def async_read(self, path: str) -> Response:
+    async def async_read(self, path: str) -> Answer:
         """Make a read, repeated after failures with back-off."""
         for attempt in range(1, self.attempts):
             try:
@@ -250,7 +261,7 @@
         path: str,
         if_version: Version,
         body: bytes,
-    ) -> Response:
+    ) -> Answer:
         """Make one conditional write; raises for statuses of refusal."""
         response = await self.transport.async_call(
             method,
@@ -282,7 +293,7 @@
             return present.version
         raise self.transport.error(ErrorCode.CONFLICT, path)
 
-    def _decode(self, response: Response, path: str) -> StoredObject:
+    def _decode(self, response: Answer, path: str) -> StoredObject:
         """Return the object in a response; raises BAD_ANSWER."""
         return self._decode_line(response.body, path)
 
--- a/bitternturn/platform/models.py
+++ b/bitternturn/platform/models.py
@@ -27,6 +27,23 @@
     items: tuple[StoredObject, ...]
 
 
+@dataclass(kw_only=True, frozen=True, slots=True)
+class TimedObject:
+    """An object, or None, and the start of the read that returned it."""
+
+    stored: StoredObject | None
+    started_at: float
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class Answer:
+    """Answer of the store; `started_at` is on the client's clock."""
+
+    status: int
+    body: bytes
+    started_at: float
+
+
 @dataclass(kw_only=True, frozen=True, slots=True)
 class WriteBody:
     """Body of a conditional write; `value` is base64 on the wire."""
--- a/bitternturn/platform/transport.py
+++ b/bitternturn/platform/transport.py
@@ -7,9 +7,9 @@
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.http import const as http
 from bitternturn.http.client import ClientConnection, async_connect
-from bitternturn.http.models import Response
 from bitternturn.platform import const
 from bitternturn.platform.budget import CallBudget
+from bitternturn.platform.models import Answer
 
 # Statuses that come from the store itself, so that it was reached.
 ANSWERED = frozenset(
@@ -56,7 +56,7 @@
         *,
         headers: Mapping[str, str] | None = None,
         body: bytes = b'',
-    ) -> Response:
+    ) -> Answer:
         """Make one call without repeating it.
 
         Raises BitternturnError: PLATFORM_BUSY when the call was not taken,
@@ -81,24 +81,29 @@
             and len(self.idle) < const.DEFAULT_IDLE_CONNECTIONS
         ):
             self.idle.append(connection)
-        self.check(response, path, started)
-        return response
+        self.check(response.status, path, started)
+        return Answer(
+            status=response.status,
+            body=response.body,
+            started_at=started,
+        )
 
     def spend(self, path: str) -> None:
         """Take one call of the budget; raises PLATFORM_BUSY."""
         if not self.budget.try_spend(self.now()):
             raise self.error(ErrorCode.PLATFORM_BUSY, path, 'own budget')
 
-    def check(self, response: Response, path: str, started: float) -> None:
+    def check(self, status: int, path: str, started: float) -> None:
         """Note whether the store answered; raise when it did not."""
-        if response.status in ANSWERED:
-            self.reached_at = started
+        if status in ANSWERED:
+            # Calls may end in another order than that of their starts.
+            self.reached_at = max(started, self.reached_at or started)
             return
         self.failed_at = self.now()
         code = ErrorCode.UNKNOWN_RESULT
-        if response.status == http.STATUS_TOO_MANY:
+        if status == http.STATUS_TOO_MANY:
             code = ErrorCode.PLATFORM_BUSY
-        raise self.error(code, path, f'status {response.status}')
+        raise self.error(code, path, f'status {status}')
 
     def error(
         self,
--- a/bitternturn/platform/watch.py
+++ b/bitternturn/platform/watch.py
@@ -48,14 +48,14 @@
                 port=transport.port,
             )
             head, chunks = await connection.async_stream(path=path, headers={})
-    if head.status == http.STATUS_OK:
-        transport.reached_at = started
-        return connection, chunks
-    connection.close()
     try:
-        transport.check(head, path, started)
+        transport.check(head.status, path, started)
     except BitternturnError as error:
+        connection.close()
         raise read_failure(error) from error
+    if head.status == http.STATUS_OK:
+        return connection, chunks
+    connection.close()
     code = ErrorCode.PLATFORM_UNREACHABLE
     if head.status == http.STATUS_GONE:
         code = ErrorCode.WATCH_GONE
--- a/bitternturn/standins/fleet.py
+++ b/bitternturn/standins/fleet.py
@@ -16,6 +16,7 @@
     build_indexes,
     build_map,
 )
+from bitternturn.standins.proxy import FaultProxy
 from bitternturn.standins.samples import DEFAULT_DOCUMENTS, Corpus
 from bitternturn.standins.target_behaviour import TargetBehaviour
 from bitternturn.standins.target_records import Run
@@ -60,21 +61,44 @@
             for spec in deployment.indexes
         }
         self.targets: dict[TargetId, TargetServer] = {}
+        self.proxies: dict[TargetId, FaultProxy] = {}
         for index in self.indexes.indexes:
             self._make_targets(index)
 
-    async def async_start(self, *, host: str = DEFAULT_HOST) -> None:
-        """Start every target on a free port."""
+    async def async_start(
+        self,
+        *,
+        host: str = DEFAULT_HOST,
+        proxied: bool = False,
+    ) -> None:
+        """Start every target on a free port, behind a proxy each if wanted.
+
+        The configuration then names the proxies' ports.
+        """
         await asyncio.gather(
             *(it.async_start(host=host) for it in self.targets.values()),
         )
+        if proxied:
+            for server in self.targets.values():
+                await self._async_add_proxy(server)
 
     async def async_stop(self) -> None:
-        """Close every target at once."""
+        """Close every target and proxy at once."""
         await asyncio.gather(
             *(it.async_stop() for it in self.targets.values()),
+            *(it.async_stop() for it in self.proxies.values()),
         )
 
+    async def async_stop_domain(self, failure_domain: FailureDomain) -> None:
+        """Close every target of a failure domain at once."""
+        for server in self.in_domain(failure_domain):
+            await server.async_stop()
+
+    async def async_start_domain(self, failure_domain: FailureDomain) -> None:
+        """Bring the targets of a failure domain back in cold start."""
+        for server in self.in_domain(failure_domain):
+            await server.async_start_cold()
+
     def in_domain(self, failure_domain: FailureDomain) -> list[TargetServer]:
         """Return the targets of one failure domain."""
         return [
@@ -129,6 +153,13 @@
         ]
         return sorted(runs, key=lambda run: run.arrived_s)
 
+    async def _async_add_proxy(self, server: TargetServer) -> None:
+        """Put a proxy between a target and those who send to it."""
+        proxy = FaultProxy(host=server.server.host, port=server.server.port)
+        await proxy.async_start(host=server.server.host)
+        server.target.port = proxy.port
+        self.proxies[TargetId(server.target.id)] = proxy
+
     def _make_targets(self, index: config_pb2.Index) -> None:
         """Prepare the targets of one index."""
         spec = self.deployment.index(index.name)
--- a/bitternturn/standins/target_behaviour.py
+++ b/bitternturn/standins/target_behaviour.py
@@ -58,6 +58,7 @@
 class TargetFaults:
     """Numbers of answers to come that go wrong."""
 
+    # The answer to an earlier request comes instead.
     crossed: int = 0
     incomplete: int = 0
     errors: int = 0
