Test the object client against connections that go silent

Cause: connections that something between the ends has lost track of go silent for good while new ones work; and a health report that was noted only when asked for did not lag on the first call.

Change: tests of read, write and watch through the proxy; the target notes its health at each change and tells one of the stated age.

Conclusion: a swallowed answer leaves one commit, and the write returns its version.

--- a/bitternturn/standins/targets.py
+++ b/bitternturn/standins/targets.py
@@ -110,10 +110,12 @@
 
     def drain(self) -> None:
         """Refuse new work; what runs is answered."""
+        self._note_health()
         self.state = TargetState.DRAINING
 
     def go_cold(self) -> None:
         """Fall back into cold start, without warning."""
+        self._note_health()
         self.state = TargetState.COLD
         self.answers_cold = 0
 
@@ -287,6 +289,7 @@
         """Count requests in flight and their peaks."""
         records = self.records
         records.in_flight += change
+        self._note_health()
         records.most_in_flight = max(records.most_in_flight, records.in_flight)
         if self.state is TargetState.COLD:
             records.most_in_flight_cold = max(
@@ -312,22 +315,23 @@
 
     def _answer_health(self) -> Response:
         """Tell the health of a while ago, or something else."""
-        now = self.now()
-        self.health.note(self._present_health(), now)
-        report = self.health.read(now, lag_s=self.behaviour.health_lag_s)
+        self._note_health()
+        report = self.health.read()
         if self.behaviour.health_lie is not None:
             report = report.with_state(self.behaviour.health_lie)
         return json_response(report)
 
-    def _present_health(self) -> HealthReport:
-        """Return the health as it is."""
-        return HealthReport(
+    def _note_health(self) -> None:
+        """Note the health as it is, to be told later."""
+        report = HealthReport(
             state=self.state,
             slots=self.target.slots,
             in_flight=self.records.in_flight,
             cold_limit=self.target.cold_limit,
             held_snapshots=tuple(self.held),
         )
+        lag_s = self.behaviour.health_lag_s
+        self.health.note(report, self.now(), lag_s=lag_s)
 
     def _shards(self, snapshot: Snapshot) -> set[str]:
         """Return the shards of a snapshot that this target holds."""
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -17,6 +17,8 @@
     Outage,
 )
 from bitternturn.standins.objects import ObjectApi
+from bitternturn.standins.proxy import FaultProxy
+from bitternturn.standins.proxy_faults import DirectionFaults, ProxyFaults
 
 
 @contextlib.asynccontextmanager
@@ -38,6 +40,18 @@
         await api.async_stop()
 
 
+@contextlib.asynccontextmanager
+async def proxied(**settings):
+    async with serving(timeout_s=0.5, **settings) as (api, client):
+        proxy = FaultProxy(host='127.0.0.1', port=api.port)
+        await proxy.async_start(host='127.0.0.1')
+        client.transport.port = proxy.port
+        try:
+            yield api, proxy, client
+        finally:
+            await proxy.async_stop()
+
+
 async def until(condition):
     while not condition():
         await asyncio.sleep(0)
@@ -264,3 +278,33 @@
             assert [it.name for it in listed.items] == ['a', 'b']
             assert listed.version == last
             await changes.aclose()
+
+
+class TestSilentConnections:
+    async def test_read_goes_on_over_a_new_connection(self):
+        async with proxied() as (_, proxy, client):
+            assert await client.async_get('control', 'view') is None
+            proxy.silence_open()
+            assert await client.async_get('control', 'view') is None
+            assert client.failed_at < client.reached_at
+            assert proxy.accepted > 1
+
+    async def test_write_whose_answer_was_swallowed_is_done_once(self):
+        async with proxied() as (api, proxy, client):
+            await client.async_get('control', 'view')
+            proxy.connections[0].faults = ProxyFaults(
+                up=DirectionFaults(), down=DirectionFaults(lost=True)
+            )
+            version = await client.async_put(
+                kind='control', name='view', value=b'1', if_version=0
+            )
+            assert [it.version for it in api.store.commits] == [version]
+
+    async def test_watch_that_is_cut_off_raises(self):
+        async with proxied(heartbeat_s=0.02) as (api, proxy, client):
+            pending = asyncio.create_task(anext(client.watch('control', 0)))
+            await until(lambda: api.open_watches)
+            proxy.half_open()
+            with pytest.raises(BitternturnError) as caught:
+                await pending
+            assert code_of(caught) is ErrorCode.PLATFORM_UNREACHABLE
