--- a/bitternturn/standins/fleet.py
+++ b/bitternturn/standins/fleet.py
@@ -153,6 +153,27 @@
         ]
         return sorted(runs, key=lambda run: run.arrived_s)
 
+    def over_cold_limit(self) -> list[TargetServer]:
+        """Return the targets that got more in cold start than they bear."""
+        return [
+            it
+            for it in self.targets.values()
+            if it.records.most_in_flight_cold > it.target.cold_limit
+        ]
+
+    def started_after(
+        self,
+        wall_s: float,
+        failure_domain: FailureDomain,
+    ) -> list[Run]:
+        """Return the work begun in a failure domain after a time."""
+        return [
+            run
+            for server in self.in_domain(failure_domain)
+            for run in server.records.started
+            if (run.started_s or 0) > wall_s
+        ]
+
     async def _async_add_proxy(self, server: TargetServer) -> None:
         """Put a proxy between a target and those who send to it."""
         proxy = FaultProxy(host=server.server.host, port=server.server.port)
--- a/bitternturn/standins/target_records.py
+++ b/bitternturn/standins/target_records.py
@@ -49,6 +49,7 @@
     runs: list[Run] = field(default_factory=list)
     in_flight: int = 0
     most_in_flight: int = 0
+    # At arrivals in cold start; what came before a fall back counts too.
     most_in_flight_cold: int = 0
     most_connections: int = 0
     connections: int = 0
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -109,6 +109,12 @@
             await fleet.async_start_domain(name)
             response = await search(target, index.name, shard.id, 1, 'r')
             assert response.headers['x-state'] == 'cold'
+            (run,) = fleet.started_after(0, name)
+            assert run.cold
+            assert not fleet.started_after(run.started_s, name)
+            assert not fleet.over_cold_limit()
+            fleet.targets[target.id].target.cold_limit = 0
+            assert len(fleet.over_cold_limit()) == 1
 
     async def test_proxies_stand_before_the_targets(self):
         async with running(proxied=True) as fleet:
