--- a/bitternturn/standins/targets.py
+++ b/bitternturn/standins/targets.py
@@ -73,7 +73,7 @@
         self.slots = asyncio.Semaphore(target.slots)
         self.fallen_until: float | None = None
         self.answers_cold = 0
-        self.crossed_with: RequestId = RequestId('crossed')
+        self.last_answer: Response | None = None
         self.service_s = make_service_times(
             self.behaviour,
             rng or random.Random(target.id),
@@ -88,23 +88,34 @@
         self._hold_newest()
 
     async def async_start(self, *, host: str = '', port: int = 0) -> None:
-        """Listen and enter the port into the target's configuration."""
+        """Listen, at a later start on the same port again.
+
+        A port of 0 in the target's configuration is replaced by this one.
+        """
         await self.server.async_start(
             host=host or self.target.host,
-            port=port or self.target.port,
+            port=port or self.server.port or self.target.port,
         )
-        self.target.port = self.server.port
+        self.target.port = self.target.port or self.server.port
 
     async def async_stop(self) -> None:
         """Close at once, as an instance that dies."""
         await self.server.async_stop()
 
+    async def async_start_cold(self) -> None:
+        """Come back after a stop, in cold start."""
+        self.fallen_until = None
+        self.go_cold()
+        await self.async_start()
+
     def drain(self) -> None:
         """Refuse new work; what runs is answered."""
+        self._note_health()
         self.state = TargetState.DRAINING
 
     def go_cold(self) -> None:
         """Fall back into cold start, without warning."""
+        self._note_health()
         self.state = TargetState.COLD
         self.answers_cold = 0
 
@@ -143,7 +154,7 @@
         """Admit a request, run it and answer it."""
         await self._async_pay_connect(request)
         self._fall_if_overloaded()
-        await self._async_check_fallen()
+        await self._async_check_fallen(request)
         self._admit(run)
         async with self.slots:
             service_s = self.service_s()
@@ -151,7 +162,7 @@
             run.started_s = self.wall()
             run.state = RunState.RUNNING
             await asyncio.sleep(service_s)
-        await self._async_check_fallen()
+        await self._async_check_fallen(request)
         hits = self._run(request, run)
         run.state = RunState.DONE
         self._count_answer()
@@ -179,14 +190,20 @@
         self.records.falls += 1
         self.fallen_until = self.now() + self.behaviour.fall_s
 
-    async def _async_check_fallen(self) -> None:
-        """Answer nothing, or an error, while this target is fallen over."""
+    async def _async_check_fallen(self, request: Request) -> None:
+        """Fail a request while this target is fallen over.
+
+        One that got no answer loses its connection at the end of the fall,
+        so that it does not count as in flight any longer.
+        """
         if self.fallen_until is None:
             return
-        if self.now() >= self.fallen_until:
+        left_s = self.fallen_until - self.now()
+        if left_s <= 0:
             self.fallen_until = None
         elif self.behaviour.cold_overload is ColdOverload.SILENCE:
-            await async_hang()
+            await asyncio.sleep(left_s)
+            await async_drop(self.server, request)
         else:
             raise target_error()
 
@@ -230,20 +247,24 @@
 
     def _respond(self, response: Response, run: Run) -> Response:
         """Add the headers that every answer carries."""
-        request_id = run.request_id
-        if self.faults.crossed and response.status == http.STATUS_OK:
-            self.faults.crossed -= 1
-            request_id = self.crossed_with
-        self.crossed_with = run.request_id
         response.headers = {
             **response.headers,
-            'x-request-id': request_id,
+            'x-request-id': run.request_id,
             'x-index': run.index,
             'x-shard': run.shard,
             'x-snapshot': str(run.snapshot),
             'x-held-snapshots': ','.join(str(it) for it in self.held),
             'x-state': self.state.value,
         }
+        return self._cross(response)
+
+    def _cross(self, response: Response) -> Response:
+        """Return the answer to an earlier request, if that is due."""
+        earlier = self.last_answer
+        if self.faults.crossed and earlier is not None:
+            self.faults.crossed -= 1
+            return earlier
+        self.last_answer = response
         return response
 
     def _note_arrival(self, request: Request) -> Run:
@@ -274,8 +295,9 @@
         """Count requests in flight and their peaks."""
         records = self.records
         records.in_flight += change
+        self._note_health()
         records.most_in_flight = max(records.most_in_flight, records.in_flight)
-        if self.state is TargetState.COLD:
+        if change > 0 and self.state is TargetState.COLD:
             records.most_in_flight_cold = max(
                 records.most_in_flight_cold,
                 records.in_flight,
@@ -299,22 +321,23 @@
 
     def _answer_health(self) -> Response:
         """Tell the health of a while ago, or something else."""
-        now = self.now()
-        self.health.note(self._present_health(), now)
-        report = self.health.read(now, lag_s=self.behaviour.health_lag_s)
+        self._note_health()
+        report = self.health.read()
         if self.behaviour.health_lie is not None:
             report = report.with_state(self.behaviour.health_lie)
         return json_response(report)
 
-    def _present_health(self) -> HealthReport:
-        """Return the health as it is."""
-        return HealthReport(
+    def _note_health(self) -> None:
+        """Note the health as it is, to be told later."""
+        report = HealthReport(
             state=self.state,
             slots=self.target.slots,
             in_flight=self.records.in_flight,
             cold_limit=self.target.cold_limit,
             held_snapshots=tuple(self.held),
         )
+        lag_s = self.behaviour.health_lag_s
+        self.health.note(report, self.now(), lag_s=lag_s)
 
     def _shards(self, snapshot: Snapshot) -> set[str]:
         """Return the shards of a snapshot that this target holds."""
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -10,12 +10,15 @@
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.platform.budget import CallBudget
 from bitternturn.platform.client import ObjectClient
+from bitternturn.platform.follow import follow
 from bitternturn.standins.object_faults import (
     ObjectFaults,
     ObjectLimits,
     Outage,
 )
 from bitternturn.standins.objects import ObjectApi
+from bitternturn.standins.proxy import FaultProxy
+from bitternturn.standins.proxy_faults import DirectionFaults, ProxyFaults
 
 
 @contextlib.asynccontextmanager
@@ -37,6 +40,28 @@
         await api.async_stop()
 
 
+@contextlib.asynccontextmanager
+async def proxied(**settings):
+    async with serving(timeout_s=0.5, **settings) as (api, client):
+        proxy = FaultProxy(host='127.0.0.1', port=api.port)
+        await proxy.async_start(host='127.0.0.1')
+        client.transport.port = proxy.port
+        try:
+            yield api, proxy, client
+        finally:
+            await proxy.async_stop()
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0)
+
+
+async def drop_connections(api):
+    for connection in list(api.server.connections):
+        connection.abort()
+
+
 def code_of(caught):
     return caught.value.code
 
@@ -138,8 +163,7 @@
             api.store.put(kind='control', name='a', value=b'1', token='t')
             watch = client.watch('control', 1)
             pending = asyncio.create_task(anext(watch))
-            while not api.open_watches:
-                await asyncio.sleep(0)
+            await until(lambda: api.open_watches)
             api.store.put(kind='claims', name='b', value=b'2', token='t')
             api.store.put(kind='control', name='a', value=b'3', token='t')
             assert (await pending).value == b'3'
@@ -210,3 +234,77 @@
                 with pytest.raises(BitternturnError) as caught:
                     await write
                 assert code_of(caught) is ErrorCode.BODY_TOO_LARGE
+
+
+class TestTimedReads:
+    async def test_start_is_that_of_the_read_itself(self):
+        async with serving() as (api, client):
+            times = iter(range(10, 100))
+            client.transport.now = lambda: float(next(times))
+            api.set_faults(ObjectFaults(outage=Outage.SILENT))
+            slow = asyncio.create_task(client.async_get_timed('a', 'b'))
+            await until(lambda: api.calls == 1)
+            api.set_faults(ObjectFaults())
+            await client.async_get('a', 'b')
+            later = client.reached_at
+            await drop_connections(api)
+            assert (await slow).started_at > later > 10
+            assert client.reached_at == (await slow).started_at
+
+
+class TestFollow:
+    async def test_goes_on_after_failures_and_lists_again(self):
+        async with serving(heartbeat_s=0.02) as (api, client):
+            first = api.store.put(
+                kind='control', name='a', value=b'1', token='t'
+            )
+            changes = follow(client, 'control')
+            assert (await anext(changes)).version == first
+            pending = asyncio.create_task(anext(changes))
+            await until(lambda: api.open_watches)
+            await drop_connections(api)
+            api.store.put(kind='control', name='a', value=b'2', token='t')
+            assert (await pending).value == b'2'
+            pending = asyncio.create_task(anext(changes))
+            await until(lambda: api.open_watches)
+            api.set_faults(ObjectFaults(outage=Outage.REFUSING))
+            last = api.store.put(
+                kind='control', name='b', value=b'3', token='t'
+            )
+            api.store.forget()
+            await until(lambda: not api.open_watches)
+            api.set_faults(ObjectFaults())
+            listed = await pending
+            assert [it.name for it in listed.items] == ['a', 'b']
+            assert listed.version == last
+            await changes.aclose()
+
+
+class TestSilentConnections:
+    async def test_read_goes_on_over_a_new_connection(self):
+        async with proxied() as (_, proxy, client):
+            assert await client.async_get('control', 'view') is None
+            proxy.silence_open()
+            assert await client.async_get('control', 'view') is None
+            assert client.failed_at < client.reached_at
+            assert proxy.accepted > 1
+
+    async def test_write_whose_answer_was_swallowed_is_done_once(self):
+        async with proxied() as (api, proxy, client):
+            await client.async_get('control', 'view')
+            proxy.connections[0].faults = ProxyFaults(
+                up=DirectionFaults(), down=DirectionFaults(lost=True)
+            )
+            version = await client.async_put(
+                kind='control', name='view', value=b'1', if_version=0
+            )
+            assert [it.version for it in api.store.commits] == [version]
+
+    async def test_watch_that_is_cut_off_raises(self):
+        async with proxied(heartbeat_s=0.02) as (api, proxy, client):
+            pending = asyncio.create_task(anext(client.watch('control', 0)))
+            await until(lambda: api.open_watches)
+            proxy.half_open()
+            with pytest.raises(BitternturnError) as caught:
+                await pending
+            assert code_of(caught) is ErrorCode.PLATFORM_UNREACHABLE
