Add the demonstration of both deployments in one process

Cause: nobody could see the main job in one command. Change: an embedded tier of stand-ins and instances, and the command demo on it.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -108,7 +108,7 @@
                 '-m',
                 'bitternturn',
                 'serve',
-                f'--settings={settings}',
+                str(settings),
                 stdout=log,
                 stderr=log,
             )
--- /dev/null
+++ b/bitternturn/cli/demonstration.py
@@ -0,0 +1,231 @@
+"""Demonstration: the main job with embedded stand-ins, in one process."""
+
+import asyncio
+import signal
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Final
+
+import msgspec
+from tabulate import tabulate
+
+from bitternturn.cli.demo_queries import (
+    ASSOCIATION_PLAN,
+    ATLAS_PLAN,
+    DemoPlan,
+)
+from bitternturn.core.clock import monotonic
+from bitternturn.core.ids import FailureDomain, IndexName
+from bitternturn.http.client import async_connect
+from bitternturn.standins.caller import Caller
+from bitternturn.standins.caller_models import CallerAnswer, CallerQuery
+from bitternturn.standins.deployments import load_deployment
+from bitternturn.standins.embedded import EmbeddedTier
+from bitternturn.standins.fleet import TargetFleet
+
+INSTANCES: Final = 4
+READY_LIMIT_S: Final = 20.0
+READY_POLL_S: Final = 0.1
+WARM_UP_ROUNDS: Final = 40
+ROUNDS: Final = 3
+SWITCH_LIMIT_S: Final = 3.0
+SWITCH_POLL_S: Final = 0.02
+MS_PER_SECOND: Final = 1000
+
+HEADERS: Final = ('query', 'profile', 'outcome', 'snapshot', 'coverage', 'ms')
+
+
+async def async_demo(*, serve: bool) -> bool:
+    """Run the demonstration of both deployments; return its success."""
+    started = monotonic()
+    tiers = [
+        await _async_build(plan) for plan in (ATLAS_PLAN, ASSOCIATION_PLAN)
+    ]
+    try:
+        for tier in tiers:
+            await _async_wait_ready(tier)
+        ok = await _async_show(tiers[0], ATLAS_PLAN)
+        ok = await _async_show(tiers[1], ASSOCIATION_PLAN) and ok
+        say(f'demonstration took {monotonic() - started:.1f} s')
+        if serve:
+            await _async_keep_up(tiers)
+    finally:
+        for tier in tiers:
+            await tier.async_stop()
+    say('stopped')
+    return ok
+
+
+def say(text: str) -> None:
+    """Print one line of progress at once."""
+    print(text, flush=True)
+
+
+async def _async_build(plan: DemoPlan) -> EmbeddedTier:
+    """Start the stand-ins and instances of one deployment."""
+    deployment = load_deployment(plan.deployment)
+    fleet = TargetFleet(deployment=deployment)
+    say(
+        f'{plan.deployment}: starting {len(fleet.targets)} targets in '
+        f'{len(deployment.failure_domains)} failure domains and '
+        f'{INSTANCES} instances',
+    )
+    tier = EmbeddedTier(
+        deployment=deployment,
+        fleet=fleet,
+    )
+    await tier.async_start(instances=INSTANCES)
+    return tier
+
+
+async def _async_wait_ready(tier: EmbeddedTier) -> None:
+    """Wait until every instance takes queries."""
+    async with asyncio.timeout(READY_LIMIT_S):
+        for running in tier.nodes:
+            while running.node.unready():  # noqa: ASYNC110
+                await asyncio.sleep(READY_POLL_S)
+
+
+async def _async_show(tier: EmbeddedTier, plan: DemoPlan) -> bool:
+    """Send the queries of one deployment through everything that changes."""
+    caller = tier.caller()
+    await caller.async_start()
+    domain = tier.deployment.failure_domains[0]
+    try:
+        await _async_warm_up(caller, plan)
+        ok = await _async_round(caller, plan, 'all failure domains in')
+        await _async_switch(tier, domain, out=True)
+        since = tier.fleet.wall()
+        ok = await _async_round(caller, plan, f'{domain} out') and ok
+        ok = _report_new_work(tier, domain, since) and ok
+        await _async_switch(tier, domain, out=False)
+        ok = await _async_round(caller, plan, f'{domain} in again') and ok
+        return await _async_show_keyed(tier, caller, plan) and ok
+    finally:
+        await caller.async_stop()
+
+
+async def _async_warm_up(caller: Caller, plan: DemoPlan) -> None:
+    """Send queries until the targets have left their cold start."""
+    say(f'{plan.deployment}: warming up')
+    for _ in range(WARM_UP_ROUNDS):
+        await asyncio.gather(
+            *(caller.async_query(query) for query in plan.queries),
+        )
+
+
+async def _async_round(
+    caller: Caller,
+    plan: DemoPlan,
+    title: str,
+) -> bool:
+    """Send each query some times and print the answers."""
+    rows = []
+    ok = True
+    for query in plan.queries:
+        for _ in range(ROUNDS):
+            answer = await caller.async_query(query)
+            ok = ok and answer.done
+            rows.append(_row(query, answer))
+    say(f'\n{plan.deployment}: {title}')
+    say(tabulate(rows, headers=HEADERS, floatfmt='.3f'))
+    return ok
+
+
+def _row(query: CallerQuery, answer: CallerAnswer) -> Sequence[object]:
+    """Return the table row of one answer."""
+    return [
+        f'{query.index} {msgspec.json.encode(query.query).decode()}',
+        query.profile,
+        answer.reply.outcome if answer.done else answer.reply.code,
+        answer.reply.snapshot,
+        answer.reply.coverage,
+        answer.latency_s * MS_PER_SECOND,
+    ]
+
+
+async def _async_switch(tier: EmbeddedTier, domain: str, *, out: bool) -> None:
+    """Take a failure domain out or in by the administration API."""
+    operators = tier.nodes[0].operators
+    connection = await async_connect(host=operators.host, port=operators.port)
+    verb = 'out' if out else 'in'
+    response = await connection.async_exchange(
+        method='POST',
+        path=f'/v1/domains/{domain}/{verb}',
+        headers={'content-type': 'application/json'},
+        body=msgspec.json.encode({'reason': 'demonstration'}),
+    )
+    connection.close()
+    say(f'\n{domain} taken {verb}: {response.body.decode()}')
+    version = msgspec.json.decode(response.body)['version']
+    accepted = monotonic()
+    async with asyncio.timeout(SWITCH_LIMIT_S):
+        for running in tier.nodes:
+            while running.node.versions.switches < version:  # noqa: ASYNC110
+                await asyncio.sleep(SWITCH_POLL_S)
+    say(f'in force everywhere after {monotonic() - accepted:.3f} s')
+
+
+def _report_new_work(
+    tier: EmbeddedTier,
+    domain: str,
+    since: float,
+) -> bool:
+    """Tell whether targets of a domain got work after a wall time."""
+    late = [
+        run
+        for target in tier.fleet.in_domain(FailureDomain(domain))
+        for run in target.records.runs
+        if run.arrived_s > since
+    ]
+    say(f'requests to targets of {domain} since: {len(late)}')
+    return not late
+
+
+async def _async_show_keyed(
+    tier: EmbeddedTier,
+    caller: Caller,
+    plan: DemoPlan,
+) -> bool:
+    """Send one request twice under its key; it runs once."""
+    index = tier.fleet.index(IndexName(plan.keyed.index))
+    shard = index.maps[-1].shards[0].id
+    query = replace(plan.keyed, shards=(shard,))
+    first = await caller.async_query(query)
+    second = await caller.async_query(query)
+    key = query.idempotency_key
+    runs = [
+        run
+        for run in tier.fleet.runs()
+        if run.idempotency_key == key and run.started_s is not None
+    ]
+    say(f'\n{plan.deployment}: one request sent twice under its key {key}')
+    rows = [_row(query, first), _row(query, second)]
+    say(tabulate(rows, headers=HEADERS, floatfmt='.3f'))
+    say(f'run at targets: {len(runs)}')
+    return len(runs) == 1 and first.done and second.done
+
+
+async def _async_keep_up(tiers: list[EmbeddedTier]) -> None:
+    """Print what to try, and wait for Ctrl-C."""
+    for tier, plan in zip(tiers, (ATLAS_PLAN, ASSOCIATION_PLAN), strict=True):
+        node = tier.nodes[0].node
+        operators = tier.nodes[0].operators
+        query = plan.queries[0]
+        body = msgspec.json.encode(query.body()).decode()
+        say(f'\n{plan.deployment}:')
+        say(
+            f'  curl -s http://{node.callers.host}:{node.callers.port}'
+            f"/v1/query/{query.index} -d '{body}'",
+        )
+        say(f'  curl -s http://{operators.host}:{operators.port}/v1/status')
+        say(
+            f'  curl -s -X POST http://{operators.host}:{operators.port}'
+            f'/v1/domains/{tier.deployment.failure_domains[0]}/out -d "{{}}"',
+        )
+    say('\nCtrl-C ends it')
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
--- a/bitternturn/cli/registry.py
+++ b/bitternturn/cli/registry.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from bitternturn.cli.config import COMMAND as CONFIG
+from bitternturn.cli.demo import COMMAND as DEMO
 from bitternturn.cli.domain import COMMAND as DOMAIN
 from bitternturn.cli.index import COMMAND as INDEX
 from bitternturn.cli.instance import COMMAND as INSTANCE
@@ -17,6 +18,7 @@
     command.name: command
     for command in (
         SERVE,
+        DEMO,
         STATUS,
         PROFILE,
         INDEX,
--- a/bitternturn/cli/serve.py
+++ b/bitternturn/cli/serve.py
@@ -11,9 +11,7 @@
     settings = load_settings(call.arguments[0])
     set_up_logs(settings.log, InstanceId(settings.instance.id))
     # Imported here: the other commands need no daemon.
-    from bitternturn.daemon.node import (  # type: ignore[import-not-found, unused-ignore]
-        async_serve,
-    )
+    from bitternturn.daemon.lifecycle import async_serve
 
     await async_serve(settings)
 
--- a/bitternturn/daemon/node.py
+++ b/bitternturn/daemon/node.py
@@ -12,7 +12,10 @@
 from bitternturn.claims.keeper import ClaimKeeper
 from bitternturn.claims.models import ClaimPeer
 from bitternturn.configuration.models import ConfigurationKind
-from bitternturn.configuration.spread import ConfigurationSpread
+from bitternturn.configuration.spread import (
+    ConfigurationSpread,
+    SpreadCallbacks,
+)
 from bitternturn.configuration.state import ConfigurationState
 from bitternturn.configuration.store import ConfigurationStore
 from bitternturn.configuration.switches import announce_changes
@@ -210,10 +213,12 @@
         self.spread = ConfigurationSpread(
             client=self.objects,
             state=self.configuration,
-            fetch=self._async_fetch_from,
-            peers=self._seed_members,
-            view=lambda: self.membership.view,
-            on_view=self.membership.on_view,
+            callbacks=SpreadCallbacks(
+                fetch=self._async_fetch_from,
+                peers=self._seed_members,
+                view=lambda: self.membership.view,
+                on_view=self.membership.on_view,
+            ),
             rng=self.rng,
             now=self.now,
             tasks=self.tasks,
