--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,65 @@
+"""Runs one bench by name; the last line printed is one JSON object."""
+
+import asyncio
+import importlib
+import json
+import sys
+import time
+
+from absl import app, flags
+
+from bench.options import Options
+
+NAMES = (
+    'tail',
+    'throughput',
+    'overload',
+    'cold',
+    'domain',
+    'rolling',
+    'outage',
+    'once',
+    'spread',
+    'silent',
+    'control',
+    'timeline',
+    'fuzz',
+)
+
+flags.DEFINE_boolean('quick', False, 'At most 50 s.')
+flags.DEFINE_integer('seed', 1, 'Seed of load and faults.')
+flags.DEFINE_string('report', '', 'Folder for a report with plots.')
+
+
+def main(argv: list[str]) -> None:
+    """Run the named bench, or all of them with a report."""
+    names = argv[1:]
+    if len(names) != 1 or names[0] not in (*NAMES, 'all'):
+        print(f'usage: script/bench {{{"|".join(NAMES)}|all}} [--quick]')
+        sys.exit(2)
+    options = Options(quick=flags.FLAGS.quick, seed=flags.FLAGS.seed)
+    chosen = NAMES if names[0] == 'all' else names
+    results = {name: run(name, options) for name in chosen}
+    if flags.FLAGS.report:
+        report = importlib.import_module('bench.report')
+        report.write(flags.FLAGS.report, results)
+    last = results if names[0] == 'all' else results[names[0]]
+    print(json.dumps(last, sort_keys=True))
+
+
+def run(name: str, options: Options) -> dict[str, object]:
+    """Run one bench."""
+    scenario = importlib.import_module(f'bench.scenarios.{name}')
+    started = time.monotonic()
+    result = asyncio.run(scenario.async_run(options))
+    result.update(
+        bench=name,
+        seed=options.seed,
+        quick=options.quick,
+        took_s=round(time.monotonic() - started, 1),
+    )
+    return result
+
+
+if __name__ == '__main__':
+    app.run(main)
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import msgspec
+from google.protobuf import json_format
 from google.protobuf.message import Message
 
 from bench.processes import HOST, InstanceProcess, InstanceSpec, Ports
@@ -169,6 +170,25 @@
         finally:
             connection.close()
 
+    async def async_accept(self, kind: str, content: Message) -> int:
+        """Accept a configuration through the first instance."""
+        name = next(iter(self.instances))
+        path = f'/v1/configuration/{kind}'
+        present = await self.async_operate(name, 'GET', path)
+        version = msgspec.json.decode(present.body)['version']
+        response = await self.async_operate(
+            name,
+            'PUT',
+            path,
+            headers={'if-version': str(version)},
+            body=msgspec.json.encode(
+                {'content': json_format.MessageToDict(content)},
+            ),
+        )
+        if response.status != 200:
+            raise RuntimeError(response.body.decode())
+        return int(msgspec.json.decode(response.body)['version'])
+
     async def async_status(self, name: str) -> dict[str, Any]:
         """Return the status that an instance tells."""
         response = await self.async_operate(name, 'GET', '/v1/status')
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -49,6 +49,7 @@
     peers_port: int
     operators_port: int
     objects_port: int
+    advertised_port: int = 0
     extra: str = ''
 
     def to_toml(self) -> str:
@@ -64,6 +65,7 @@
 callers = {{ host = '{HOST}', port = {self.callers_port} }}
 peers = {{ host = '{HOST}', port = {self.peers_port} }}
 operators = {{ host = '{HOST}', port = {self.operators_port} }}
+advertised_peers = {{ host = '{HOST}', port = {self.advertised_port} }}
 
 [platform]
 objects = {{ host = '{HOST}', port = {self.objects_port} }}
--- /dev/null
+++ b/bench/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each bench."""
--- a/bitternturn/core/settings_rules.py
+++ b/bitternturn/core/settings_rules.py
@@ -13,6 +13,8 @@
     'instance.id': '',
     'instance.region': '',
     'instance.cluster': const.DEFAULT_CLUSTER,
+    'listeners.advertised_peers.host': '',
+    'listeners.advertised_peers.port': 0,
     'platform.call_timeout_ms': const.DEFAULT_CALL_TIMEOUT_MS,
     'platform.instance_list_interval_ms': (
         const.DEFAULT_INSTANCE_LIST_INTERVAL_MS
@@ -64,6 +66,7 @@
         f'listeners.{name}.port': Range(least=0, most=const.MAX_PORT)
         for name in LISTENERS
     },
+    'listeners.advertised_peers.port': Range(least=0, most=const.MAX_PORT),
     'platform.objects.port': Range(least=1, most=const.MAX_PORT),
     'membership.clock_drift': Range(least=0, most=const.MAX_CLOCK_DRIFT),
     'limits.body_bytes': SIZE,
--- a/bitternturn/daemon/lifecycle.py
+++ b/bitternturn/daemon/lifecycle.py
@@ -34,7 +34,8 @@
         host=listeners.peers.host,
         port=listeners.peers.port,
     )
-    node.member.peer_port = node.peer_server.port
+    if not listeners.advertised_peers.port:
+        node.member.peer_port = node.peer_server.port
     operators = HttpServer(handler=create_operators(node))
     await operators.async_start(
         host=listeners.operators.host,
