--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -182,7 +182,7 @@
             path,
             headers={'if-version': str(version)},
             body=msgspec.json.encode(
-                {'content': json_format.MessageToDict(content)},
+                {'content': _to_json(content)},
             ),
         )
         if response.status != 200:
@@ -252,3 +252,8 @@
         yield cluster
     finally:
         await cluster.async_stop()
+
+
+def _to_json(message: Message) -> dict[str, Any]:
+    """Return a message in the form of the administration API."""
+    return json_format.MessageToDict(message, preserving_proto_field_name=True)
