--- a/bitternturn/daemon/node.py
+++ b/bitternturn/daemon/node.py
@@ -37,8 +37,8 @@
 from bitternturn.membership.service import MembershipService
 from bitternturn.owners.models import (
     Ownership,
+    pool_settings_of,
     queue_capacity,
-    to_pool_settings,
 )
 from bitternturn.owners.service import OwnerService
 from bitternturn.peers.handshake import set_protocol
@@ -203,13 +203,14 @@
                 may_send=self.membership.may_send,
                 is_out=self.configuration.is_out,
             ),
-            pool=to_pool_settings(self.settings.connections),
+            pool=pool_settings_of(self.settings.connections),
             queue_capacity=queue_capacity(self.settings.limits),
             now=self.now,
             rng=self.rng,
             event=self.event,
             tasks=self.tasks,
         )
+        self.metrics.observe_targets(lambda: self.owners.readings())
         self.spread = ConfigurationSpread(
             client=self.objects,
             state=self.configuration,
--- a/bitternturn/owners/models.py
+++ b/bitternturn/owners/models.py
@@ -88,7 +88,7 @@
     check_after_idle_s: float = const.DEFAULT_CHECK_AFTER_IDLE_S
 
 
-def to_pool_settings(settings: ConnectionSettings) -> PoolSettings:
+def pool_settings_of(settings: ConnectionSettings) -> PoolSettings:
     """Return the settings in seconds, with defaults for what is not set."""
     defaults = PoolSettings()
     return PoolSettings(
--- a/bitternturn/owners/service.py
+++ b/bitternturn/owners/service.py
@@ -3,11 +3,12 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from bitternturn.core.clock import Clock, monotonic
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import TargetId
+from bitternturn.core.metrics import TargetReading
 from bitternturn.core.tasks import TaskSet
 from bitternturn.owners import const
 from bitternturn.owners.models import (
@@ -66,6 +67,17 @@
         """Totals since the start."""
         return self.context.counts
 
+    def readings(self) -> Iterator[TargetReading]:
+        """Yield what is counted at each owned target."""
+        now = self.context.now()
+        for target_id, owned in self.targets.items():
+            yield TargetReading(
+                target=target_id,
+                limit=owned.limits.in_flight(now),
+                in_flight=owned.in_flight,
+                queued=len(owned.queue),
+            )
+
     def start(self) -> None:
         """Look after connections and queues in the background."""
         self.context.tasks.spawn(self._async_maintain(), name='owners')
--- a/bitternturn/owners/target.py
+++ b/bitternturn/owners/target.py
@@ -68,6 +68,16 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at: float = 0
 
+    @property
+    def phase(self) -> str:
+        """State of the cold start, in words."""
+        return self.limits.cold.state.value
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that were sent and have not ended."""
+        return len(self.flights.flights)
+
     def offer(self, work: Work, now: float) -> None:
         """Send a sub-request now, let it wait, or refuse it."""
         code = self._refusal(now)
