Give each target a row in the drawing, and emit events cheaper

Targets of one instance shared four rows, so that their bars covered each other, and lines to every answer covered the marks. Emitting also costs CPU for each sub-request.

Lanes now grow with their targets, lines go only from a query to what it sent, and an event is kept as a plain tuple that becomes an entry when read.

--- a/bitternturn/timeline/const.py
+++ b/bitternturn/timeline/const.py
@@ -7,14 +7,14 @@
 # Pixels of the drawing.
 DRAWING_WIDTH: Final = 1200
 LABEL_WIDTH: Final = 160
-LANE_HEIGHT: Final = 64
 ROW_HEIGHT: Final = 10
-ROWS_PER_LANE: Final = 5
+MAX_TARGET_ROWS: Final = 24
 HEADER_HEIGHT: Final = 48
 LEGEND_HEIGHT: Final = 40
 MARK_RADIUS: Final = 4
 TICKS: Final = 10
 MARGIN: Final = 10
+RIGHT_MARGIN: Final = 40
 SPAN_WIDTH: Final = 3
 HOP_WIDTH: Final = 0.5
 
--- a/bitternturn/timeline/ring.py
+++ b/bitternturn/timeline/ring.py
@@ -10,9 +10,11 @@
 from bitternturn.timeline.const import DEFAULT_EVENT_LIMIT
 from bitternturn.timeline.models import EventKind
 
+RawEntry = tuple[int, EventKind, str, str, str, str, str, int]
+
 
 class Entry(NamedTuple):
-    """One event as it is kept; cheaper to make than a message."""
+    """One event; kept as a plain tuple, which is cheaper to make."""
 
     clock: int
     kind: EventKind
@@ -41,7 +43,7 @@
         self.clock = clock
         self.wall = wall
         self.enabled = enabled
-        self.entries: deque[Entry] = deque(maxlen=capacity)
+        self.entries: deque[RawEntry] = deque(maxlen=capacity)
 
     def emit(
         self,
@@ -58,7 +60,7 @@
         if not self.enabled:
             return
         self.entries.append(
-            Entry(
+            (
                 self.clock.tick(now_ms=self.wall()),
                 kind,
                 request_id,
@@ -80,7 +82,7 @@
     ) -> list[Event]:
         """Return the newest matching events after a stamp, oldest first."""
         found: list[Event] = []
-        for entry in reversed(self.entries):
+        for entry in map(Entry._make, reversed(self.entries)):
             if entry.clock <= since or len(found) >= limit:
                 break
             if request_id and entry.request_id != request_id:
--- a/bitternturn/timeline/svg.py
+++ b/bitternturn/timeline/svg.py
@@ -1,15 +1,27 @@
 """A timeline as SVG: one swim lane per process, rows within by request."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Final
 from xml.sax.saxutils import escape
 
 from bitternturn.core.clock import COUNTER_BITS
 from bitternturn.schema.timeline_pb2 import Event
 from bitternturn.timeline import const
+from bitternturn.timeline.models import EventKind
 from bitternturn.timeline.render import describe, format_time
 from bitternturn.timeline.styles import LEGEND, Shape, Style, style_of
 
+# Events that are joined to the start of their query; with their ends too the
+# lines would cover the marks.
+HOPS: Final = frozenset(
+    (
+        EventKind.SUB_REQUEST_SENT.value,
+        EventKind.SUB_REQUEST_HEDGED.value,
+        EventKind.SUB_REQUEST_RETRIED.value,
+    ),
+)
+
 
 @dataclass(kw_only=True, frozen=True, slots=True)
 class Point:
@@ -19,18 +31,33 @@
     y: float
 
 
+@dataclass(kw_only=True, frozen=True, slots=True)
+class Lane:
+    """The band of one process and the rows of its targets."""
+
+    top: int
+    rows: Mapping[str, int]
+
+    @property
+    def height(self) -> int:
+        """Return the height of the band."""
+        used = max(self.rows.values(), default=0) + 1
+        return const.ROW_HEIGHT * (used + 1)
+
+
 @dataclass(kw_only=True, frozen=True, slots=True)
 class Layout:
     """Where instances and times stand."""
 
-    lanes: Mapping[str, int]
+    lanes: Mapping[str, Lane]
     first_ms: float
     span_ms: float
 
     @property
     def bottom(self) -> int:
         """Return where the lowest lane ends."""
-        return const.HEADER_HEIGHT + len(self.lanes) * const.LANE_HEIGHT
+        ends = (lane.top + lane.height for lane in self.lanes.values())
+        return max(ends, default=const.HEADER_HEIGHT)
 
     @property
     def height(self) -> int:
@@ -39,21 +66,16 @@
 
     def x_at(self, offset_ms: float) -> float:
         """Return the place of a time after the first event."""
-        width = const.DRAWING_WIDTH - const.LABEL_WIDTH - const.MARGIN
+        width = const.DRAWING_WIDTH - const.LABEL_WIDTH - const.RIGHT_MARGIN
         return const.LABEL_WIDTH + width * offset_ms / self.span_ms
 
-    def top_of(self, instance_id: str) -> int:
-        """Return where the lane of an instance begins."""
-        lane = self.lanes[instance_id]
-        return const.HEADER_HEIGHT + lane * const.LANE_HEIGHT
-
     def place(self, event: Event) -> Point:
         """Return the place of an event's mark."""
-        row = _row_of(event)
-        offset = const.ROW_HEIGHT * (row + 1)
+        lane = self.lanes[event.instance_id]
+        row = lane.rows.get(_row_key(event), 0)
         return Point(
             x=self.x_at(_time_ms(event) - self.first_ms),
-            y=self.top_of(event.instance_id) + offset,
+            y=lane.top + const.ROW_HEIGHT * (row + 1),
         )
 
 
@@ -76,26 +98,37 @@
 def _make_layout(events: Sequence[Event]) -> Layout:
     """Return the lanes in order of names and the span of times."""
     times = [_time_ms(event) for event in events] or [0]
-    names = sorted({event.instance_id for event in events})
+    lanes: dict[str, Lane] = {}
+    top = const.HEADER_HEIGHT
+    for name in sorted({event.instance_id for event in events}):
+        mine = (event for event in events if event.instance_id == name)
+        lanes[name] = Lane(top=top, rows=_assign_rows(mine))
+        top += lanes[name].height
     return Layout(
-        lanes={name: lane for lane, name in enumerate(names)},
+        lanes=lanes,
         first_ms=min(times),
         span_ms=max(max(times) - min(times), 1),
     )
 
 
+def _assign_rows(events: Iterable[Event]) -> dict[str, int]:
+    """Return a row for each target, in order; row 0 is for the rest."""
+    keys = dict.fromkeys(_row_key(event) for event in events)
+    keys.pop('', None)
+    return {
+        key: 1 + position % const.MAX_TARGET_ROWS
+        for position, key in enumerate(keys)
+    }
+
+
 def _time_ms(event: Event) -> float:
     """Return the time of an event; the counter parts equal milliseconds."""
     return event.clock / (1 << COUNTER_BITS)
 
 
-def _row_of(event: Event) -> int:
-    """Return the row of an event in its lane, the same for one target."""
-    if event.kind.startswith('query_'):
-        return 0
-    key = event.target or event.shard
-    # A sum of bytes, since hash() of a text differs between processes.
-    return 1 + sum(key.encode()) % (const.ROWS_PER_LANE - 1) if key else 0
+def _row_key(event: Event) -> str:
+    """Return what has a row of its own; empty for the row of the process."""
+    return event.target or event.shard
 
 
 def _open(layout: Layout) -> str:
@@ -110,14 +143,13 @@
 
 def _draw_lanes(layout: Layout) -> Iterator[str]:
     """Yield a band and a label for each process."""
-    for name, lane in layout.lanes.items():
-        top = layout.top_of(name)
-        fill = '#f4f6f9' if lane % 2 else '#e9edf3'
+    for position, (name, lane) in enumerate(layout.lanes.items()):
+        fill = '#f4f6f9' if position % 2 else '#e9edf3'
         yield (
-            f'<rect x="0" y="{top}" width="{const.DRAWING_WIDTH}" '
-            f'height="{const.LANE_HEIGHT}" fill="{fill}"/>'
+            f'<rect x="0" y="{lane.top}" width="{const.DRAWING_WIDTH}" '
+            f'height="{lane.height}" fill="{fill}"/>'
         )
-        middle = top + const.LANE_HEIGHT // 2
+        middle = lane.top + lane.height // 2
         yield _text(const.MARGIN, middle, name)
 
 
@@ -148,16 +180,15 @@
 
 
 def _draw_hops(layout: Layout, events: Sequence[Event]) -> Iterator[str]:
-    """Yield lines from each query's start to the events that follow it."""
+    """Yield lines from each query's start to what it sent elsewhere."""
     starts = {
         event.request_id: event
         for event in events
-        if event.kind == 'query_started'
+        if event.kind == EventKind.QUERY_STARTED.value
     }
     for event in events:
         start = starts.get(event.request_id)
-        elsewhere = start and start.instance_id != event.instance_id
-        if start is not None and elsewhere:
+        if start is not None and event.kind in HOPS:
             yield _line(
                 layout.place(start),
                 layout.place(event),
