Test the spread against a silent watch and outages

The scripted client shows the order of calls, not that the real one finds a watch whose connection stays open and brings nothing.

Against the object API's stand-in, an instance reaches a version accepted while its watch was silent, and recovers from an outage at its start and one later.

--- /dev/null
+++ b/tests/configuration/test_spread_faults.py
@@ -0,0 +1,93 @@
+"""Tests of the spread against the object API's stand-in and its faults."""
+
+import asyncio
+import random
+
+import pytest
+
+from bitternturn.configuration.models import ConfigurationKind
+from bitternturn.core.clock import monotonic
+from bitternturn.platform.client import ObjectClient
+from bitternturn.standins.object_faults import (
+    ObjectFaults,
+    ObjectLimits,
+    Outage,
+)
+from bitternturn.standins.objects import ObjectApi
+from tests.configuration.fakes import make_store, profiles_at
+from tests.configuration.test_spread import Node
+
+PROFILES = ConfigurationKind.PROFILES
+HEARTBEAT_S = 0.02
+
+
+@pytest.fixture
+async def api(stack):
+    started = ObjectApi(limits=ObjectLimits(heartbeat_s=HEARTBEAT_S))
+    await started.async_start(host='127.0.0.1')
+    stack.push_async_callback(started.async_stop)
+    return started
+
+
+class Follower:
+    """An instance that follows the store, and waits for versions."""
+
+    def __init__(self, api, stack):
+        client = ObjectClient(
+            host='127.0.0.1',
+            port=api.port,
+            timeout_s=2,
+            rng=random.Random(2),
+            now=monotonic,
+            heartbeat_s=HEARTBEAT_S,
+            attempts=1,
+        )
+        stack.callback(client.close)
+        self.node = Node(client)
+        self.changed = asyncio.Event()
+        self.node.state.subscribe(lambda kind: self.changed.set())
+        stack.push_async_callback(self.node.tasks.async_stop)
+        self.node.tasks.spawn(self.node.spread.async_run())
+
+    async def async_reach(self, version):
+        while self.node.state.version(PROFILES) < version:
+            self.changed.clear()
+            await self.changed.wait()
+
+
+async def accept(store, name, if_version):
+    return await store.async_accept(
+        kind=PROFILES,
+        content=profiles_at(1, name).profiles,
+        if_version=if_version,
+    )
+
+
+class TestFaults:
+    async def test_watch_that_went_silent(self, api, stack):
+        store = make_store(api, stack)
+        follower = Follower(api, stack)
+        first = await accept(store, 'first', 0)
+        await follower.async_reach(first)
+        api.set_faults(ObjectFaults(silent_watches=True))
+        second = await accept(store, 'second', first)
+        # The watch that is open stays silent for good; only new ones work.
+        api.set_faults(ObjectFaults())
+        await follower.async_reach(second)
+        assert follower.node.state.profile('second') is not None
+
+    async def test_outage_at_the_start_and_later(self, api, stack):
+        store = make_store(api, stack)
+        first = await accept(store, 'first', 0)
+        api.set_faults(ObjectFaults(outage=Outage.REFUSING))
+        follower = Follower(api, stack)
+        while not follower.node.spread.last_error:
+            await asyncio.sleep(0)
+        assert not follower.node.spread.loaded.is_set()
+        api.set_faults(ObjectFaults())
+        await follower.async_reach(first)
+        api.set_faults(ObjectFaults(outage=Outage.REFUSING))
+        while api.open_watches:
+            await asyncio.sleep(0)
+        api.set_faults(ObjectFaults())
+        await follower.async_reach(await accept(store, 'second', first))
