Leave room for the history's wrapping of a content

A content of just 1 MiB was accepted, but its history object was a few bytes above what the object API holds, so that there was no rollback to it.

Contents may now have 64 bytes less. The new test fails with the old limit.

--- a/bitternturn/administration/const.py
+++ b/bitternturn/administration/const.py
@@ -12,3 +12,6 @@
 OPENAPI_VERSION: Final = '3.1.0'
 
 MAX_REASON_LENGTH: Final = 500
+
+# JSON of a content is a few times longer than the object that holds it.
+DEFAULT_BODY_BYTES: Final = 8 * 1024 * 1024
--- a/bitternturn/configuration/check.py
+++ b/bitternturn/configuration/check.py
@@ -39,8 +39,8 @@
         case Switches():
             problems = check_switches(content)
     size = content.ByteSize()
-    if size > const.MAX_VALUE_BYTES:
-        message = f'has {size} bytes, at most {const.MAX_VALUE_BYTES}'
+    if size > const.MAX_CONTENT_BYTES:
+        message = f'has {size} bytes, at most {const.MAX_CONTENT_BYTES}'
         problems.append(Problem(path='', message=message))
     return problems
 
--- a/bitternturn/configuration/const.py
+++ b/bitternturn/configuration/const.py
@@ -6,8 +6,8 @@
 KIND_HISTORY: Final = 'history'
 NAME_VIEW: Final = 'view'
 
-# Values of the object API hold this many bytes.
-MAX_VALUE_BYTES: Final = 1024 * 1024
+# The object API holds 1 MiB; the history wraps a content in a few bytes more.
+MAX_CONTENT_BYTES: Final = 1024 * 1024 - 64
 HISTORY_ENTRIES: Final = 20
 HISTORY_ATTEMPTS: Final = 5
 SWITCH_ATTEMPTS: Final = 8
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -11,9 +11,14 @@
 from bitternturn.configuration.switches import SwitchEdit, SwitchScope
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import TargetId
-from bitternturn.schema.config_pb2 import Profiles
+from bitternturn.schema.config_pb2 import Profiles, Switches
 from bitternturn.standins.object_faults import ObjectFaults, Outage
-from tests.configuration.fakes import make_profile, make_store, profiles_at
+from tests.configuration.fakes import (
+    make_profile,
+    make_store,
+    profiles_at,
+    switch_out,
+)
 
 PROFILES = ConfigurationKind.PROFILES
 
@@ -113,6 +118,20 @@
         entries = await store.async_entries(PROFILES)
         assert [entry.version for entry in entries] == [second, first]
 
+    async def test_the_largest_content_is_kept(self, api, stack):
+        store = make_store(api, stack)
+        content = Switches(failure_domains=[switch_out('n')])
+        room = const.MAX_CONTENT_BYTES - content.ByteSize()
+        # Two length prefixes grow with the reason.
+        content.failure_domains[0].reason = 'r' * (room - 2)
+        version = await store.async_accept(
+            kind=ConfigurationKind.SWITCHES, content=content, if_version=0
+        )
+        kept = await store.history.async_content(
+            ConfigurationKind.SWITCHES, version
+        )
+        assert kept.switches == content
+
     async def test_rollback_is_a_new_version(self, api, stack):
         store = make_store(api, stack)
         first = await accept(store, profiles('first'), 0)
