--- a/bitternturn/daemon/lifecycle.py
+++ b/bitternturn/daemon/lifecycle.py
@@ -6,12 +6,13 @@
 
 import logbook
 
+from bitternturn.administration.const import DEFAULT_BODY_BYTES
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.core.errors import BitternturnError
 from bitternturn.daemon import const
 from bitternturn.daemon.node import Node
 from bitternturn.daemon.operators import create_operators
-from bitternturn.http.server import HttpServer
+from bitternturn.http.server import HttpServer, ServerLimits
 from bitternturn.schema.settings_pb2 import NodeSettings
 from bitternturn.timeline.models import EventKind
 
@@ -36,7 +37,10 @@
     )
     if not listeners.advertised_peers.port:
         node.member.peer_port = node.peer_server.port
-    operators = HttpServer(handler=create_operators(node))
+    operators = HttpServer(
+        handler=create_operators(node),
+        limits=ServerLimits(body_bytes=DEFAULT_BODY_BYTES),
+    )
     await operators.async_start(
         host=listeners.operators.host,
         port=listeners.operators.port,
