Sharpen tests that let changed code pass

Change: tests of reading back at the last attempt, of a deletion whose read back fails, of siblings of a silent connection, of no repeats after a watch is opened again, of the exact length of a truncated stream, of an entry set aside.

Conclusion: lost answers are covered with and without repeats.

--- a/bitternturn/standins/proxy_faults.py
+++ b/bitternturn/standins/proxy_faults.py
@@ -61,10 +61,7 @@
         if not delay_s and not self._queue:
             self.deliver(piece)
             return
-        due = self.loop.time() + delay_s
-        if self._queue:
-            due = max(due, self._queue[-1][0])
-        self._queue.append((due, piece))
+        self._queue.append((self.loop.time() + delay_s, piece))
         self._arm()
 
     def close(self) -> None:
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -112,10 +112,10 @@
 
 
 class TestLostAnswers:
-    @pytest.mark.parametrize('lost', [1, 3])
-    async def test_write_is_found_by_its_token(self, lost):
-        async with serving() as (api, client):
-            api.set_faults(ObjectFaults(lost_answers=lost))
+    @pytest.mark.parametrize('attempts', [1, 4])
+    async def test_write_is_found_by_its_token(self, attempts):
+        async with serving(attempts=attempts) as (api, client):
+            api.set_faults(ObjectFaults(lost_answers=1))
             version = await client.async_put(
                 kind='claims', name='b0', value=b'mine', if_version=0
             )
@@ -147,8 +147,10 @@
                 )
             assert code_of(caught) is ErrorCode.UNKNOWN_RESULT
 
-    async def test_deletion_is_found_done(self):
-        async with serving() as (api, client):
+    @pytest.mark.parametrize('read_rate', [0, 100])
+    async def test_deletion_is_found_done(self, read_rate):
+        limits = ObjectLimits(read_rate=read_rate)
+        async with serving(limits=limits) as (api, client):
             version = api.store.put(
                 kind='claims', name='b0', value=b'1', token='t'
             )
@@ -260,11 +262,12 @@
             )
             changes = follow(client, 'control')
             assert (await anext(changes)).version == first
-            pending = asyncio.create_task(anext(changes))
-            await until(lambda: api.open_watches)
-            await drop_connections(api)
-            api.store.put(kind='control', name='a', value=b'2', token='t')
-            assert (await pending).value == b'2'
+            for value in (b'2', b'3'):
+                pending = asyncio.create_task(anext(changes))
+                await until(lambda: api.open_watches)
+                await drop_connections(api)
+                api.store.put(kind='control', name='a', value=value, token='t')
+                assert (await pending).value == value
             pending = asyncio.create_task(anext(changes))
             await until(lambda: api.open_watches)
             api.set_faults(ObjectFaults(outage=Outage.REFUSING))
@@ -289,6 +292,14 @@
             assert client.failed_at < client.reached_at
             assert proxy.accepted > 1
 
+    async def test_siblings_of_a_silent_connection_are_not_tried(self):
+        async with proxied(attempts=2) as (_, proxy, client):
+            reads = [client.async_get('control', str(it)) for it in range(3)]
+            await asyncio.gather(*reads)
+            assert len(client.transport.idle) == 3
+            proxy.silence_open()
+            assert await client.async_get('control', 'view') is None
+
     async def test_write_whose_answer_was_swallowed_is_done_once(self):
         async with proxied() as (api, proxy, client):
             await client.async_get('control', 'view')
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -84,6 +84,7 @@
             await started[0].server.async_stop()
             answers = [await caller.async_query(QUERY) for _ in range(3)]
             assert all(it.done for it in answers)
+            assert caller.ready == caller.addresses[1:]
             await started[1].server.async_stop()
             await asyncio.gather(
                 *(it.closed for it in started[1].server.connections)
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -118,16 +118,23 @@
             proxy.set_faults(
                 ProxyFaults(
                     up=DirectionFaults(),
-                    down=DirectionFaults(truncate_after=40),
+                    down=DirectionFaults(truncate_after=300_000),
                 )
             )
             client = await connect(proxy)
             with pytest.raises(BitternturnError) as caught:
-                await post(client, b'x' * 500)
-            assert caught.value.code in (
-                ErrorCode.BAD_ANSWER,
-                ErrorCode.CONNECTION_LOST,
+                await post(client, b'x' * 900_000)
+            assert caught.value.code is ErrorCode.CONNECTION_LOST
+
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', proxy.port
+            )
+            writer.write(
+                b'POST / HTTP/1.1\r\nhost: a\r\n'
+                b'content-length: 900000\r\n\r\n' + b'x' * 900_000
             )
+            assert len(await reader.read()) == 300_000
+            writer.close()
 
     async def test_half_open(self):
         async with proxied() as (server, proxy, _):
