Run the targets of a bench in processes of their own

Cause: one process of stand-ins needs some 0.5 ms per request, so bursts of 20 waited for it: p50 57 ms at 5 queries/s. Change: a fleet over several processes, driven by JSON lines. Conclusion: the tier is measured and not the stand-ins.

--- /dev/null
+++ b/bench/fleet_worker.py
@@ -0,0 +1,107 @@
+"""A part of a fleet of targets in a process of its own.
+
+Reads commands as JSON lines and answers each with one JSON line.
+"""
+
+import asyncio
+import sys
+from typing import Any
+
+import msgspec
+
+from bench.fleet_models import Command, FleetSpec, TargetReport
+from bitternturn.core.ids import IndexName, Snapshot, TargetId
+from bitternturn.standins.fleet import TargetFleet
+from bitternturn.standins.targets import TargetServer
+
+
+class Worker:
+    """Runs every n-th target of a fleet."""
+
+    def __init__(self, *, spec: FleetSpec) -> None:
+        """Prepare the targets of this part."""
+        self.fleet = TargetFleet(
+            deployment=spec.deployment,
+            documents=spec.documents,
+            seed=spec.seed,
+        )
+        names = sorted(self.fleet.targets)[spec.part :: spec.parts]
+        self.targets: dict[str, TargetServer] = {
+            name: self.fleet.targets[TargetId(name)] for name in names
+        }
+
+    async def async_do(self, command: Command) -> Any:
+        """Run one command; return what is answered."""
+        match command.call:
+            case 'start':
+                return await self._async_start()
+            case 'add_snapshot':
+                self.fleet.add_snapshot(
+                    IndexName(command.index),
+                    Snapshot(command.snapshot),
+                    shards=command.shards,
+                )
+            case 'go_cold':
+                for name in self._chosen(command):
+                    await self.targets[name].async_start_cold()
+            case 'behave':
+                for name in self._chosen(command):
+                    for field, setting in command.behaviour.items():
+                        setattr(self.targets[name].behaviour, field, setting)
+            case 'warm_up':
+                for name in self._chosen(command):
+                    self.targets[name].warm_up()
+            case 'runs':
+                return [
+                    run
+                    for target in self.targets.values()
+                    for run in target.records.runs
+                ]
+            case 'reports':
+                return [self._report(name) for name in self.targets]
+        return None
+
+    async def _async_start(self) -> dict[str, int]:
+        """Start every target; return their ports."""
+        for target in self.targets.values():
+            await target.async_start(host='127.0.0.1')
+        return {
+            name: target.server.port for name, target in self.targets.items()
+        }
+
+    def _chosen(self, command: Command) -> list[str]:
+        """Return the targets of this part that a command names."""
+        if not command.targets:
+            return list(self.targets)
+        return [name for name in command.targets if name in self.targets]
+
+    def _report(self, name: str) -> TargetReport:
+        """Return the peaks of one target."""
+        records = self.targets[name].records
+        return TargetReport(
+            target=name,
+            cold_limit=self.targets[name].target.cold_limit,
+            most_in_flight_cold=records.most_in_flight_cold,
+            most_in_flight=records.most_in_flight,
+            most_connections=records.most_connections,
+            falls=records.falls,
+        )
+
+
+async def async_main() -> None:
+    """Serve commands until the input ends."""
+    spec = msgspec.json.decode(sys.argv[1], type=FleetSpec)
+    worker = Worker(spec=spec)
+    reader = asyncio.StreamReader(limit=1 << 26)
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader),
+        sys.stdin,
+    )
+    while line := await reader.readline():
+        answer = await worker.async_do(msgspec.json.decode(line, type=Command))
+        sys.stdout.buffer.write(msgspec.json.encode(answer) + b'\n')
+        sys.stdout.buffer.flush()
+
+
+if __name__ == '__main__':
+    asyncio.run(async_main())
--- a/bench/scenarios/tail.py
+++ b/bench/scenarios/tail.py
@@ -11,16 +11,16 @@
 from bench.cluster import Cluster, running_cluster
 from bench.loads import small_deployment
 from bench.options import Options
+from bench.remote_fleet import RemoteFleet
 from bitternturn.core.ids import IndexName, Snapshot
 from bitternturn.schema.config_pb2 import Profiles
 from bitternturn.standins.deployments import build_profiles
-from bitternturn.standins.fleet import TargetFleet
 from bitternturn.standins.load import LoadReport, async_offer_load
 
 INDEX = 'pay-lookup'
 PROFILE = 'shed-queue'
 PLAIN = 'plain'
-RATE = 25.0
+RATE = 40.0
 
 
 def with_plain(cluster: Cluster) -> Profiles:
@@ -41,6 +41,7 @@
 
 async def async_change_index(
     cluster: Cluster,
+    fleet: RemoteFleet,
     seconds: float,
     first: int,
 ) -> None:
@@ -48,13 +49,13 @@
     shards = cluster.deployment.index(INDEX).shards
     for number, count in ((first, shards), (first + 1, shards - 2)):
         await asyncio.sleep(seconds / 3)
-        partition_map = cluster.fleet.add_snapshot(
+        partition_map = await fleet.async_add_snapshot(
             IndexName(INDEX),
             Snapshot(number),
             shards=count,
         )
-        cluster.fleet.publish(IndexName(INDEX), partition_map)
-        await cluster.async_accept('indexes', cluster.fleet.indexes)
+        fleet.publish(IndexName(INDEX), partition_map)
+        await cluster.async_accept('indexes', fleet.indexes)
 
 
 async def async_phase(
@@ -80,7 +81,7 @@
     """Measure."""
     rng = random.Random(options.seed)
     deployment = small_deployment('atlas', INDEX)
-    fleet = TargetFleet(deployment=deployment, seed=options.seed)
+    fleet = RemoteFleet(deployment=deployment, seed=options.seed)
     cluster = Cluster(deployment=deployment, fleet=fleet)
     seconds = options.seconds(10, 60)
     async with running_cluster(cluster):
@@ -89,19 +90,19 @@
         await async_phase(
             cluster, profile=PROFILE, seconds=8, rng=rng, check=check
         )
-        before = len(fleet.runs())
+        before = len(await fleet.async_collect())
         plain = await async_phase(
             cluster, profile=PLAIN, seconds=seconds, rng=rng, check=check
         )
-        between = len(fleet.runs())
+        between = len(await fleet.async_collect())
         changes = asyncio.create_task(
-            async_change_index(cluster, seconds, first=2),
+            async_change_index(cluster, fleet, seconds, first=2),
         )
         ours = await async_phase(
             cluster, profile=PROFILE, seconds=seconds, rng=rng, check=check
         )
         await changes
-        after = len(fleet.runs())
+        after = len(await fleet.async_collect())
         return summarize(plain, ours, check, before, between, after)
 
 
