Test the decisions and mend what the tests found

Cause: no decision had a test. They found and this mends: an entry with exactly no time to spare was let in and then dropped; a run of good answers in cold start outlasted 30 s of silence; one profile could fill all room of its priority at the entry; equal replicas were always tried in the same order, so that all entries would send to one.

--- a/bitternturn/policy/admission.py
+++ b/bitternturn/policy/admission.py
@@ -158,7 +158,7 @@
             lane.finish = max(lane.finish, self.virtual + lane.stride)
         if self.size:
             lack_s = self._lack_s(lane, entry, now)
-            if lack_s > 0 or self.size >= self.capacity:
+            if lack_s >= 0 or self.size >= self.capacity:
                 return self._refuse(lack_s, now)
         else:
             self.progress_at = now
--- a/bitternturn/policy/budget.py
+++ b/bitternturn/policy/budget.py
@@ -11,8 +11,8 @@
 class TokenBudget:
     """Allows at most `share` × requests + `burst` extra requests.
 
-    A share of zero allows none. `share` lies between 0 and 1, `burst` is a
-    number of requests.
+    A share of zero allows none. `share` lies between 0 and 1 and counts to
+    six decimals, `burst` is a number of requests.
     """
 
     __slots__ = ('burst', 'share', 'tokens')
@@ -24,9 +24,9 @@
         burst: int = DEFAULT_BUDGET_BURST,
     ) -> None:
         """Start with a full bucket."""
-        self.share = int(share * TOKEN)
+        self.share = round(share * TOKEN)
         self.burst = burst * TOKEN
-        self.tokens = self.burst if self.share else 0
+        self.tokens = self.burst
 
     def note_request(self) -> None:
         """Count one request that is not extra."""
@@ -42,4 +42,4 @@
 
     def set_share(self, share: float) -> None:
         """Follow a changed profile; tokens that are there stay."""
-        self.share = int(share * TOKEN)
+        self.share = round(share * TOKEN)
--- a/bitternturn/policy/coldstart.py
+++ b/bitternturn/policy/coldstart.py
@@ -67,7 +67,7 @@
     def limit(self, now: float) -> int:
         """Return the most requests in flight at present."""
         if self._silent(now):
-            self.reset(now)
+            self._fall(now)
         if self.state is ColdState.WARM:
             return self.slots
         if self.state is ColdState.RAMPING:
@@ -80,7 +80,7 @@
             self._fall(now)
             return
         if self._silent(now):
-            self.reset(now)
+            self._fall(now)
         self.heard_at = now
         if self.state is ColdState.WARM or self._sent_before(latency_s, now):
             return
@@ -159,7 +159,4 @@
         """Return whether what is known of the target is too old."""
         if self.heard_at is None:
             self.heard_at = now
-        silent_s = now - self.heard_at
-        return (
-            self.state is not ColdState.COLD and silent_s > DEFAULT_EVIDENCE_S
-        )
+        return now - self.heard_at > DEFAULT_EVIDENCE_S
--- a/bitternturn/policy/const.py
+++ b/bitternturn/policy/const.py
@@ -9,8 +9,10 @@
 
 DEFAULT_LATENCY_WINDOW_S: Final = 30.0
 DEFAULT_LATENCY_SAMPLES: Final = 50
-LATENCY_REFRESH_S: Final = 0.25
-MIN_LATENCY_US: Final = 1
+# Quantiles of a window of 30 s hardly move in a shorter time.
+LATENCY_REFRESH_S: Final = 1.0
+# Finer latencies would make quantiles slower to compute.
+MIN_LATENCY_US: Final = 100
 MAX_LATENCY_US: Final = 60_000_000
 LATENCY_DIGITS: Final = 2
 
@@ -29,6 +31,8 @@
 DEFAULT_LATENCY_S: Final = 0.005
 # Cost of a round trip to another failure domain.
 CROSS_DOMAIN_S: Final = 0.003
+# How strongly the cheaper of two replicas is preferred.
+COST_EXPONENT: Final = 3
 # Share of requests that warm up a cold replica while warm ones have room.
 WARM_UP_SHARE: Final = 0.05
 
@@ -71,7 +75,7 @@
 DEFAULT_MERGE_MARGIN_S: Final = 0.005
 
 DEFAULT_ENTRY_CAPACITY: Final = 256
-# Most of the capacity that one profile may hold.
+# Most of its priority's room that one profile may hold.
 MAX_PROFILE_SHARE: Final = 0.75
 # Lateness of the loop above which the capacity shrinks.
 MAX_LOOP_LAG_S: Final = 0.02
--- a/bitternturn/policy/load.py
+++ b/bitternturn/policy/load.py
@@ -119,9 +119,10 @@
         if kept.pop(priority):
             return True
         ceiling = dict(CEILINGS)[priority] * self.usable
-        if self.profiles[profile] >= ceiling * MAX_PROFILE_SHARE:
+        room = ceiling - sum(kept.values())
+        if self.profiles[profile] >= room * MAX_PROFILE_SHARE:
             return False
-        return self.total + sum(kept.values()) < ceiling
+        return self.total < room
 
     def _refuse(self, now: float) -> Refusal:
         """Return a refusal with the time until a query ends."""
--- a/bitternturn/policy/merge.py
+++ b/bitternturn/policy/merge.py
@@ -1,13 +1,14 @@
 """Merge of the hits of several shards."""
 
-import heapq
-import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from bitternturn.core.ids import ShardId
 
+ID_TYPES = (str, int)
+SCORE_TYPES = (float, int)
+
 
 @dataclass(kw_only=True, slots=True, frozen=True)
 class ShardHits:
@@ -19,12 +20,16 @@
 
 def well_formed(hits: object) -> bool:
     """Return whether a decoded value is a list of hits that can be merged."""
-    return isinstance(hits, list) and all(
-        isinstance(hit, dict)
-        and isinstance(hit.get('id'), (str, int))
-        and isinstance(hit.get('score'), (int, float))
-        for hit in hits
-    )
+    if not isinstance(hits, list):
+        return False
+    for hit in hits:
+        if not isinstance(hit, dict):
+            return False
+        if not isinstance(hit.get('id'), ID_TYPES):
+            return False
+        if not isinstance(hit.get('score'), SCORE_TYPES):
+            return False
+    return True
 
 
 def merge_hits(
@@ -37,11 +42,17 @@
     hits of one shard that are equal in these keep their order. The shards'
     lists need not be ordered.
     """
-    order = itertools.count()
-    ranked = (
-        (-hit['score'], str(hit['id']), part.shard, next(order), hit)
-        for part in per_shard
-        for hit in part.hits
-    )
-    best = heapq.nsmallest(limit, ranked)
-    return [{**hit, 'shard': shard} for *_, shard, _order, hit in best]
+    found = [(hit, part.shard) for part in per_shard for hit in part.hits]
+    if len(found) > limit:
+        # Most hits are left out by their score alone, which is cheap.
+        scores = sorted((hit['score'] for hit, _ in found), reverse=True)
+        least = scores[limit]
+        found = [one for one in found if one[0]['score'] >= least]
+    found.sort(key=_rank)
+    return [{**hit, 'shard': shard} for hit, shard in found[:limit]]
+
+
+def _rank(found: tuple[dict[str, Any], ShardId]) -> tuple[float, str, ShardId]:
+    """Return a key that is smaller for better hits."""
+    hit, shard = found
+    return -hit['score'], str(hit['id']), shard
--- a/bitternturn/policy/replicas.py
+++ b/bitternturn/policy/replicas.py
@@ -7,14 +7,13 @@
 
 from bitternturn.core.ids import TargetId
 from bitternturn.policy.const import (
+    COST_EXPONENT,
     CROSS_DOMAIN_S,
     DEFAULT_LATENCY_HALF_LIFE_S,
     DEFAULT_LATENCY_S,
     WARM_UP_SHARE,
 )
 
-CHOICES = 2
-
 
 @dataclass(kw_only=True, slots=True, frozen=True)
 class ReplicaView:
@@ -81,14 +80,15 @@
 ) -> list[TargetId]:
     """Return the replicas to try, best first; those that are out are absent.
 
-    The first is the better of two random ones. A cold replica with room goes
-    first for a small share of the requests, so that it warms up also while
-    warm ones have room. Full replicas come after those with room, ejected
-    ones last.
+    The first is one of two random ones, nearly always the much better one;
+    between similar ones it varies, lest all entries send to the same. A cold
+    replica with room goes first for a small share of the requests, so that
+    it warms up also while warm ones have room. Full replicas come after those
+    with room, ejected ones last.
     """
     ranked = sorted(
         (view for view in targets if not view.out),
-        key=_cost,
+        key=_rank,
     )
     room = [view for view in ranked if not view.ejected and not view.full]
     first = _pick(room, rng)
@@ -103,19 +103,40 @@
     rng: random.Random,
 ) -> ReplicaView | None:
     """Return the replica to try first among those with room."""
-    if len(ranked) < CHOICES:
+    if not ranked:
         return None
     cold = [view for view in ranked if view.cold]
     if cold and rng.random() < WARM_UP_SHARE:
         return rng.choice(cold)
-    warm = [position for position, view in enumerate(ranked) if not view.cold]
-    positions = warm if warm else range(len(ranked))
-    return ranked[min(rng.sample(positions, min(CHOICES, len(positions))))]
+    warm = ranked[: len(ranked) - len(cold)]
+    return _choose(warm or cold, rng)
 
 
-def _cost(view: ReplicaView) -> tuple[bool, bool, bool, float]:
+def _choose(
+    ranked: Sequence[ReplicaView],
+    rng: random.Random,
+) -> ReplicaView:
+    """Return one of two random replicas by their costs."""
+    count = len(ranked)
+    if count == 1:
+        return ranked[0]
+    position = int(rng.random() * count)
+    step = 1 + int(rng.random() * (count - 1))
+    one = ranked[position]
+    other = ranked[(position + step) % count]
+    weight = _cost_s(other) ** COST_EXPONENT
+    total = weight + _cost_s(one) ** COST_EXPONENT
+    return one if rng.random() * total < weight else other
+
+
+def _rank(view: ReplicaView) -> tuple[bool, bool, bool, float]:
     """Return a key that is smaller for better replicas."""
+    return view.ejected, view.full, view.cold, _cost_s(view)
+
+
+def _cost_s(view: ReplicaView) -> float:
+    """Return the expected latency of one more request, in seconds."""
     latency_s = view.latency_s or DEFAULT_LATENCY_S
     load = (view.outstanding + 1) / max(1, view.limit)
     distance_s = 0 if view.same_domain else CROSS_DOMAIN_S
-    return view.ejected, view.full, view.cold, latency_s * load + distance_s
+    return latency_s * load + distance_s
--- a/bitternturn/policy/snapshot.py
+++ b/bitternturn/policy/snapshot.py
@@ -1,6 +1,6 @@
 """Choice of the index version that a query is answered from."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from dataclasses import dataclass
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
@@ -55,22 +55,21 @@
 
 def _newest_first(
     index: Index,
-    wanted_shards: Iterable[ShardId],
-) -> list[PartitionMap]:
-    """Return the maps with all shards asked for, newest first."""
-    wanted = set(wanted_shards)
-    maps = [
-        partition_map
-        for partition_map in index.maps
-        if wanted <= {shard.id for shard in partition_map.shards}
-    ]
-    maps.sort(key=lambda partition_map: partition_map.snapshot, reverse=True)
-    return maps
+    wanted_shards: Collection[ShardId],
+) -> Iterator[PartitionMap]:
+    """Yield the maps with all shards asked for, newest first."""
+    maps = sorted(index.maps, key=lambda one: one.snapshot, reverse=True)
+    wanted = frozenset(wanted_shards)
+    for partition_map in maps:
+        if not wanted or wanted.issubset(
+            shard.id for shard in partition_map.shards
+        ):
+            yield partition_map
 
 
 def _reach(
     partition_map: PartitionMap,
-    wanted_shards: Iterable[ShardId],
+    wanted_shards: Collection[ShardId],
     usable: Callable[[TargetId, Snapshot], bool],
 ) -> SnapshotChoice:
     """Return the coverage that usable targets can give at one snapshot."""
--- /dev/null
+++ b/tests/policy/test_query.py
@@ -0,0 +1,169 @@
+"""Tests of snapshot, coverage, early answer and merge."""
+
+import math
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.policy.coverage import CoverageCount
+from bitternturn.policy.early_answer import Decision, decide
+from bitternturn.policy.merge import ShardHits, merge_hits, well_formed
+from bitternturn.policy.snapshot import choose_snapshot
+from bitternturn.schema.config_pb2 import (
+    PREFERENCE_COVERAGE,
+    PREFERENCE_TIME,
+    Index,
+    PartitionMap,
+    Profile,
+    Shard,
+)
+
+SHARES = st.floats(0, 1)
+
+
+def partition_map(weights, snapshot=1):
+    shards = [
+        Shard(id=f's{number}', weight=weight, targets=[f't{number}'])
+        for number, weight in enumerate(weights)
+    ]
+    return PartitionMap(snapshot=snapshot, shards=shards)
+
+
+class TestCoverage:
+    @given(st.lists(st.floats(0.01, 10), min_size=1), st.randoms())
+    def test_counts_each_shard_once(self, weights, rng):
+        count = CoverageCount(partition_map=partition_map(weights))
+        answers = [f's{rng.randrange(len(weights) + 2)}' for _ in range(40)]
+        for number, shard in enumerate(answers):
+            new = shard not in answers[:number]
+            assert count.add(shard) is (new and int(shard[1:]) < len(weights))
+        missing = count.missing()
+        lost = math.fsum(weights[int(shard[1:])] for shard in missing)
+        assert count.share == pytest.approx(1 - lost / math.fsum(weights))
+        assert count.share + count.share_of(missing) == pytest.approx(1)
+        assert (count.share == 1) is (not missing)
+
+
+class TestSnapshot:
+    @given(
+        st.lists(st.sets(st.integers(0, 4)), min_size=1, max_size=5),
+        st.integers(0, 5),
+        st.integers(0, 5),
+    )
+    def test_newest_that_meets_wanted_then_least_then_most(
+        self, held, one, other
+    ):
+        least, wanted = sorted((one / 5, other / 5))
+        index = Index(
+            maps=[
+                partition_map([1] * 5, snapshot)
+                for snapshot in range(len(held))
+            ]
+        )
+        choice = choose_snapshot(
+            index=index,
+            wanted_shards=[],
+            least_coverage=least,
+            wanted_coverage=wanted,
+            usable=lambda target, snapshot: int(target[1:]) in held[snapshot],
+        )
+        reach = [len(targets) / 5 for targets in held]
+        for needed in (wanted, least, max(reach)):
+            meeting = [at for at, share in enumerate(reach) if share >= needed]
+            if meeting:
+                assert choice.snapshot == meeting[-1]
+                assert choice.reachable == reach[choice.snapshot]
+                break
+
+    def test_shards_asked_for_must_be_in_the_map(self):
+        index = Index(maps=[partition_map([1] * 3, 1), partition_map([1], 2)])
+        arguments = {'least_coverage': 1, 'usable': lambda *_: True}
+        choice = choose_snapshot(index=index, wanted_shards=['s2'], **arguments)
+        assert choice.snapshot == 1
+        with pytest.raises(BitternturnError) as raised:
+            choose_snapshot(index=index, wanted_shards=['s9'], **arguments)
+        assert raised.value.code is ErrorCode.BAD_REQUEST
+
+
+class TestEarlyAnswer:
+    @given(
+        SHARES,
+        SHARES,
+        SHARES,
+        SHARES,
+        st.floats(-0.1, 1),
+        st.sampled_from((PREFERENCE_TIME, PREFERENCE_COVERAGE)),
+    )
+    def test_refuses_at_once_and_only_what_is_out_of_reach(
+        self, one, other, coverage, outstanding, remaining_s, preference
+    ):
+        least, wanted = sorted((one, other))
+        outstanding = min(outstanding, 1 - coverage)
+        decision = decide(
+            profile=Profile(
+                least_coverage=least,
+                wanted_coverage=wanted,
+                preference=preference,
+            ),
+            coverage=coverage,
+            remaining_s=remaining_s,
+            outstanding=outstanding,
+            margin_s=0.05,
+        )
+        reach = coverage + (outstanding if remaining_s > 0 else 0)
+        if reach < least - 1e-6:
+            assert decision is Decision.REFUSE
+        if coverage >= least:
+            assert decision is not Decision.REFUSE
+        if decision is Decision.WAIT:
+            assert remaining_s > 0 and outstanding > 0
+            assert coverage < least or remaining_s > 0.05
+        if decision is Decision.ANSWER:
+            assert coverage >= least - 1e-6
+
+    def test_time_takes_the_wanted_and_coverage_waits_for_all(self):
+        for preference, decision in (
+            (PREFERENCE_TIME, Decision.ANSWER),
+            (PREFERENCE_COVERAGE, Decision.WAIT),
+        ):
+            profile = Profile(
+                least_coverage=0.5, wanted_coverage=0.9, preference=preference
+            )
+            now = {'profile': profile, 'remaining_s': 0.2}
+            assert decide(coverage=0.9, outstanding=0.1, **now) is decision
+            assert decide(coverage=0.9, outstanding=0, **now) is Decision.ANSWER
+            assert decide(coverage=0.8, outstanding=0.2, **now) is Decision.WAIT
+
+
+class TestMerge:
+    @given(
+        st.lists(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 9)))),
+        st.integers(0, 30),
+        st.integers(),
+    )
+    def test_order_does_not_depend_on_arrival(self, shards, limit, seed):
+        parts = [
+            ShardHits(
+                shard=f's{number:03}',
+                hits=[{'id': f'{key}', 'score': score} for score, key in hits],
+            )
+            for number, hits in enumerate(shards)
+        ]
+        merged = merge_hits(parts, limit)
+        random.Random(seed).shuffle(parts)
+        assert merge_hits(parts, limit) == merged
+        every = [
+            (-hit['score'], hit['id'], part.shard)
+            for part in parts
+            for hit in part.hits
+        ]
+        got = [(-hit['score'], hit['id'], hit['shard']) for hit in merged]
+        assert got == sorted(every)[:limit]
+
+    def test_malformed_hits_are_told(self):
+        assert well_formed([{'id': 'a', 'score': 1.5}])
+        for hits in (None, {}, [1], [{'id': 'a'}], [{'id': None, 'score': 1}]):
+            assert not well_formed(hits)
--- /dev/null
+++ b/tests/policy/test_replicas.py
@@ -0,0 +1,165 @@
+"""Tests of the order of replicas, outlier ejection and the return ramp."""
+
+import collections
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bitternturn.policy.health import OutlierTrack
+from bitternturn.policy.replicas import (
+    LatencyAverage,
+    ReplicaView,
+    order_replicas,
+)
+from bitternturn.policy.return_ramp import ReturnRamp
+
+EVENTS = st.lists(
+    st.tuples(st.integers(0, 5), st.integers(0, 6), st.floats(0, 1)),
+    max_size=40,
+)
+
+
+def view(target, **changed):
+    known = {'outstanding': 0, 'latency_s': 0.01, 'limit': 2, **changed}
+    return ReplicaView(target=target, **known)
+
+
+def first_choices(views, rounds=2000):
+    rng = random.Random(7)
+    return collections.Counter(
+        order_replicas(targets=views, rng=rng)[0] for _ in range(rounds)
+    )
+
+
+class TestOrder:
+    @given(
+        st.lists(
+            st.builds(
+                view,
+                st.integers().map(str),
+                outstanding=st.integers(0, 4),
+                latency_s=st.floats(0, 1),
+                cold=st.booleans(),
+                ejected=st.booleans(),
+                out=st.booleans(),
+            ),
+            unique_by=lambda one: one.target,
+            max_size=6,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_holds_all_that_are_in_and_unfit_ones_last(self, views, rng):
+        order = order_replicas(targets=views, rng=rng)
+        by_target = {one.target: one for one in views}
+        assert sorted(order) == sorted(
+            one.target for one in views if not one.out
+        )
+        unfit = [
+            (by_target[target].ejected, by_target[target].full)
+            for target in order
+        ]
+        assert unfit == sorted(unfit)
+
+    def test_prefers_the_free_and_near_and_warms_up_the_cold(self):
+        slow = view('a', latency_s=0.1)
+        assert first_choices([slow, view('b')])['a'] < 50
+        assert first_choices([view('a', outstanding=1), view('b')])['a'] < 500
+        assert (
+            first_choices([view('a'), view('b', same_domain=True)])['a'] < 800
+        )
+        chosen = first_choices([view('a'), view('b', cold=True)])
+        assert 0 < chosen['b'] < 200
+        cold_full = view('b', cold=True, limit=1, outstanding=1)
+        assert first_choices([view('a'), cold_full])['b'] == 0
+
+    def test_herds_of_entries_spread(self):
+        for count in (2, 8):
+            views = [view(str(number)) for number in range(count)]
+            chosen = first_choices(views)
+            assert min(chosen.values()) > 2000 / count * 0.8
+            assert len(chosen) == count
+
+
+class TestLatencyAverage:
+    def test_rises_at_once_and_falls_with_time(self):
+        average = LatencyAverage(half_life_s=5)
+        assert average.value(0) == 0
+        average.record(1, 10)
+        average.record(0.01, 10.1)
+        assert average.value(10.1) > 0.9
+        assert average.value(30) < 0.1
+
+
+class TestOutliers:
+    @given(EVENTS, st.sets(st.integers(0, 5), max_size=2))
+    def test_never_ejects_the_last_usable_or_more_than_half(self, events, out):
+        sets = [('0', '1'), ('2', '3'), ('4', '5'), ('0', '2', '4')]
+        out = {str(number) for number in out}
+        track = OutlierTrack(replica_sets=sets, is_out=out.__contains__)
+        now = 0.0
+        for number, failures, passed_s in events:
+            now += passed_s / 10
+            for _ in range(failures):
+                track.record(str(number), False, now)
+            ejected = {
+                str(each) for each in range(6) if track.ejected(str(each), now)
+            }
+            assert len(ejected) <= 3
+            for replicas in sets:
+                usable = set(replicas) - out
+                assert not ejected & usable or usable - ejected
+
+    def test_ejects_for_ever_longer_and_gives_one_chance(self):
+        track = OutlierTrack(replica_sets=[('a', 'b')])
+        now, lengths = 0.0, []
+        for _ in range(4):
+            while not track.ejected('a', now):
+                track.record('a', False, now)
+            begun = now
+            while track.ejected('a', now):
+                track.record('a', True, now)
+                now += 0.25
+            lengths.append(now - begun)
+        assert lengths == [1, 2, 4, 8]
+        track.record('a', False, now)
+        assert track.ejected('a', now)
+
+    def test_share_of_errors_ejects_without_a_row(self):
+        track = OutlierTrack(replica_sets=[('a', 'b')])
+        for number in range(19):
+            track.record('a', number % 2 == 0, 1)
+        assert not track.ejected('a', 1)
+        track.record('a', False, 1)
+        assert track.ejected('a', 1)
+
+    def test_hints_neither_eject_nor_end_an_ejection(self):
+        track = OutlierTrack(replica_sets=[('a', 'b')])
+        track.on_hint('a', False, 0)
+        assert not track.ejected('a', 0)
+        for _ in range(3):
+            track.record('a', False, 0)
+        assert track.ejected('a', 0)
+        track.on_hint('a', True, 0.1)
+        assert track.ejected('a', 0.1)
+
+    def test_an_ejection_yields_when_the_other_goes_out(self):
+        out = set()
+        track = OutlierTrack(replica_sets=[('a', 'b')], is_out=out.__contains__)
+        for _ in range(5):
+            track.record('a', False, 0)
+        assert track.ejected('a', 0.5)
+        out.add('b')
+        assert not track.ejected('a', 0.5)
+
+
+class TestReturnRamp:
+    def test_share_grows_from_little_to_all(self):
+        ramp = ReturnRamp(ramp_s=10)
+        assert ramp.share('a', 0) == 1
+        ramp.on_return('a', 0)
+        shares = [ramp.share('a', second) for second in range(11)]
+        assert shares == sorted(shares)
+        assert shares[0] == 0.05
+        assert shares[5] < 0.5
+        assert shares[10] == 1
