Let an HTTP exchange end by a callback and bound its response

Cause: a future and a task per sub-request cost more than the exchange; an unasked response or one of any length was taken in. Change: start_exchange with a callback, which async_exchange now uses; bytes that nobody asked for close the connection, so does more than max_body_bytes or data behind a whole response; on_closed and heard tell the owner what happened on the wire. Conclusion: the owners can run without a task per sub-request.

--- a/bitternturn/http/client.py
+++ b/bitternturn/http/client.py
@@ -1,13 +1,18 @@
 """HTTP client connection: one exchange at a time."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from functools import partial
 
 import h11
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.http.const import MAX_RESPONSE_BYTES
 from bitternturn.http.models import Response
 
+# Receives the whole response, or why there is none.
+OnEnd = Callable[[Response | BitternturnError], None]
+
 STEP_CONNECT = 'connect'
 STEP_EXCHANGE = 'exchange'
 
@@ -25,9 +30,15 @@
         self.transport: asyncio.Transport | None = None
         # Whether bytes of the present request were given to the transport.
         self.sent = False
+        # Whether bytes of the present response have come.
+        self.heard = False
+        # Called when the connection ends, also by `close`.
+        self.on_closed: Callable[[], None] | None = None
         self._head: h11.Response | None = None
+        self.max_body_bytes = MAX_RESPONSE_BYTES
         self._parts: list[bytes] = []
-        self._waiter: asyncio.Future[Response] | None = None
+        self._size = 0
+        self._on_end: OnEnd | None = None
         self._chunks: asyncio.Queue[bytes | None] | None = None
 
     @property
@@ -46,6 +57,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; end the exchange when the response is whole."""
+        if self._on_end is None and self._chunks is None:
+            # Whatever it answers, it would be taken for the next response.
+            self.close()
+            return
+        self.heard = True
         try:
             self.h11.receive_data(data)
             self._advance()
@@ -55,12 +71,33 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in flight."""
         self._fail(ErrorCode.CONNECTION_LOST, str(exc or 'closed by peer'))
+        if self.on_closed is not None:
+            self.on_closed()
 
     def close(self) -> None:
         """Close at once; the server sees it as a cancellation."""
         if self.transport is not None:
             self.transport.abort()
 
+    def start_exchange(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes = b'',
+        on_end: OnEnd,
+    ) -> None:
+        """Send a request and call `on_end` once with the whole response.
+
+        Raises BitternturnError with CONNECTION_LOST when another exchange
+        can't start, and h11.LocalProtocolError for headers that are not
+        HTTP's; nothing was sent then. `on_end` is called with the errors of
+        `async_exchange`, also after `close`.
+        """
+        self._send_request(method, path, headers, body)
+        self._on_end = on_end
+
     async def async_exchange(
         self,
         *,
@@ -73,16 +110,17 @@
 
         Raises BitternturnError with CONNECTION_LOST or BAD_ANSWER.
         """
-        loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
-        self._send_request(method, path, headers, body)
-        try:
-            return await self._waiter
-        except BaseException:
-            self.close()
-            raise
-        finally:
-            self._waiter = None
+        waiter: asyncio.Future[Response] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.start_exchange(
+            method=method,
+            path=path,
+            headers=headers.items(),
+            body=body,
+            on_end=partial(_settle, waiter),
+        )
+        return await self._async_wait(waiter)
 
     async def async_stream(
         self,
@@ -91,18 +129,24 @@
         headers: Mapping[str, str],
     ) -> tuple[Response, AsyncIterator[bytes]]:
         """Send a GET; return the head and an iterator over the chunks."""
-        loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
+        waiter: asyncio.Future[Response] = (
+            asyncio.get_running_loop().create_future()
+        )
         self._chunks = asyncio.Queue()
-        self._send_request('GET', path, headers, b'')
+        self._send_request('GET', path, headers.items(), b'')
+        self._on_end = partial(_settle, waiter)
+        return await self._async_wait(waiter), self._iterate()
+
+    async def _async_wait(
+        self,
+        waiter: asyncio.Future[Response],
+    ) -> Response:
+        """Wait for a response; close if nobody waits for it any more."""
         try:
-            response = await self._waiter
+            return await waiter
         except BaseException:
             self.close()
             raise
-        finally:
-            self._waiter = None
-        return response, self._iterate()
 
     async def _iterate(self) -> AsyncIterator[bytes]:
         """Yield chunks until the response or the connection ends."""
@@ -120,10 +164,12 @@
         self,
         method: str,
         path: str,
-        headers: Mapping[str, str],
+        headers: Iterable[tuple[str, str]],
         body: bytes,
     ) -> None:
         """Write one request in one piece."""
+        self.sent = False
+        self.heard = False
         if self.transport is None or not self.usable:
             raise BitternturnError(
                 'not usable',
@@ -131,7 +177,7 @@
                 step=STEP_EXCHANGE,
                 peer=self.peer,
             )
-        pairs = [('host', self.peer), *headers.items()]
+        pairs = [('host', self.peer), *headers]
         if body or method != 'GET':
             pairs.append(('content-length', str(len(body))))
         head = h11.Request(method=method, target=path, headers=pairs)
@@ -153,6 +199,8 @@
                     self._deliver(self._whole())
             elif isinstance(event, h11.Data):
                 self._take_data(bytes(event.data))
+                if self._on_end is None and self._chunks is None:
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self._end()
                 return
@@ -163,6 +211,9 @@
         """Keep or pass on a part of the body."""
         if self._chunks is None:
             self._parts.append(data)
+            self._size += len(data)
+            if self._size > self.max_body_bytes:
+                self._fail(ErrorCode.BAD_ANSWER, 'body too large')
         else:
             self._chunks.put_nowait(data)
 
@@ -171,15 +222,18 @@
         response = self._whole()
         if self._chunks is not None:
             self._chunks.put_nowait(None)
-        if (
+        reusable = (
             self.h11.our_state is h11.DONE
             and self.h11.their_state is h11.DONE
+            and self.h11.trailing_data == (b'', False)
             and self._chunks is None
-        ):
+        )
+        if reusable:
             self.h11.start_next_cycle()
         else:
             self.close()
         self._parts = []
+        self._size = 0
         self._deliver(response)
 
     def _whole(self) -> Response:
@@ -195,21 +249,21 @@
         )
 
     def _deliver(self, response: Response) -> None:
-        """Wake the exchange; a response nobody asked for closes."""
-        if self._waiter is None:
-            if self._chunks is None:
-                self.close()
-            return
-        if not self._waiter.done():
-            self._waiter.set_result(response)
+        """Give the response to whoever asked for it."""
+        on_end = self._on_end
+        self._on_end = None
+        if on_end is not None:
+            on_end(response)
 
     def _fail(self, code: ErrorCode, message: str) -> None:
         """End the exchange in flight with an error."""
         self.close()
         if self._chunks is not None:
             self._chunks.put_nowait(None)
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(
+        on_end = self._on_end
+        self._on_end = None
+        if on_end is not None:
+            on_end(
                 BitternturnError(
                     message,
                     code=code,
@@ -219,6 +273,19 @@
             )
 
 
+def _settle(
+    waiter: asyncio.Future[Response],
+    end: Response | BitternturnError,
+) -> None:
+    """Wake the waiter of an exchange."""
+    if waiter.done():
+        return
+    if isinstance(end, BitternturnError):
+        waiter.set_exception(end)
+    else:
+        waiter.set_result(end)
+
+
 async def async_connect(*, host: str, port: int) -> ClientConnection:
     """Return a connected client; raises BitternturnError when refused."""
     peer = f'{host}:{port}'
