--- /dev/null
+++ b/tests/owners/helpers.py
@@ -0,0 +1,146 @@
+"""A target that does as a test says, and an owner of it."""
+
+import asyncio
+import random
+
+import msgspec
+
+from bitternturn.core.clock import monotonic
+from bitternturn.core.tasks import TaskSet
+from bitternturn.http.models import Response
+from bitternturn.http.server import HttpServer
+from bitternturn.owners.models import Ownership, PoolSettings
+from bitternturn.owners.service import OwnerService
+from bitternturn.schema.config_pb2 import PRIORITY_NORMAL, Target
+from bitternturn.schema.peers_pb2 import QueryGroup, SubQuery, TargetState
+
+
+class FakeTarget:
+    """Holds each search until released; counts what is in flight."""
+
+    def __init__(self) -> None:
+        self.server = HttpServer(handler=self.async_handle)
+        self.requests = []
+        self.in_flight = 0
+        self.most = 0
+        self.most_connections = 0
+        self.hold = False
+        self.free = asyncio.Semaphore(0)
+        self.changed = asyncio.Event()
+        self.overrides = []
+        self.state = 'ready'
+        self.health = 'ready'
+        self.silent = set()
+        self.silence_next = 0
+
+    async def async_handle(self, request):
+        connections = len(self.server.connections)
+        self.most_connections = max(self.most_connections, connections)
+        if request.peer in self.silent:
+            await asyncio.Event().wait()
+        if request.path == '/v1/health':
+            return Response(body=b'{"state": "%s"}' % self.health.encode())
+        self.requests.append(request)
+        self.in_flight += 1
+        self.most = max(self.most, self.in_flight)
+        self.changed.set()
+        try:
+            return await self._async_answer(request)
+        finally:
+            self.in_flight -= 1
+            self.changed.set()
+
+    async def _async_answer(self, request):
+        if self.silence_next:
+            self.silence_next -= 1
+            self.silent.add(request.peer)
+            await asyncio.Event().wait()
+        if self.hold:
+            await self.free.acquire()
+        override = self.overrides.pop(0) if self.overrides else {}
+        headers = {
+            name: request.headers[name]
+            for name in ('x-request-id', 'x-index', 'x-shard', 'x-snapshot')
+        }
+        headers['x-held-snapshots'] = '4, 5'
+        headers['x-state'] = self.state
+        headers.update(override.get('headers', {}))
+        body = override.get('body', {'hits': [], 'complete': True})
+        return Response(
+            status=override.get('status', 200),
+            headers=headers,
+            body=msgspec.json.encode(body),
+        )
+
+    def release(self, count=100) -> None:
+        for _ in range(count):
+            self.free.release()
+
+    async def async_until(self, condition) -> None:
+        while not condition():
+            self.changed.clear()
+            await self.changed.wait()
+
+
+class Owner:
+    """An owner whose leases and switches a test sets."""
+
+    def __init__(self, **settings) -> None:
+        self.fake = FakeTarget()
+        self.target = Target(
+            id='t',
+            host='127.0.0.1',
+            slots=2,
+            connections=25,
+            cold_limit=1,
+        )
+        self.owns = True
+        self.lease = True
+        self.out = False
+        self.events = []
+        self.tasks = TaskSet()
+        self.skew = 0.0
+        self.service = OwnerService(
+            target_of=lambda target_id: self.target,
+            ownership=Ownership(
+                owns=lambda target_id: self.owns,
+                may_send=lambda target_id, now: self.owns and self.lease,
+                is_out=lambda target_id: self.out,
+            ),
+            event=lambda kind, **fields: self.events.append((kind, fields)),
+            tasks=self.tasks,
+            pool=PoolSettings(**settings),
+            now=lambda: monotonic() + self.skew,
+            rng=random.Random(5),
+        )
+
+    async def __aenter__(self) -> 'Owner':
+        await self.fake.server.async_start(host='127.0.0.1', port=0)
+        self.target.port = self.fake.server.port
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        await self.service.async_stop()
+        await self.fake.server.async_stop()
+        await self.tasks.async_stop()
+
+    @property
+    def owned(self):
+        return self.service.targets['t']
+
+    def submit(self, *, remaining_ms=60000, repeatable=True, hedge=False):
+        group = QueryGroup(
+            query_id='q',
+            index='i',
+            snapshot=5,
+            body=b'{}',
+            remaining_ms=remaining_ms,
+            priority=PRIORITY_NORMAL,
+            repeatable=repeatable,
+        )
+        return self.service.submit(
+            group, SubQuery(id=7, shard='s', target='t', hedge=hedge)
+        )
+
+    def adopt_warm(self) -> None:
+        self.service.adopt(TargetState(target='t', warm=True, limit=2))
