--- a/bitternturn/owners/exchange.py
+++ b/bitternturn/owners/exchange.py
@@ -121,7 +121,7 @@
         answer = msgspec.json.decode(response.body, type=_Answer)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return False
-    return answer.complete and memoryview(answer.hits)[:1] == b'['
+    return answer.complete and bytes(memoryview(answer.hits)[:1]) == b'['
 
 
 def _read_refusal(sub_id: int, response: Response) -> SubResult:
