Check request headers without h11's regular expressions

Cause: h11 spent more on checking the headers of a request than on writing it, and a value outside ASCII raised UnicodeEncodeError. Tests of unasked bytes and of the body's bound.

--- a/bitternturn/http/client.py
+++ b/bitternturn/http/client.py
@@ -8,6 +8,7 @@
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.http.const import MAX_RESPONSE_BYTES
+from bitternturn.http.headers import encode_headers
 from bitternturn.http.models import Response
 
 # Receives the whole response, or why there is none.
@@ -180,7 +181,11 @@
         pairs = [('host', self.peer), *headers]
         if body or method != 'GET':
             pairs.append(('content-length', str(len(body))))
-        head = h11.Request(method=method, target=path, headers=pairs)
+        head = h11.Request(
+            method=method,
+            target=path,
+            headers=encode_headers(pairs),
+        )
         events: list[h11.Event] = [head]
         if body:
             events.append(h11.Data(data=body))
--- /dev/null
+++ b/tests/http/test_client.py
@@ -0,0 +1,93 @@
+"""Tests of the HTTP client against servers that misbehave."""
+
+import asyncio
+
+import h11
+import pytest
+
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.http.client import async_connect
+from bitternturn.http.headers import encode_headers
+from bitternturn.http.models import Response
+from bitternturn.http.server import HttpServer
+
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+
+async def async_serve(answers, greeting=b''):
+    """Answer each request with the next of some bytes."""
+
+    async def accept(reader, writer):
+        writer.write(greeting)
+        for answer in answers:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(answer)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    return server, server.sockets[0].getsockname()[1]
+
+
+class TestUnasked:
+    async def test_bytes_behind_an_answer_close(self):
+        server, port = await async_serve([ANSWER + ANSWER])
+        client = await async_connect(host='127.0.0.1', port=port)
+        response = await client.async_exchange(
+            method='GET', path='/', headers={}
+        )
+        assert response.body == b'ok'
+        assert not client.usable
+        server.close()
+
+    async def test_bytes_before_a_request_close(self):
+        server, port = await async_serve([], greeting=ANSWER[:9])
+        client = await async_connect(host='127.0.0.1', port=port)
+        closed = asyncio.Event()
+        client.on_closed = closed.set
+        await closed.wait()
+        assert not client.usable
+        server.close()
+
+
+class TestBounds:
+    async def test_body_above_the_bound(self):
+        async def answer(request):
+            return Response(body=b'x' * 1000)
+
+        server = HttpServer(handler=answer)
+        await server.async_start(host='127.0.0.1', port=0)
+        client = await async_connect(host=server.host, port=server.port)
+        client.max_body_bytes = 999
+        with pytest.raises(BitternturnError) as caught:
+            await client.async_exchange(method='GET', path='/', headers={})
+        assert caught.value.code is ErrorCode.BAD_ANSWER
+        assert not client.usable
+        await server.async_stop()
+
+
+class TestHeaders:
+    @pytest.mark.parametrize(
+        ('name', 'value'),
+        [
+            ('x-shard', 'a\r\nx-snapshot: 9'),
+            ('x-shard', 'a\nb'),
+            ('x-shard', '\x00'),
+            ('x-shard', 'caf\xe9'),
+            ('x shard', 'a'),
+            ('x-shard:', 'a'),
+            ('', 'a'),
+        ],
+    )
+    def test_refuses_what_is_not_http(self, name, value):
+        with pytest.raises(h11.LocalProtocolError):
+            encode_headers([(name, value)])
+
+    def test_agrees_with_h11(self):
+        pairs = [('Host', 'a:1'), ('x-shard', ' a b '), ('x-empty', '')]
+        ours = h11.Request(
+            method='GET', target='/', headers=encode_headers(pairs)
+        )
+        stripped = [(name, value.strip()) for name, value in pairs]
+        theirs = h11.Request(method='GET', target='/', headers=stripped)
+        assert list(ours.headers) == list(theirs.headers)
