--- a/bitternturn/standins/target_records.py
+++ b/bitternturn/standins/target_records.py
@@ -51,6 +51,8 @@
     most_in_flight: int = 0
     # At arrivals in cold start; what came before a fall back counts too.
     most_in_flight_cold: int = 0
+    # The same, but for arrivals before the tier could know of the cold start.
+    most_in_flight_told: int = 0
     most_connections: int = 0
     connections: int = 0
     falls: int = 0
--- a/bitternturn/standins/targets.py
+++ b/bitternturn/standins/targets.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from typing import Final
 
 from bitternturn.core.clock import MS_PER_SECOND, Clock, monotonic
 from bitternturn.core.errors import BitternturnError, ErrorCode
@@ -45,6 +46,10 @@
 PATH_HEALTH = '/v1/health'
 
 
+# Time in which an answer reaches the tier.
+TOLD_S: Final = 0.05
+
+
 class TargetServer:
     """Answers searches from sample data within its slots."""
 
@@ -73,6 +78,7 @@
         self.slots = asyncio.Semaphore(target.slots)
         self.fallen_until: float | None = None
         self.answers_cold = 0
+        self.told_cold_at: float | None = None
         self.last_answer: Response | None = None
         self.service_s = make_service_times(
             self.behaviour,
@@ -118,6 +124,7 @@
         self._note_health()
         self.state = TargetState.COLD
         self.answers_cold = 0
+        self.told_cold_at = None
 
     def warm_up(self) -> None:
         """Be ready at once."""
@@ -247,6 +254,8 @@
 
     def _respond(self, response: Response, run: Run) -> Response:
         """Add the headers that every answer carries."""
+        if self.state is TargetState.COLD and self.told_cold_at is None:
+            self.told_cold_at = self.now()
         response.headers = {
             **response.headers,
             'x-request-id': run.request_id,
@@ -302,6 +311,16 @@
                 records.most_in_flight_cold,
                 records.in_flight,
             )
+            if self._is_told():
+                records.most_in_flight_told = max(
+                    records.most_in_flight_told,
+                    records.in_flight,
+                )
+
+    def _is_told(self) -> bool:
+        """Whether an answer has told of the cold start a while ago."""
+        told_at = self.told_cold_at
+        return told_at is not None and self.now() - told_at > TOLD_S
 
     def _count_connection(self) -> None:
         """Count connections and their peak."""
