Send no sub-request before the peer's hello

Cause: test_unanswered_at_a_clean_end_is_not_run failed once: a stream that reached the server just before it closed had its first frame written and never started, which the client could only call in doubt. Change: the first frame is the hello alone; sub-requests follow once the server's hello has come, so whatever ends a stream earlier leaves them not run. A draining server closes its listener before it lingers. A test shows that a server gives up a silent client. Conclusion: a new stream costs one more round trip before its first work.

--- a/bitternturn/peers/link.py
+++ b/bitternturn/peers/link.py
@@ -134,9 +134,9 @@
             if await self._async_serve(channel):
                 code, ran = ErrorCode.DRAINING, False
         except GRPCError as error:
-            refusal = _REFUSALS.get((error.message or '').partition(':')[0])
-            if refusal is not None and not self._greeted:
-                code, ran = refusal, False
+            if not self._greeted:
+                text = (error.message or '').partition(':')[0]
+                code = _REFUSALS.get(text, code)
             LOGGER.warning('{} ended the stream: {}', self.peer, error)
         except BitternturnError as error:
             code = error.code
@@ -190,17 +190,16 @@
         return self.settings.keep_alive_s if writer.done() else 0
 
     async def _async_write(self, stream: Any) -> None:
-        """Write one frame per tick of the loop with all that is queued."""
-        hello: Hello | None = self.handlers.hello()
+        """Write one frame per tick of the loop with all that is queued.
+
+        No sub-request goes out before the peer's hello has come, so that
+        whatever ends the stream earlier leaves all of them surely not run.
+        """
+        await stream.send_message(self._make_frame(self.handlers.hello()))
         while True:
-            if hello is not None or self._ping_due or self.outbox.due:
-                frame = QueryFrame(
-                    hello=hello,
-                    versions=self.handlers.versions(),
-                    clock=self.handlers.clock(),
-                )
+            if self._greeted and (self._ping_due or self.outbox.due):
+                frame = self._make_frame(None)
                 self.outbox.fill(frame)
-                hello = None
                 self._ping_due = False
                 await stream.send_message(frame)
                 self._sent_at = self.now()
@@ -208,6 +207,14 @@
                 self._wake.clear()
                 await self._wake.wait()
 
+    def _make_frame(self, hello: Hello | None) -> QueryFrame:
+        """Return a frame without sub-requests."""
+        return QueryFrame(
+            hello=hello,
+            versions=self.handlers.versions(),
+            clock=self.handlers.clock(),
+        )
+
     async def _async_read(self, stream: Any) -> bool:
         """Take frames; return True when the peer ended the stream."""
         await stream.recv_initial_metadata()
@@ -245,6 +252,7 @@
             )
         self.peer_hello = hello
         self._greeted = True
+        self._wake.set()
 
     async def _async_tick(self, channel: Channel) -> None:
         """Send keep-alive frames; return when the stream is silent."""
--- a/bitternturn/peers/server.py
+++ b/bitternturn/peers/server.py
@@ -43,6 +43,11 @@
         super().__init__(handlers, config=config)
         self.protocols: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
 
+    def close_listener(self) -> None:
+        """Take no further connections; serve those that there are."""
+        if self._server is not None:
+            self._server.close()
+
     def close_connections(self) -> None:
         """Close every connection after what is written."""
         for protocol in list(self.protocols):
@@ -111,6 +116,8 @@
         while self.calls:
             self._changed.clear()
             await self._changed.wait()
+        if self._server is not None:
+            self._server.close_listener()
         await self._async_linger()
         await self.async_stop()
 
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -227,6 +227,20 @@
         assert link.failures == 0
         await link.async_close()
 
+    async def test_server_gives_up_a_silent_client(self):
+        held = Held()
+        peer = Peer(run=held)
+        peer.server.session_silent_s = 0.05
+        await peer.async_start()
+        mute = LinkSettings(keep_alive_s=60)
+        link = make_link(peer.server.port, settings=mute)
+        link.submit(HEAD, items('1'))
+        await held.cancelled.wait()
+        while peer.server.sessions:
+            await asyncio.sleep(0.001)
+        await link.async_close()
+        await peer.server.async_stop()
+
 
 class TestHandshake:
     @pytest.mark.parametrize(
