Keep silent work at a cold target; forget targets nobody releases

Cause: a cold target answers slowly; closing its connection freed no slot before the deadline, so the work could neither be sent again nor answered. Change: silent work moves only if a slot is left for it. A target that is another's for 10 s without a hand-over is closed.

--- a/bitternturn/owners/const.py
+++ b/bitternturn/owners/const.py
@@ -40,6 +40,9 @@
 MIN_REMAINING_MS: Final = 1
 
 MAINTENANCE_S: Final = 0.25
+# A target that moved to another owner is forgotten after this time, if no
+# hand-over asks for its state.
+ABANDON_S: Final = 10.0
 # A target that said it was draining is tried again after this time at the
 # latest, whatever its health endpoint says.
 DRAINING_S: Final = 30.0
--- a/bitternturn/owners/flights.py
+++ b/bitternturn/owners/flights.py
@@ -213,7 +213,7 @@
         if not flight.connection.http.heard:
             self.context.counts.silent += 1
             self.pool.check_siblings(flight.connection, now)
-            if work.group.repeatable and not work.moved:
+            if self._may_move(work, now):
                 self._give_up(flight, now)
                 self._move_or_settle(flight, ErrorCode.CONNECTION_LOST, now)
                 self.hooks.on_landed(now)
@@ -224,6 +224,16 @@
             flight,
         )
 
+    def _may_move(self, work: Work, now: float) -> bool:
+        """Whether silent work is better off on another connection.
+
+        In cold start its slot stays in use until the deadline: without a
+        second slot it could not be sent again, and may yet be answered.
+        """
+        if not work.group.repeatable or work.moved:
+            return False
+        return self.limits.warm or self.count(now) < self.limits.in_flight(now)
+
     def _give_up(self, flight: Flight, now: float) -> None:
         """Close the connection; the target may still run the request."""
         self._land(flight)
--- a/bitternturn/owners/service.py
+++ b/bitternturn/owners/service.py
@@ -162,6 +162,9 @@
             if target is not None and target != owned.target:
                 owned.refresh(target)
             owned.maintain(now)
+            if owned.abandoned(now):
+                owned.close()
+                self.targets.pop(target_id)
 
     def _own(self, target_id: TargetId) -> OwnedTarget | None:
         """Begin with a target if it is this instance's."""
--- a/bitternturn/owners/target.py
+++ b/bitternturn/owners/target.py
@@ -67,6 +67,7 @@
         self._told_state = self.limits.cold.state
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at: float = 0
+        self._owned_at = context.now()
 
     def offer(self, work: Work, now: float) -> None:
         """Send a sub-request now, let it wait, or refuse it."""
@@ -147,6 +148,13 @@
         self.close()
         return self.limits.to_state(self.id)
 
+    def abandoned(self, now: float) -> bool:
+        """Whether the target is another's for long and nobody releases it."""
+        if self.released or self.context.ownership.owns(self.id):
+            self._owned_at = now
+        long_gone = now - self._owned_at >= const.ABANDON_S
+        return long_gone and not self.flights.count(now)
+
     def close(self) -> None:
         """Close the connections."""
         self.pool.close()
--- a/tests/owners/test_service.py
+++ b/tests/owners/test_service.py
@@ -217,6 +217,18 @@
             (state,) = await owner.service.async_release(['t'])
             assert not state.warm
 
+    async def test_forgets_what_nobody_releases(self):
+        async with Owner() as owner:
+            await owner.submit()
+            owner.owns = False
+            owner.service.maintain(owner.service.context.now())
+            assert owner.service.targets
+            owner.skew = 20
+            owner.service.maintain(owner.service.context.now())
+            assert not owner.service.targets
+            while owner.fake.server.connections:
+                await asyncio.sleep(0.001)
+
 
 class TestDraining:
     async def test_no_new_work_until_health_says_so(self):
@@ -269,6 +281,16 @@
             assert len(owner.fake.requests) == 1
             assert owner.service.counts.silent == 1
 
+    async def test_slow_cold_target_is_waited_for(self):
+        async with Owner() as owner:
+            owner.fake.hold = True
+            future = owner.submit(remaining_ms=2000)
+            while not owner.service.counts.silent:
+                await asyncio.sleep(0.001)
+            owner.fake.release()
+            assert (await future).outcome == OUTCOME_ANSWERED
+            assert len(owner.fake.requests) == 1
+
     async def test_siblings_are_checked_before_use(self):
         async with Owner() as owner:
             owner.adopt_warm()
