--- a/bitternturn/peers/link.py
+++ b/bitternturn/peers/link.py
@@ -93,7 +93,7 @@
         self.used_at = self.now()
         if self._stream_channel is None and self.used_at < self.retry_at:
             return refuse(items, self.refusal)
-        if self._runner is None:
+        if self._runner is None or self._runner.done():
             self._runner = self.tasks.spawn(
                 self._async_run(),
                 name=f'link {self.peer}',
