Test that a refused second try stays in doubt

Cause: of 9 deliberate faults in owners and peers, two went unnoticed; one let work whose first try may have run be called not run. Change: a test for it, which fails with that fault. The other one, a frame taken between the last result and the end of a stream, has no test yet. Conclusion: one of the two gaps is closed.

--- a/tests/owners/test_service.py
+++ b/tests/owners/test_service.py
@@ -272,6 +272,17 @@
             assert result.outcome == OUTCOME_IN_DOUBT
             assert len(owner.fake.requests) == 3
 
+    async def test_refusal_of_the_second_try_is_in_doubt(self):
+        async with Owner() as owner:
+            owner.adopt_warm()
+            await owner.submit()
+            owner.fake.silence_next = 1
+            owner.fake.overrides = [{'status': 429, 'body': {'code': 'shed'}}]
+            result = await owner.submit(remaining_ms=5000)
+            assert len(owner.fake.requests) == 3
+            assert result.outcome == OUTCOME_IN_DOUBT
+            assert result.code == ErrorCode.SHED.value
+
     async def test_work_not_to_be_repeated_stays(self):
         async with Owner() as owner:
             owner.adopt_warm()
