--- a/tests/owners/test_service.py
+++ b/tests/owners/test_service.py
@@ -217,6 +217,18 @@
             (state,) = await owner.service.async_release(['t'])
             assert not state.warm
 
+    async def test_forgets_what_nobody_releases(self):
+        async with Owner() as owner:
+            await owner.submit()
+            owner.owns = False
+            owner.service.maintain(owner.service.context.now())
+            assert owner.service.targets
+            owner.skew = 20
+            owner.service.maintain(owner.service.context.now())
+            assert not owner.service.targets
+            while owner.fake.server.connections:
+                await asyncio.sleep(0.001)
+
 
 class TestDraining:
     async def test_no_new_work_until_health_says_so(self):
@@ -254,21 +266,44 @@
     async def test_silent_twice_is_in_doubt(self):
         async with Owner() as owner:
             owner.adopt_warm()
+            await owner.submit()
             owner.fake.silence_next = 2
-            result = await owner.submit(remaining_ms=600)
+            result = await owner.submit(remaining_ms=1000)
             assert result.outcome == OUTCOME_IN_DOUBT
-            assert len(owner.fake.requests) == 2
+            assert len(owner.fake.requests) == 3
+
+    async def test_refusal_of_the_second_try_is_in_doubt(self):
+        async with Owner() as owner:
+            owner.adopt_warm()
+            await owner.submit()
+            owner.fake.silence_next = 1
+            owner.fake.overrides = [{'status': 429, 'body': {'code': 'shed'}}]
+            result = await owner.submit(remaining_ms=5000)
+            assert len(owner.fake.requests) == 3
+            assert result.outcome == OUTCOME_IN_DOUBT
+            assert result.code == ErrorCode.SHED.value
 
     async def test_work_not_to_be_repeated_stays(self):
         async with Owner() as owner:
             owner.adopt_warm()
+            await owner.submit()
             owner.fake.silence_next = 1
-            result = await owner.submit(remaining_ms=400, repeatable=False)
+            result = await owner.submit(remaining_ms=800, repeatable=False)
             assert result.outcome == OUTCOME_IN_DOUBT
             assert result.code == ErrorCode.DEADLINE.value
-            assert len(owner.fake.requests) == 1
+            assert len(owner.fake.requests) == 2
             assert owner.service.counts.silent == 1
 
+    async def test_slow_cold_target_is_waited_for(self):
+        async with Owner() as owner:
+            owner.fake.hold = True
+            future = owner.submit(remaining_ms=2000)
+            while not owner.service.counts.silent:
+                await asyncio.sleep(0.001)
+            owner.fake.release()
+            assert (await future).outcome == OUTCOME_ANSWERED
+            assert len(owner.fake.requests) == 1
+
     async def test_siblings_are_checked_before_use(self):
         async with Owner() as owner:
             owner.adopt_warm()
