--- a/bitternturn/membership/digests.py
+++ b/bitternturn/membership/digests.py
@@ -35,6 +35,8 @@
         self.me = me
         self.times = times
         self.entries: dict[Incarnation, DigestEntry] = {}
+        # When this instance first saw that a member's process had ended.
+        self.gone_at: dict[Incarnation, float] = {}
         # Last vouch of this instance, and under which version.
         self.own_vouch_at = float('-inf')
         self.own_clear_at = float('-inf')
@@ -94,6 +96,18 @@
         for key in list(self.entries):
             if key not in incarnations and key != self.me:
                 self.entries.pop(key)
+        for key in self.gone_at.keys() - incarnations:
+            self.gone_at.pop(key)
+
+    def vouches_gone(
+        self, member: Incarnation, *, gone: bool, now: float
+    ) -> bool:
+        """Whether a member has been gone until its vouches expired."""
+        if not gone:
+            self.gone_at.pop(member, None)
+            return False
+        gone_at = self.gone_at.setdefault(member, now)
+        return now >= gone_at + self.times.vouch_wait_s
 
     def _merge_one(
         self,
--- a/bitternturn/membership/vouches.py
+++ b/bitternturn/membership/vouches.py
@@ -41,14 +41,14 @@
 ) -> bool:
     """Whether no lease can be extended under an earlier view any more.
 
-    So it is once at least half of its members hold a later one and their
-    vouches under earlier ones have expired.
+    So it is once at least half of its members hold a later one or are gone,
+    and their vouches under earlier ones have expired.
     """
-    counted = sum(
-        _is_past(table, Incarnation(member), earlier, times, now)
-        or is_gone(Incarnation(member))
-        for member in earlier.incarnations
-    )
+    counted = 0
+    for key in earlier.incarnations:
+        member = Incarnation(key)
+        gone = table.vouches_gone(member, gone=is_gone(member), now=now)
+        counted += gone or _is_past(table, member, earlier, times, now)
     return counted * 2 >= len(earlier.incarnations)
 
 
