Pass targets on past skipped owners and hold back when cut off

Change: an owner releases to whoever followed it, who passes the target on; an instance removes others and joins again only while it reaches peers; suspicion counts from the probe that was not answered, and a suspect's domain is probed at once.

--- a/bitternturn/membership/const.py
+++ b/bitternturn/membership/const.py
@@ -28,8 +28,15 @@
 TICK_S: Final = 0.05
 JOIN_RETRY_S: Final = 0.2
 JOIN_RETRY_LIMIT_S: Final = 5.0
+REJOIN_CHECK_S: Final = 1.0
 REJOIN_DELAY_LIMIT_S: Final = 30.0
 EDIT_ATTEMPTS: Final = 16
+EDIT_RETRY_S: Final = 0.01
+EDIT_RETRY_LIMIT_S: Final = 0.3
+# Members to reach half of before removing others or joining again.
+SAMPLE_PROBES: Final = 4
+# Members of a suspect's failure domain that are probed at once.
+DOMAIN_PROBES: Final = 4
 HANDOVER_ATTEMPTS: Final = 3
 INCARNATION_BITS: Final = 63
 
--- a/bitternturn/membership/editing.py
+++ b/bitternturn/membership/editing.py
@@ -1,5 +1,7 @@
 """Conditional updates of the view in the platform's object."""
 
+import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -8,6 +10,8 @@
 from bitternturn.core.ids import Version
 from bitternturn.membership.const import (
     EDIT_ATTEMPTS,
+    EDIT_RETRY_LIMIT_S,
+    EDIT_RETRY_S,
     KIND_CONTROL,
     NAME_VIEW,
 )
@@ -34,10 +38,13 @@
 class ViewStore:
     """The view in the platform's object."""
 
-    def __init__(self, *, objects: ObjectStore, now: Clock) -> None:
+    def __init__(
+        self, *, objects: ObjectStore, now: Clock, rng: random.Random
+    ) -> None:
         """Use the object client; nothing is read yet."""
         self.objects = objects
         self.now = now
+        self.rng = rng
 
     async def async_read(self) -> ViewRead:
         """Read the view; an empty one with version 0 if there is none.
@@ -60,6 +67,7 @@
         CONFLICT when others win every time, OVERLOADED when too many earlier
         views are unsettled, and those of the object client.
         """
+        delay = EDIT_RETRY_S
         for _ in range(EDIT_ATTEMPTS):
             read = await self.async_read()
             edited = edit(read.view)
@@ -69,6 +77,8 @@
             written = await self._write(edited, Version(read.view.version))
             if written is not None:
                 return written
+            await asyncio.sleep(delay * self.rng.random())
+            delay = min(delay * 2, EDIT_RETRY_LIMIT_S)
         raise BitternturnError(code=ErrorCode.CONFLICT, step=STEP_EDIT)
 
     async def _write(self, view: View, base: Version) -> ViewRead | None:
--- a/bitternturn/membership/handover.py
+++ b/bitternturn/membership/handover.py
@@ -61,10 +61,12 @@
 
     def advance(self, now: float) -> None:
         """Adopt started targets and begin the releases that are due."""
-        for target in self.state.ownership.take_started():
-            cold = TargetState(target=target)
-            self.hooks.adopt(self.given.pop(target, cold))
-            self.event(MembershipEvent.TARGET_STARTED, target=target)
+        for start in self.state.ownership.take_started():
+            given = self.given.pop(start.target, None)
+            if given is None or not start.handed_over:
+                given = TargetState(target=start.target)
+            self.hooks.adopt(given)
+            self.event(MembershipEvent.TARGET_STARTED, target=start.target)
         for release in self.state.ownership.to_release(now):
             if release.target not in self.releasing:
                 self.releasing[release.target] = self.tasks.spawn(
@@ -79,7 +81,9 @@
     async def _async_release(self, release: Release) -> None:
         """Release one target and tell its next owner."""
         try:
-            state = await self.hooks.release(release.target)
+            state = self.given.pop(release.target, None)
+            if state is None:
+                state = await self.hooks.release(release.target)
             announce = self.state.ownership.on_release_done(release)
             self.event(MembershipEvent.TARGET_RELEASED, target=release.target)
             if announce and release.to is not None:
--- a/bitternturn/membership/history.py
+++ b/bitternturn/membership/history.py
@@ -49,17 +49,16 @@
     return span.first if span.owner == me else None
 
 
-def moved_directly(
-    view: View, key: OwnedTargetKey, old: Incarnation, held: Version
-) -> bool:
-    """Whether only the old and the present owner had a target since `held`."""
-    spans = walk_owners(view, key)
-    if next(spans).first <= held:
-        return False
-    previous = next(spans, None)
-    if previous is None or previous.owner != old:
-        return False
-    return previous.first <= held
+def next_owner(
+    view: View, key: OwnedTargetKey, me: Incarnation, version: Version
+) -> OwnerSpan | None:
+    """Return who followed a member that owned a target at a version."""
+    later: OwnerSpan | None = None
+    for span in walk_owners(view, key):
+        if span.first <= version:
+            return later if span.owner == me else None
+        later = span
+    return None
 
 
 def _active_ranks(view: View, key: OwnedTargetKey) -> dict[int, Rank]:
--- a/bitternturn/membership/models.py
+++ b/bitternturn/membership/models.py
@@ -98,13 +98,21 @@
 class Release:
     """A target that has to be given up.
 
-    A clean one may be announced to the next owner, which starts at once.
+    It may be announced to the next owner `to`, which starts at once; there is
+    none when the views do not tell who came next.
     """
 
     target: TargetId
     to: Member | None
     view_version: Version
-    clean: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class Start:
+    """A target that this instance has begun to own."""
+
+    target: TargetId
+    handed_over: bool
 
 
 class StoredValue(Protocol):
--- a/bitternturn/membership/probing.py
+++ b/bitternturn/membership/probing.py
@@ -7,9 +7,13 @@
 from bitternturn.core.errors import BitternturnError
 from bitternturn.core.ids import FailureDomain, Incarnation, TargetId
 from bitternturn.membership.const import (
+    DOMAIN_PROBES,
     INDIRECT_PROBES,
     READER_KEY,
     READERS_PER_DOMAIN,
+    REJOIN_CHECK_S,
+    REJOIN_DELAY_LIMIT_S,
+    SAMPLE_PROBES,
 )
 from bitternturn.membership.detector import Detector
 from bitternturn.membership.models import Links
@@ -64,15 +68,40 @@
     async def async_check(self, member: Member) -> bool:
         """Probe a member, through others if need be; suspect a silent one."""
         incarnation = Incarnation(member.incarnation)
+        asked_at = self.now()
         if await self.async_probe(member) is not None:
             self.detector.on_alive(incarnation)
             return True
-        self.detector.on_silent(incarnation, self.now())
+        self.detector.on_silent(incarnation, asked_at)
         if not await self._async_check_through_others(member):
             return False
         self.detector.on_alive(incarnation)
         return True
 
+    async def async_reaches_half(self) -> bool:
+        """Whether half of a sample of the members not suspected answer."""
+        view = self.state.view or View()
+        others = [
+            member
+            for member in view.members
+            if member.incarnation not in self.detector.suspicions
+            and member.incarnation != self.state.me
+        ]
+        sample = self.rng.sample(others, min(SAMPLE_PROBES, len(others)))
+        if not sample:
+            return not self.detector.cut_off()
+        replies = await asyncio.gather(*map(self.async_probe, sample))
+        answered = sum(reply is not None for reply in replies)
+        return answered * 2 >= len(sample)
+
+    async def async_await_peers(self) -> None:
+        """Wait until peers answer: joining while cut off moves targets only."""
+        until = self.now() + REJOIN_DELAY_LIMIT_S
+        while self.now() < until:
+            if await self.async_reaches_half():
+                return
+            await asyncio.sleep(REJOIN_CHECK_S)
+
     async def async_confirm(self, readers: list[Member]) -> bool:
         """Ask the readers for a fresh confirmation; whether one had it."""
         for reader in readers:
@@ -103,6 +132,24 @@
             relayed_alive=alive,
         )
 
+    def domain_probes(self) -> list[Incarnation]:
+        """Return members whose failure domain may be lost with a suspect."""
+        suspects = self.detector.suspicions
+        view = self.state.view or View()
+        domains = {
+            member.failure_domain
+            for member in view.members
+            if member.incarnation in suspects
+        }
+        others = [
+            Incarnation(member.incarnation)
+            for member in view.members
+            if member.failure_domain in domains
+            and member.incarnation not in suspects
+            and member.incarnation != self.state.me
+        ]
+        return self.rng.sample(others, min(len(others), DOMAIN_PROBES))
+
     async def _async_relay(self, instance_id: str) -> bool:
         """Probe a member by its instance id for a peer."""
         view = self.state.view or View()
--- a/bitternturn/membership/service.py
+++ b/bitternturn/membership/service.py
@@ -63,7 +63,7 @@
         self.tasks = runtime.tasks
         self.event = runtime.event
         self.hooks = hooks
-        self.store = ViewStore(objects=objects, now=self.now)
+        self.store = ViewStore(objects=objects, now=self.now, rng=self.rng)
         self.changed = asyncio.Event()
         self.joined = False
         self.leaving = False
@@ -93,17 +93,17 @@
         self.tasks.spawn(self._async_probe_loop(), name='membership probe')
 
     async def async_leave(self) -> None:
-        """Hand every target over and leave the view.
+        """Hand every target over and leave the view, when the store lets it.
 
-        Raises BitternturnError when the object API can't be reached.
+        The caller bounds the time; a member that ends before is found dead.
         """
         self.leaving = True
-        await self._async_edit(partial(views.leave, incarnation=self._key()))
+        await self._async_insist(partial(views.leave, incarnation=self._key()))
         while self.state.ownership.owned:
             self.changed.clear()
             await self.changed.wait()
         await self.handover.async_finish()
-        await self._async_edit(lambda view: views.remove(view, [self._key()]))
+        await self._async_insist(lambda view: views.remove(view, [self._key()]))
         self.event(MembershipEvent.LEFT)
 
     def on_view(self, view: View) -> None:
@@ -184,6 +184,19 @@
         """Edit the view and take in the result."""
         self._on_read(await self.store.async_edit(edit, self.state))
 
+    async def _async_insist(self, edit: Edit) -> None:
+        """Edit the view, however often it takes."""
+        delay = const.JOIN_RETRY_S
+        while True:
+            try:
+                await self._async_edit(edit)
+            except BitternturnError as error:
+                LOGGER.warning('can not edit the view: {}', error)
+            else:
+                return
+            await asyncio.sleep(delay * self.rng.random())
+            delay = min(delay * 2, const.JOIN_RETRY_LIMIT_S)
+
     async def _async_try_join(self) -> bool:
         """Join once; else learn the view from a peer."""
         try:
@@ -261,7 +274,7 @@
             self.background.once('confirm', self._async_confirm)
         if self._replaced():
             self.background.once('rejoin', self._async_rejoin)
-        if self._dead(now):
+        if self._dead(now, cut_off=self.prober.detector.cut_off()):
             self.background.once('remove', self._async_remove)
 
     def _replaced(self) -> bool:
@@ -273,12 +286,12 @@
             and self.state.listed is None
         )
 
-    def _dead(self, now: float) -> list[Incarnation]:
+    def _dead(self, now: float, *, cut_off: bool) -> list[Incarnation]:
         """Return the members that this instance should remove."""
         overdue = self.prober.detector.overdue(now)
         if not self.joined or self._replaced():
             return []
-        if not self.prober.detector.cut_off():
+        if not cut_off:
             return overdue
         is_gone = self.state.gone(now)
         return [member for member in overdue if is_gone(member)]
@@ -287,7 +300,8 @@
         """Remove the dead members, unless another instance comes first."""
         spread = self.times.probe_interval_s / 2
         await asyncio.sleep(self.rng.random() * spread)
-        dead = set(self._dead(self.now()))
+        cut_off = not await self.prober.async_reaches_half()
+        dead = set(self._dead(self.now(), cut_off=cut_off))
 
         def edit(view: View) -> View | None:
             """Remove those that are still in the view."""
@@ -315,6 +329,7 @@
         self._reset(me)
         if view is not None:
             self.on_view(view)
+        await self.prober.async_await_peers()
         await self._async_join()
 
     async def _async_probe_loop(self) -> None:
@@ -334,6 +349,7 @@
         due = detector.due_suspects(now)
         if chosen is not None:
             due.append(chosen)
+        due.extend(self.prober.domain_probes())
         view = self.view or View()
         for key in due:
             member = views.member_of(view, key)
--- a/bitternturn/membership/state.py
+++ b/bitternturn/membership/state.py
@@ -144,6 +144,8 @@
         if self.failing:
             self.digests.vouch(now)
             self._extend(self.view)
+        if not self.ownership.due(now):
+            return
         unsettled = first_unsettled(
             self.view, settled=self.settled(self.view, now)
         )
--- a/bitternturn/membership/takeover.py
+++ b/bitternturn/membership/takeover.py
@@ -9,17 +9,22 @@
     TargetId,
     Version,
 )
-from bitternturn.membership.history import moved_directly, owned_since
+from bitternturn.membership.history import (
+    next_owner,
+    owned_since,
+)
 from bitternturn.membership.lease import Lease
 from bitternturn.membership.models import (
     MembershipTimes,
     OwnedTargetKey,
     OwnershipState,
     Release,
+    Start,
 )
 from bitternturn.membership.ownership import OwnershipTable
+from bitternturn.membership.view import member_of
 from bitternturn.schema.config_pb2 import Target
-from bitternturn.schema.membership_pb2 import Member, View
+from bitternturn.schema.membership_pb2 import View
 
 
 @dataclass(kw_only=True)
@@ -59,7 +64,8 @@
         self.table = OwnershipTable(view=View())
         self.owned: dict[TargetId, Ownership] = {}
         self.announced: dict[TargetId, Announcement] = {}
-        self.started: list[TargetId] = []
+        self.started: list[Start] = []
+        self.keys: dict[TargetId, OwnedTargetKey] = {}
 
     def on_view(
         self, view: View, targets: Iterable[Target], now: float
@@ -73,16 +79,11 @@
             self.table.advance(view)
             self.view = view
         assert self.view is not None
-        known: set[TargetId] = set()
-        for target in targets:
-            key = OwnedTargetKey(
-                target=TargetId(target.id),
-                failure_domain=FailureDomain(target.failure_domain),
-            )
-            known.add(key.target)
+        self._index(targets)
+        for key in self.keys.values():
             self._place(key, self.view, now)
-        for target_id in self.owned.keys() - known:
-            self._give_up(self.owned[target_id], self.view, to=None)
+        for target_id in self.owned.keys() - self.keys.keys():
+            self._give_up(self.owned[target_id], self.view)
 
     def on_released(
         self,
@@ -96,6 +97,8 @@
             from_incarnation=from_incarnation, view_version=view_version
         )
         ownership = self.owned.get(target)
+        if ownership is None and self._forward(target, announcement):
+            return False
         if ownership is not None and self._start(ownership, announcement):
             return True
         latest = self.announced.get(target)
@@ -108,16 +111,20 @@
 
         `unsettled` is the least version under which leases may be extended.
         """
-        for target_id, ownership in self.owned.items():
-            if ownership.state is not OwnershipState.WAITING:
-                continue
-            if unsettled is not None and unsettled < ownership.since:
-                continue
-            if now >= ownership.wait_until:
-                ownership.state = OwnershipState.OWNED
-                self.started.append(target_id)
-
-    def take_started(self) -> list[TargetId]:
+        for ownership in self.due(now):
+            if unsettled is None or unsettled >= ownership.since:
+                self._own(ownership, handed_over=False)
+
+    def due(self, now: float) -> list[Ownership]:
+        """Return what has waited for as long as a lease may last."""
+        return [
+            ownership
+            for ownership in self.owned.values()
+            if ownership.state is OwnershipState.WAITING
+            and now >= ownership.wait_until
+        ]
+
+    def take_started(self) -> list[Start]:
         """Return the targets started since the last call."""
         started = self.started
         self.started = []
@@ -161,17 +168,34 @@
         ownership = self.owned.get(release.target)
         if ownership is not None and ownership.release is release:
             self.owned.pop(release.target)
-            return release.clean
+            return release.to is not None
         return False
 
+    def _index(self, targets: Iterable[Target]) -> None:
+        """Follow the configured targets."""
+        self.keys = {
+            TargetId(target.id): OwnedTargetKey(
+                target=TargetId(target.id),
+                failure_domain=FailureDomain(target.failure_domain),
+            )
+            for target in targets
+        }
+
     def _place(self, key: OwnedTargetKey, view: View, now: float) -> None:
         """Bring one target in line with the view."""
         owner = self.table.owner(key.target, key.failure_domain)
         ownership = self.owned.get(key.target)
         if owner is not None and owner.incarnation == self.me:
             self._take(key, view, now)
-        elif ownership is not None:
-            self._give_up(ownership, view, to=owner)
+            return
+        if ownership is not None:
+            self._give_up(ownership, view)
+        announcement = self.announced.get(key.target)
+        if announcement is None or key.target in self.owned:
+            return
+        if announcement.view_version <= view.version:
+            self.announced.pop(key.target)
+            self._forward(key.target, announcement)
 
     def _take(self, key: OwnedTargetKey, view: View, now: float) -> None:
         """Own a target: go on where nobody else came between, else wait."""
@@ -218,13 +242,57 @@
             return False
         if not ownership.since <= announcement.view_version <= ownership.last:
             return False
+        self._own(ownership, handed_over=True)
+        return True
+
+    def _own(self, ownership: Ownership, *, handed_over: bool) -> None:
+        """Begin to own a target."""
         ownership.state = OwnershipState.OWNED
-        self.started.append(ownership.key.target)
+        self.started.append(
+            Start(target=ownership.key.target, handed_over=handed_over)
+        )
+
+    def _forward(self, target: TargetId, announcement: Announcement) -> bool:
+        """Pass a hand-over on that came after the target had moved on.
+
+        This instance never started under the view of the hand-over, and holds
+        a later one, so that it never will.
+        """
+        key = self.keys.get(target)
+        if key is None or self.view is None:
+            return False
+        version = announcement.view_version
+        release = self._release_of(key, self.view, version)
+        if release.to is None:
+            return False
+        self.owned[target] = Ownership(
+            key=key,
+            state=OwnershipState.RELEASING,
+            since=version,
+            last=version,
+            wait_until=float('inf'),
+            release=release,
+        )
         return True
 
-    def _give_up(
-        self, ownership: Ownership, view: View, to: Member | None
-    ) -> None:
+    def _release_of(
+        self, key: OwnedTargetKey, view: View, version: Version
+    ) -> Release:
+        """Return the release to whoever followed this owner of a version.
+
+        A next owner that has itself lost the target since passes it on.
+        """
+        span = next_owner(view, key, self.me, version)
+        to = None
+        if span is not None and span.owner is not None:
+            to = member_of(view, span.owner)
+        return Release(
+            target=key.target,
+            to=to,
+            view_version=Version(0) if span is None else span.first,
+        )
+
+    def _give_up(self, ownership: Ownership, view: View) -> None:
         """Begin to release a target, or forget one that never started."""
         if ownership.release is not None:
             return
@@ -235,10 +303,6 @@
         ownership.send_until = self.lease.valid_until(
             ownership.since, ownership.last
         )
-        ownership.release = Release(
-            target=ownership.key.target,
-            to=to,
-            view_version=Version(view.version),
-            clean=to is not None
-            and moved_directly(view, ownership.key, self.me, ownership.last),
+        ownership.release = self._release_of(
+            ownership.key, view, ownership.last
         )
--- a/tests/membership/fakes.py
+++ b/tests/membership/fakes.py
@@ -45,7 +45,8 @@
         tasks = asyncio.all_tasks(loop)
         for task in tasks:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            loop.run_until_complete(asyncio.wait(tasks))
         loop.close()
 
 
--- a/tests/membership/test_ownership_machine.py
+++ b/tests/membership/test_ownership_machine.py
@@ -3,7 +3,8 @@
 import random
 
 import pytest
-from hypothesis import settings, strategies as st
+from hypothesis import settings
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
--- a/tests/membership/test_takeover.py
+++ b/tests/membership/test_takeover.py
@@ -140,7 +140,7 @@
         old = owned(SECOND, one)
         adopt(old, two, 11)
         (release,) = old.to_release(11)
-        assert release.clean
+        assert release.to.incarnation == FIRST.incarnation
         assert old.may_send(TARGET, 11)
         assert old.on_release_done(release)
         assert not old.may_send(TARGET, 11)
@@ -159,7 +159,24 @@
         adopt(new, two, 2)
         assert new.may_send(TARGET, 2)
 
-    def test_release_is_not_clean_when_a_third_came_between(self):
+    def test_skipped_owner_passes_the_target_on(self):
+        one, two, three = chain(joins(THIRD), joins(SECOND), joins(FIRST))
+        old = owned(THIRD, one)
+        between, last = ownership_of(SECOND), ownership_of(FIRST)
+        adopt(between, two, 5)
+        for ownership in (old, between, last):
+            adopt(ownership, three, 11)
+        (release,) = old.to_release(11)
+        assert release.to.incarnation == between.me
+        assert old.on_release_done(release)
+        assert not between.on_released(TARGET, old.me, release.view_version, 11)
+        (passed,) = between.to_release(11)
+        assert not between.may_send(TARGET, 11)
+        assert between.on_release_done(passed)
+        assert last.on_released(TARGET, between.me, passed.view_version, 11)
+        assert last.may_send(TARGET, 11)
+
+    def test_release_is_not_announced_when_the_next_owner_is_gone(self):
         one, _, _, four = chain(
             joins(SECOND), joins(FIRST), removes(SECOND), removes(FIRST)
         )
@@ -168,7 +185,7 @@
         old = owned(SECOND, one)
         adopt(old, four, 11)
         (release,) = old.to_release(11)
-        assert not release.clean
+        assert release.to is None
         assert not old.on_release_done(release)
 
     def test_late_release_of_an_earlier_ownership_is_ignored(self):
--- a/tests/membership/world.py
+++ b/tests/membership/world.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from bitternturn.core.errors import BitternturnError
 from bitternturn.core.ids import Incarnation, TargetId, Version
@@ -224,7 +225,7 @@
             if other is None:
                 continue
             self.fly(
-                node, other, lambda: self._land_release(other, node, release)
+                node, other, partial(self._land_release, other, node, release)
             )
 
     def _land_release(self, other, node, release):
