Tell processes at one address apart and join under fresh incarnations

Cause: a new process answered probes for the old one at its address, so that the old one was never removed; a join whose answer was lost could be repeated after others had removed the member, which revived an incarnation that the history of owners takes as ended. Change: answers of another incarnation count as none, each try to join draws a new incarnation, and edits that change no member write nothing.

--- a/bitternturn/membership/editing.py
+++ b/bitternturn/membership/editing.py
@@ -71,7 +71,7 @@
         for _ in range(EDIT_ATTEMPTS):
             read = await self.async_read()
             edited = edit(read.view)
-            if edited is None:
+            if edited is None or edited.members == read.view.members:
                 return read
             edited = settle(edited, state.settled(edited, self.now()))
             written = await self._write(edited, Version(read.view.version))
--- a/bitternturn/membership/probing.py
+++ b/bitternturn/membership/probing.py
@@ -50,7 +50,10 @@
     async def async_probe(
         self, member: Member, relay_to: str = ''
     ) -> ProbeReply | None:
-        """Probe a member and take in its digests; None without an answer."""
+        """Probe a member and take in its digests; None without an answer.
+
+        An answer of another process at the same address counts as none.
+        """
         asked_at = self.now()
         timeout = self.state.times.probe_timeout_s
         if relay_to:
@@ -62,6 +65,8 @@
                 reply = await link.async_probe(request)
         except (BitternturnError, TimeoutError):
             return None
+        if reply.hello.incarnation != member.incarnation:
+            return None
         self._take_in(reply, asked_at)
         return reply
 
--- a/bitternturn/membership/service.py
+++ b/bitternturn/membership/service.py
@@ -156,6 +156,16 @@
             on_change=self.changed.set,
         )
 
+    def _renew(self) -> None:
+        """Go on with the view known under a new incarnation."""
+        view = self.view
+        me = Member()
+        me.CopyFrom(self.me)
+        me.incarnation = self.rng.getrandbits(const.INCARNATION_BITS)
+        self._reset(me)
+        if view is not None:
+            self.on_view(view)
+
     def _key(self) -> Incarnation:
         """Return the present incarnation."""
         return Incarnation(self.me.incarnation)
@@ -203,28 +213,28 @@
             await self._async_edit(partial(views.join, member=self.me))
         except BitternturnError as error:
             LOGGER.warning('can not join: {}', error)
-            await self._async_fetch_from_seeds()
+            for seed in self.hooks.seeds():
+                if self.view is None:
+                    await self._async_fetch(seed.host, seed.port)
             return False
         self.joined = True
         self.event(MembershipEvent.JOINED)
         return True
 
     async def _async_join(self) -> None:
-        """Try to join until it works."""
+        """Try to join until it works.
+
+        Each try has an incarnation of its own: an earlier one may have joined
+        after all and have been removed since.
+        """
         delay = const.JOIN_RETRY_S
-        while True:
+        while not self.leaving:
             await asyncio.sleep(delay * (1 + self.rng.random()))
+            self._renew()
             if await self._async_try_join():
                 return
             delay = min(delay * 2, const.JOIN_RETRY_LIMIT_S)
 
-    async def _async_fetch_from_seeds(self) -> None:
-        """Fetch the view from the first seed that has one."""
-        for seed in self.hooks.seeds():
-            await self._async_fetch(seed.host, seed.port)
-            if self.view is not None:
-                return
-
     async def _async_fetch(self, host: str, port: int) -> None:
         """Fetch a later view from a peer."""
         request = FetchRequest(
@@ -322,13 +332,7 @@
         self.event(MembershipEvent.REPLACED)
         await self.handover.async_finish()
         self.joined = False
-        view = self.view
-        me = Member()
-        me.CopyFrom(self.me)
-        me.incarnation = self.rng.getrandbits(const.INCARNATION_BITS)
-        self._reset(me)
-        if view is not None:
-            self.on_view(view)
+        self._renew()
         await self.prober.async_await_peers()
         await self._async_join()
 
--- a/tests/membership/fakes.py
+++ b/tests/membership/fakes.py
@@ -63,6 +63,7 @@
     stored: Stored | None = None
     last: int = 0
     down: bool = False
+    lose_answers: bool = False
     cut: set = field(default_factory=set)
     reads: int = 0
     writes: int = 0
@@ -97,6 +98,10 @@
         self.store.writes += 1
         self.store.last += 3
         self.store.stored = Stored(self.store.last, value)
+        if self.store.lose_answers:
+            raise BitternturnError(
+                code=ErrorCode.UNKNOWN_RESULT, step='object_put'
+            )
         return self.store.last
 
 
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -89,6 +89,53 @@
         run(scenario())
 
 
+class TestReplacement:
+    def test_new_process_at_an_old_address(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await net.nodes[8].async_crash()
+            await net.async_add(1)
+            await asyncio.sleep(1)
+            await net.async_until_served(5)
+            old, new = net.nodes[1], net.nodes[8]
+            assert len(old.service.view.members) == 8
+            assert new.service.state.listed is not None
+
+        run(scenario())
+
+    def test_half_replaced_at_once(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            leaving = [net.nodes[number] for number in (1, 2, 3, 4)]
+            await asyncio.gather(
+                net.async_add(4),
+                *(node.service.async_leave() for node in leaving),
+            )
+            for node in leaving:
+                await node.async_crash()
+            await net.async_until_served(3)
+            assert len(net.nodes[12].service.view.members) == 8
+
+        run(scenario())
+
+    def test_late_join_does_not_revive_an_incarnation(self):
+        async def scenario():
+            net = Network()
+            net.store.lose_answers = True
+            await net.async_add(1)
+            first = net.nodes[1].service.me.incarnation
+            net.store.lose_answers = False
+            await net.async_until_served(15)
+            (member,) = net.nodes[1].service.view.members
+            assert member.incarnation != first
+
+        run(scenario())
+
+
 class TestOutage:
     def test_owners_go_on_without_the_store(self):
         async def scenario():
@@ -107,6 +154,20 @@
 
         run(scenario())
 
+    def test_domain_cut_off_from_its_peers_settles(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            net.cuts.add('b')
+            await asyncio.sleep(1)
+            await net.async_until_served(5)
+            await asyncio.sleep(15)
+            assert net.unserved() == []
+            assert net.store.writes <= 8 + 4
+
+        run(scenario())
+
     def test_instance_cut_off_from_all_stops(self):
         async def scenario():
             net = Network()
