--- a/bitternturn/membership/const.py
+++ b/bitternturn/membership/const.py
@@ -10,6 +10,9 @@
 
 # A vouch has to reach more than half of the fleet before it expires.
 VOUCH_LEASES: Final = 6
+# Part of a lease without a confirmation after which a member vouches. A vouch
+# delays take-overs, so it must not be made while confirmations come in time.
+VOUCH_AFTER: Final = 0.75
 READS_PER_LEASE: Final = 4
 READERS_PER_DOMAIN: Final = 2
 INDIRECT_PROBES: Final = 2
--- a/bitternturn/membership/digests.py
+++ b/bitternturn/membership/digests.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Self
 
 from bitternturn.core.ids import Incarnation, Version
 from bitternturn.membership.models import MembershipTimes
@@ -91,6 +92,12 @@
         )
         return [self._digest(key, now) for key in (self.me, *chosen)]
 
+    def inherit(self, earlier: Self) -> None:
+        """Take over what an earlier incarnation of this process knew."""
+        self.entries.update(earlier.entries)
+        self.entries.pop(earlier.me, None)
+        self.gone_at.update(earlier.gone_at)
+
     def keep(self, incarnations: set[int]) -> None:
         """Forget members that no listed view knows."""
         for key in list(self.entries):
--- a/bitternturn/membership/service.py
+++ b/bitternturn/membership/service.py
@@ -159,10 +159,12 @@
     def _renew(self) -> None:
         """Go on with the view known under a new incarnation."""
         view = self.view
+        digests = self.state.digests
         me = Member()
         me.CopyFrom(self.me)
         me.incarnation = self.rng.getrandbits(const.INCARNATION_BITS)
         self._reset(me)
+        self.state.digests.inherit(digests)
         if view is not None:
             self.on_view(view)
 
--- a/bitternturn/membership/state.py
+++ b/bitternturn/membership/state.py
@@ -8,7 +8,7 @@
     TargetId,
     Version,
 )
-from bitternturn.membership.const import DIGESTS_PER_MESSAGE
+from bitternturn.membership.const import DIGESTS_PER_MESSAGE, VOUCH_AFTER
 from bitternturn.membership.digests import DigestTable, age_to_ms
 from bitternturn.membership.lease import Lease
 from bitternturn.membership.models import IsGone, MembershipTimes, never_gone
@@ -139,7 +139,8 @@
         """Extend the lease where it may be; start targets that are due."""
         if self.view is None:
             return
-        if now - self.lease.confirmed_at > self.times.lease_s / 2:
+        silence = now - self.lease.confirmed_at
+        if silence > self.times.lease_s * VOUCH_AFTER:
             self.failing = True
         if self.failing:
             self.digests.vouch(now)
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -34,6 +34,16 @@
 
         run(scenario())
 
+    def test_more_joins_than_views_may_be_unsettled(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(24)
+            await asyncio.sleep(12)
+            assert len(net.nodes[1].service.view.members) == 24
+            assert net.unserved() == []
+
+        run(scenario())
+
     def test_joins_when_the_outage_ends(self):
         async def scenario():
             net = Network()
