Let some members run while others stand still in the walks

Change: rounds in which some members run without faults and the others neither act nor receive; up to 16 members of a suspect's failure domain are probed at once.

--- a/bitternturn/membership/const.py
+++ b/bitternturn/membership/const.py
@@ -39,7 +39,7 @@
 # Members to reach half of before removing others or joining again.
 SAMPLE_PROBES: Final = 4
 # Members of a suspect's failure domain that are probed at once.
-DOMAIN_PROBES: Final = 4
+DOMAIN_PROBES: Final = 16
 HANDOVER_ATTEMPTS: Final = 3
 INCARNATION_BITS: Final = 63
 
--- a/tests/membership/faults.py
+++ b/tests/membership/faults.py
@@ -14,9 +14,18 @@
             fault(world, rng)
         if rng.random() < 0.15 and world.ready():
             edit_step(world, rng.choice(world.ready()), rng)
+        if rng.random() < 0.3:
+            frozen_rounds(world, rng)
         loose_round(world, rng)
 
 
+def frozen_rounds(world, rng):
+    """Let some members run without faults while the others stand still."""
+    frozen = {name for name in world.nodes if rng.random() < 0.4}
+    for _ in range(rng.choice((1, 2, 5, 12))):
+        world.fair_round(frozen)
+
+
 def loose_round(world, rng):
     """Let some members act and some messages arrive, in any order."""
     world.seconds += rng.choice((0, 0.01, 0.05, 0.2, 0.4, 1))
@@ -53,7 +62,7 @@
     other = rng.choice(list(world.nodes.values()))
     stall = rng.random() < 0.1
     if node.member.incarnation not in listed:
-        if node.state.view is not None:
+        if world.has_been_listed(node):
             node = world.restart(node)
         world.join(node)
     elif rng.random() < 0.2:
--- a/tests/membership/test_ownership_machine.py
+++ b/tests/membership/test_ownership_machine.py
@@ -20,6 +20,7 @@
 from tests.membership.faults import (
     edit_step,
     fault,
+    frozen_rounds,
     loose_round,
     node_step,
     random_walk,
@@ -66,9 +67,12 @@
         fault(self.world, rng)
 
     @rule(rng=RANDOM)
-    def rounds(self, rng):
-        for _ in range(5):
-            loose_round(self.world, rng)
+    def loose(self, rng):
+        loose_round(self.world, rng)
+
+    @rule(rng=RANDOM)
+    def frozen(self, rng):
+        frozen_rounds(self.world, rng)
 
     @invariant()
     def one_sender_at_most(self):
@@ -135,11 +139,11 @@
 
     def test_without_the_gate(self):
         with pytest.raises(Overlap):
-            walk_all(range(50, 75), make_state=GatelessState)
+            walk_all(range(25), make_state=GatelessState)
 
     def test_with_confirmations_counted_late(self):
         with pytest.raises(Overlap):
-            walk_all(range(300, 315), make_state=LateState)
+            walk_all(range(20), make_state=LateState)
 
 
 class TestLiveness:
--- a/tests/membership/world.py
+++ b/tests/membership/world.py
@@ -301,53 +301,65 @@
 
     # Fair running, without faults.
 
-    def deliver_all(self):
+    def deliver_all(self, frozen=frozenset()):
         for _ in range(4):
             flights, self.flights = self.flights, []
             for flight in flights:
+                if flight.receiver in frozen:
+                    self.flights.append(flight)
+                    continue
                 self.flights.insert(0, flight)
                 self.land(0)
-                for node in self.alive():
+                for node in self.running(frozen):
                     self.resume(node)
             self.check()
 
-    def fair_round(self):
-        """Let every member do what its service does in 100 ms."""
+    def running(self, frozen):
+        return [node for node in self.alive() if node.name not in frozen]
+
+    def fair_round(self, frozen=frozenset()):
+        """Let the members do what their services do in 100 ms.
+
+        Those that are frozen neither act nor receive, but may wake up.
+        """
         self.seconds += 0.1
+        running = self.running(frozen)
         listed = {
             member.incarnation
             for member in self.view.members
             if member.state == MEMBER_STATE_ACTIVE
         }
-        for node in self.alive():
+        for node in running:
             self.begin_read(node)
-            others = [other for other in self.alive() if other is not node]
+            others = [other for other in running if other is not node]
             for other in others:
                 self.probe(node, other)
                 self.send_view(node, other)
-        self.deliver_all()
-        for node in self.alive():
+        self.deliver_all(frozen)
+        for node in running:
             node.state.tick(self.clock(node))
             self.check()
             self.release(node)
-        self.deliver_all()
-        self._repair(listed)
-        self.deliver_all()
+        self.deliver_all(frozen)
+        self._repair(listed, running)
+        self.deliver_all(frozen)
 
-    def _repair(self, listed):
-        """Join one that is not listed, or remove one that is dead."""
-        for node in list(self.alive()):
+    def _repair(self, listed, running):
+        """Join one that is not listed, or remove one that is silent."""
+        for node in running:
             if node.member.incarnation not in listed:
-                if node.state.view is not None:
+                if self.has_been_listed(node):
                     node = self.restart(node)
                 self.join(node)
                 return
-        alive = {node.member.incarnation for node in self.alive()}
+        alive = {node.member.incarnation for node in running}
         dead = {member.incarnation for member in self.view.members} - alive
-        if dead and self.alive():
-            self.begin_edit(
-                self.alive()[0], lambda view: views.remove(view, dead)
-            )
+        if dead and running:
+            self.begin_edit(running[0], lambda view: views.remove(view, dead))
+
+    def has_been_listed(self, node):
+        key = node.member.incarnation
+        return any(change.incarnation == key for change in self.view.changes)
 
     def rounds_until_served(self, limit):
         for count in range(limit):
