--- a/tests/membership/fakes.py
+++ b/tests/membership/fakes.py
@@ -45,7 +45,8 @@
         tasks = asyncio.all_tasks(loop)
         for task in tasks:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            loop.run_until_complete(asyncio.wait(tasks))
         loop.close()
 
 
@@ -62,6 +63,7 @@
     stored: Stored | None = None
     last: int = 0
     down: bool = False
+    lose_answers: bool = False
     cut: set = field(default_factory=set)
     reads: int = 0
     writes: int = 0
@@ -96,6 +98,10 @@
         self.store.writes += 1
         self.store.last += 3
         self.store.stored = Stored(self.store.last, value)
+        if self.store.lose_answers:
+            raise BitternturnError(
+                code=ErrorCode.UNKNOWN_RESULT, step='object_put'
+            )
         return self.store.last
 
 
