--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -90,7 +90,7 @@
         await asyncio.gather(*(it.async_kill() for it in running))
         await self.objects.async_stop()
         await self.fleet.async_stop()
-        shutil.rmtree(self.folder, ignore_errors=True)
+        # KEEP shutil.rmtree
 
     async def async_configure(self) -> None:
         """Write the first configuration."""
--- a/bench/phases.py
+++ b/bench/phases.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -31,6 +32,8 @@
     check: CoverageCheck
     rng: random.Random
     warm_up: LoadReport = field(default_factory=LoadReport)
+    # Wall seconds at which each answer came.
+    answers: list[tuple[float, CallerAnswer]] = field(default_factory=list)
 
     async def async_load(
         self,
@@ -49,6 +52,15 @@
         task.result()
         return report
 
+    def gap_s(self, since: float) -> float:
+        """Return the time after which every answer was whole again."""
+        short = [
+            at
+            for at, answer in self.answers
+            if at >= since and not (answer.done and not answer.reply.missing)
+        ]
+        return round(max(short, default=since) - since, 2)
+
     def truth(self) -> dict[str, object]:
         """Return what the answers' checks say."""
         share = self.check.true_share
@@ -83,6 +95,7 @@
     def _take(self, answer: CallerAnswer) -> None:
         """Check an answer, and print one that is a refusal."""
         self.check.take(answer)
+        self.answers.append((time.time(), answer))
         if not answer.done:
             reply = answer.reply
             print(
@@ -116,6 +129,11 @@
     return Cluster(deployment=deployment, fleet=fleet)
 
 
+def p99_ratio(during: LoadReport, before: LoadReport) -> float:
+    """Return how much longer the slowest answers take than before."""
+    return round(during.quantile_s(0.99) / before.quantile_s(0.99), 2)
+
+
 def outcome(report: LoadReport, prefix: str = '') -> dict[str, object]:
     """Return the figures of one phase."""
     return {
