Leave unreachable targets and spend no retry budget on them

Cause: an entry counted no failure against a target that refuses connections, for nothing ran there, so a vanished target was never ejected; and each try there cost a token of the retry budget, which bounds the load on targets, although no target bore it. Queries were refused within 10 ms for as long as the domain was gone. Change (policy/retries, callers/knowledge): an unreachable target is blamed; what was never sent is tried elsewhere without budget.

--- a/bitternturn/callers/knowledge.py
+++ b/bitternturn/callers/knowledge.py
@@ -22,7 +22,6 @@
         ErrorCode.TARGET_ERROR.value,
         ErrorCode.BAD_ANSWER.value,
         ErrorCode.CONNECTION_LOST.value,
-        ErrorCode.TARGET_UNAVAILABLE.value,
         ErrorCode.DEADLINE.value,
     )
 )
@@ -149,7 +148,7 @@
             known.outliers.record(target, ok=True, now=now)
         elif result.code == ErrorCode.COLD.value:
             of_target.cold = True
-        elif result.code in BLAMED and result.outcome != OUTCOME_NOT_RUN:
+        elif _blames_target(result):
             known.outliers.record(target, ok=False, now=now)
 
     def _view(
@@ -173,6 +172,16 @@
         )
 
 
+def _blames_target(result: SubResult) -> bool:
+    """Return whether a failure tells against the target.
+
+    An unreachable target counts although nothing ran there.
+    """
+    if result.code == ErrorCode.TARGET_UNAVAILABLE.value:
+        return True
+    return result.outcome != OUTCOME_NOT_RUN and result.code in BLAMED
+
+
 def _follow(
     index: Index,
     known: IndexKnowledge | None,
--- a/bitternturn/policy/retries.py
+++ b/bitternturn/policy/retries.py
@@ -36,6 +36,18 @@
     )
 )
 
+# Refusals of owners and links that sent nothing. A target that drains refuses
+# itself only until its owner knows.
+UNSENT = frozenset(
+    (
+        ErrorCode.DRAINING,
+        ErrorCode.NOT_OWNER,
+        ErrorCode.PEER_UNREACHABLE,
+        ErrorCode.TARGET_OUT,
+        ErrorCode.TARGET_UNAVAILABLE,
+    )
+)
+
 
 class RetryBudget(TokenBudget):
     """Bounds the extra load of retrying."""
@@ -56,6 +68,9 @@
 ) -> bool:
     """Decide on one more try; a token is spent when it is allowed.
 
+    The budget bounds what targets bear beyond the first tries: a try that was
+    never sent to its target costs none.
+
     `attempts` were made so far, `untried` replicas of the shard were not
     asked yet. With none left only failures that may pass are retried: an
     overload, for one, then holds for the whole service. A try that takes
@@ -68,7 +83,10 @@
     if attempts >= DEFAULT_ATTEMPTS or remaining_s <= expected_s:
         return False
     codes = ELSEWHERE if untried > 0 else PASSING
-    return code in codes and budget.try_spend()
+    if code not in codes:
+        return False
+    unsent = outcome == peers_pb2.OUTCOME_NOT_RUN and code in UNSENT
+    return unsent or budget.try_spend()
 
 
 def retry_delay_s(*, attempts: int, rng: random.Random) -> float:
--- a/tests/policy/test_extra_load.py
+++ b/tests/policy/test_extra_load.py
@@ -96,6 +96,23 @@
         assert asked(budget=budget)
         assert not asked(budget=budget)
 
+    @pytest.mark.parametrize(
+        'code',
+        [
+            ErrorCode.NOT_OWNER,
+            ErrorCode.PEER_UNREACHABLE,
+            ErrorCode.TARGET_OUT,
+            ErrorCode.TARGET_UNAVAILABLE,
+        ],
+    )
+    def test_what_was_never_sent_is_tried_elsewhere_without_budget(self, code):
+        budget = RetryBudget(share=0.1, burst=0)
+        assert asked(code=code, budget=budget)
+        assert not asked(
+            code=code, budget=budget, outcome=peers_pb2.OUTCOME_IN_DOUBT
+        )
+        assert not asked(code=ErrorCode.SHED, budget=budget)
+
 
 class TestLatencyTrack:
     @given(st.lists(st.floats(0.0001, 10), min_size=50, max_size=300))
