--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -46,12 +46,14 @@
         instances: int = 8,
         limits: ObjectLimits = DEFAULT_LIMITS,
         extra: str = '',
+        proxied: bool = False,
     ) -> None:
-        """Prepare; nothing runs yet."""
+        """Prepare; `proxied` puts a proxy before each target."""
         self.deployment = deployment
         self.fleet = fleet
         self.count = instances
         self.extra = extra
+        self.proxied = proxied
         self.ports = Ports()
         self.objects = ObjectApi(limits=limits)
         self.folder = Path(tempfile.mkdtemp(prefix='bitternturn-'))
@@ -65,7 +67,7 @@
     async def async_start(self) -> None:
         """Start everything and wait until each instance is ready."""
         await self.objects.async_start(host=HOST)
-        await self.fleet.async_start(host=HOST)
+        await self.fleet.async_start(host=HOST, proxied=self.proxied)
         await self.async_configure()
         await asyncio.gather(
             *(self.async_add(f'i{number}') for number in range(self.count)),
--- /dev/null
+++ b/tests/integration/session.py
@@ -0,0 +1,203 @@
+"""A small cluster of real processes and what tests ask of it."""
+
+import asyncio
+import dataclasses
+import itertools
+import time
+from collections.abc import Callable, Iterable
+
+from bench.checks import query_of
+from bench.cluster import Cluster
+from bench.processes import HOST
+from bitternturn.core.ids import TargetId
+from bitternturn.standins.caller import Caller
+from bitternturn.standins.caller_models import (
+    CallerAnswer,
+    CallerQuery,
+    EntryAddress,
+)
+from bitternturn.standins.deployments import (
+    Deployment,
+    IndexSpec,
+    load_deployment,
+)
+from bitternturn.standins.fleet import TargetFleet
+from bitternturn.standins.target_behaviour import TargetBehaviour
+from bitternturn.standins.target_records import Run
+from bitternturn.standins.targets import TargetServer
+
+INDEX = 'pay-lookup'
+SEARCH = 'reports'
+RECORD = 'record-weighing'
+SEED = 11
+# Long enough for a takeover within the deadline on a busy machine.
+DEADLINE_MS = 8000
+WAIT_LIMIT_S = 30
+POLL_S = 0.02
+
+NUMBERS = itertools.count(1)
+
+
+def make_deployment() -> Deployment:
+    """Return one index of four shards on eight targets, patient profiles."""
+    deployment = load_deployment('atlas', scale=0.2)
+    return dataclasses.replace(
+        deployment,
+        indexes=(deployment.index(INDEX),),
+        profiles=tuple(
+            dataclasses.replace(it, deadline_ms=DEADLINE_MS)
+            for it in deployment.profiles
+        ),
+    )
+
+
+def steady(spec: IndexSpec) -> TargetBehaviour:
+    """Return targets without stragglers that stay cold until told."""
+    return TargetBehaviour(straggler_share=0, warm_after=0)
+
+
+def make_cluster(
+    *,
+    instances: int = 3,
+    proxied: bool = False,
+    extra: str = '',
+) -> Cluster:
+    """Return a cluster that is not started."""
+    deployment = make_deployment()
+    fleet = TargetFleet(deployment=deployment, behaviour=steady, seed=SEED)
+    return Cluster(
+        deployment=deployment,
+        fleet=fleet,
+        instances=instances,
+        proxied=proxied,
+        extra=extra,
+    )
+
+
+def search(**changes) -> CallerQuery:
+    """Return one picker's query over all shards."""
+    number = next(NUMBERS)
+    fields = {
+        'index': INDEX,
+        'profile': SEARCH,
+        'query': {'match': {'picker': f'p-{number % 60:04d}'}},
+        'request_id': f'search-{number}',
+    }
+    return CallerQuery(**{**fields, **changes})
+
+
+def record(shard: str, *, key: str = '', **changes) -> CallerQuery:
+    """Return a request that may not be repeated."""
+    number = next(NUMBERS)
+    fields = {
+        'index': INDEX,
+        'profile': RECORD,
+        'query': {
+            'reserve': {'item': 'scale', 'quantity': 1, 'event': 'shift'},
+        },
+        'shards': (shard,),
+        'request_id': f'record-{number}',
+        'idempotency_key': key,
+    }
+    return CallerQuery(**{**fields, **changes})
+
+
+async def async_ask(
+    cluster: Cluster,
+    name: str,
+    query: CallerQuery,
+) -> CallerAnswer:
+    """Send a query to one instance on a connection of its own."""
+    port = cluster.instances[name].spec.callers_port
+    address = EntryAddress(host=HOST, port=port)
+    caller = Caller(addresses=[address], timeout_s=WAIT_LIMIT_S)
+    caller.ready = [address]
+    try:
+        return await caller.async_query(query)
+    finally:
+        await caller.async_stop()
+
+
+async def async_ask_all(
+    cluster: Cluster,
+    queries: Iterable[CallerQuery],
+    *names: str,
+) -> list[CallerAnswer]:
+    """Send queries at once, by turns to the instances."""
+    entries = itertools.cycle(names or cluster.instances)
+    return await asyncio.gather(
+        *(
+            async_ask(cluster, name, query)
+            for name, query in zip(entries, queries, strict=False)
+        ),
+    )
+
+
+async def async_until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(POLL_S)
+
+
+async def async_owners(cluster: Cluster, name: str) -> dict[TargetId, str]:
+    """Return the owner of each target as an instance sees it."""
+    status = await cluster.async_status(name)
+    return {TargetId(it['target']): it['owner'] for it in status['targets']}
+
+
+async def async_until_in_force(
+    cluster: Cluster,
+    kind: str,
+    version: int,
+) -> None:
+    """Wait until every instance that runs has a version or a later one."""
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        for name in cluster.instances:
+            while (await async_version(cluster, name, kind)) < version:
+                await asyncio.sleep(POLL_S)
+
+
+async def async_version(cluster: Cluster, name: str, kind: str) -> int:
+    """Return the version in force at an instance."""
+    status = await cluster.async_status(name)
+    return int(status['versions'][kind])
+
+
+def shards(cluster: Cluster) -> dict[str, list[TargetServer]]:
+    """Return the replicas of each shard of the newest map."""
+    newest = cluster.fleet.index(INDEX).maps[-1]
+    return {
+        shard.id: [cluster.fleet.targets[it] for it in shard.targets]
+        for shard in newest.shards
+    }
+
+
+def runs_of(cluster: Cluster, query: CallerQuery) -> list[Run]:
+    """Return the work that targets began for a query."""
+    return [
+        run
+        for run in cluster.fleet.runs()
+        if query_of(run.request_id) == query.request_id
+        and run.started_s is not None
+    ]
+
+
+def runs_with_key(cluster: Cluster, key: str) -> list[Run]:
+    """Return the work that targets began under an idempotency key."""
+    return [
+        run
+        for run in cluster.fleet.runs()
+        if run.idempotency_key == key and run.started_s is not None
+    ]
+
+
+def set_service_s(cluster: Cluster, service_s: float) -> None:
+    """Change how long each target works on a request."""
+    for server in cluster.fleet.targets.values():
+        server.behaviour.service_s = service_s
+
+
+def wall_s() -> float:
+    """Return the time on the clock of the targets' records."""
+    return time.time()
