--- a/bitternturn/callers/knowledge.py
+++ b/bitternturn/callers/knowledge.py
@@ -108,11 +108,27 @@
         target: TargetId,
         snapshot: Snapshot,
     ) -> bool:
-        """Return whether a target may answer from a snapshot."""
+        """Return whether a target may answer from a snapshot.
+
+        One newer than all that it last told of may have come since.
+        """
         of_target = known.targets.get(target)
         if of_target is None or self.is_out(target):
             return False
-        return not of_target.held or snapshot in of_target.held
+        held = of_target.held
+        return not held or snapshot in held or snapshot > max(held)
+
+    def holds(
+        self,
+        known: IndexKnowledge,
+        target: TargetId,
+        snapshot: Snapshot,
+    ) -> bool:
+        """Return whether a usable target told of a snapshot, or of none."""
+        if not self.usable(known, target, snapshot):
+            return False
+        held = known.targets[target].held
+        return not held or snapshot in held
 
     def views(
         self,
--- a/bitternturn/callers/query.py
+++ b/bitternturn/callers/query.py
@@ -1,8 +1,11 @@
 """Life of one query: choose a snapshot, fan out, answer."""
 
+from collections.abc import Callable
+from functools import partial
+
 from bitternturn.callers import const
 from bitternturn.callers.fanout import ERROR_CODES, FanOut
-from bitternturn.callers.knowledge import EntryKnowledge
+from bitternturn.callers.knowledge import EntryKnowledge, IndexKnowledge
 from bitternturn.callers.models import (
     EntryServices,
     QueryAnswer,
@@ -12,6 +15,7 @@
 from bitternturn.callers.progress import ShardState
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import Snapshot, TargetId
+from bitternturn.policy.coverage import covers
 from bitternturn.policy.early_answer import Decision
 from bitternturn.policy.snapshot import SnapshotChoice, choose_snapshot
 
@@ -28,18 +32,30 @@
 
 
 def choose(request: QueryRequest, knowledge: EntryKnowledge) -> SnapshotChoice:
-    """Return the snapshot to answer from, by what is known now."""
-    known = knowledge.of_index(request.index)
+    """Return the snapshot to answer from, by what is known now.
+
+    When what targets told of does not suffice, they are asked for newer
+    snapshots too: nothing else would show that these have come.
+    """
+    told = _choose(request, knowledge, knowledge.holds)
+    if covers(told.reachable, request.profile.least_coverage):
+        return told
+    untold = _choose(request, knowledge, knowledge.usable)
+    return max(told, untold, key=lambda choice: choice.reachable)
 
-    def usable(target: TargetId, snapshot: Snapshot) -> bool:
-        return knowledge.usable(known, target, snapshot)
 
+def _choose(
+    request: QueryRequest,
+    knowledge: EntryKnowledge,
+    usable: Callable[[IndexKnowledge, TargetId, Snapshot], bool],
+) -> SnapshotChoice:
+    """Return the snapshot to answer from with the usable targets."""
     return choose_snapshot(
         index=request.index,
         wanted_shards=request.shards,
         least_coverage=request.profile.least_coverage,
         wanted_coverage=request.profile.wanted_coverage,
-        usable=usable,
+        usable=partial(usable, knowledge.of_index(request.index)),
     )
 
 
--- /dev/null
+++ b/tests/integration/test_answers.py
@@ -0,0 +1,234 @@
+"""One snapshot, true coverage and whole answers under faults."""
+
+import asyncio
+import random
+
+import pytest
+
+from bench.checks import CoverageCheck
+from bitternturn.core.ids import IndexName, Snapshot
+from bitternturn.standins.deployments import build_map, build_profiles
+from bitternturn.standins.object_faults import ObjectFaults, Outage
+from bitternturn.standins.proxy_faults import (
+    DirectionFaults,
+    ProxyFaults,
+    delays,
+)
+from tests.integration.session import (
+    INDEX,
+    SEARCH,
+    SEED,
+    Load,
+    async_ask_all,
+    shards,
+)
+
+RESULT_LIMIT = 1000
+TRUNCATE_BYTES = 900
+SPOILT = 5
+
+
+def truncation():
+    return ProxyFaults(
+        up=DirectionFaults(),
+        down=DirectionFaults(truncate_after=TRUNCATE_BYTES),
+    )
+
+
+def make_check(cluster):
+    return CoverageCheck(fleet=cluster.fleet, index=INDEX, limit=RESULT_LIMIT)
+
+
+def checked_load(cluster, check, **settings):
+    load = Load(cluster, make_query=check.make_queries(SEARCH), **settings)
+    load.task.add_done_callback(
+        lambda task: [check.take(it) for it in load.answers],
+    )
+    return load
+
+
+def assert_true(check):
+    assert check.true_share == 1, check.faults[:3]
+    assert check.mixed == 0
+
+
+async def async_change_index(cluster, number, count, *, accept=True):
+    partition_map = cluster.fleet.add_snapshot(
+        IndexName(INDEX), Snapshot(number), shards=count
+    )
+    if accept:
+        cluster.fleet.publish(IndexName(INDEX), partition_map)
+        await cluster.async_accept('indexes', cluster.fleet.indexes)
+
+
+def spoil(cluster, replicas, **faults):
+    """Let answers of some replicas of each shard go wrong."""
+    for servers in shards(cluster).values():
+        for server in servers[:replicas]:
+            for name, count in faults.items():
+                setattr(server.faults, name, count)
+
+
+class TestSnapshots:
+    @pytest.mark.parametrize('outage', [Outage.NONE, Outage.REFUSING])
+    async def test_index_changes_under_queries(self, start, outage):
+        cluster = await start()
+        check = make_check(cluster)
+        load = checked_load(cluster, check)
+        await load.async_until_answered(10)
+        for number, count in ((2, 4), (3, 6), (4, 3)):
+            await async_change_index(cluster, number, count)
+            cluster.objects.set_faults(ObjectFaults(outage=outage))
+            await load.async_until_answered(20)
+            cluster.objects.set_faults(ObjectFaults())
+        await load.task
+        assert {it.reply.snapshot for it in check.answered} >= {1, 2, 3}
+        assert_true(check)
+
+    @pytest.mark.parametrize('lost', [0, SPOILT])
+    async def test_targets_move_on_before_the_configuration(self, start, lost):
+        cluster = await start()
+        check = make_check(cluster)
+        load = checked_load(cluster, check)
+        await load.async_until_answered(10)
+        spoil(cluster, 1, lost_answers=lost)
+        # Targets hold two snapshots: the configured one is gone for a while.
+        await async_change_index(cluster, 2, 4, accept=False)
+        await async_change_index(cluster, 3, 6, accept=False)
+        await load.async_until_answered(10)
+        await async_change_index(cluster, 4, 6)
+        await load.task
+        assert {it.reply.snapshot for it in check.answered} >= {1, 4}
+        assert_true(check)
+
+    async def test_targets_move_on_one_by_one(self, start):
+        cluster = await start()
+        check = make_check(cluster)
+        load = checked_load(cluster, check)
+        await load.async_until_answered(10)
+        spec = cluster.deployment.index(INDEX)
+        for number in (2, 3):
+            partition_map = build_map(spec, snapshot=number, shards=number)
+            for server in cluster.fleet.targets.values():
+                server.add_map(partition_map)
+                await load.async_until_answered(3)
+            cluster.fleet.publish(IndexName(INDEX), partition_map)
+            await cluster.async_accept('indexes', cluster.fleet.indexes)
+        await load.task
+        assert_true(check)
+
+
+class TestCoverage:
+    @pytest.mark.parametrize(
+        'faults',
+        [
+            {'incomplete': SPOILT},
+            {'crossed': SPOILT},
+            {'lost_answers': SPOILT},
+            {'errors': SPOILT},
+            {'incomplete': SPOILT, 'crossed': SPOILT},
+            {'lost_answers': SPOILT, 'incomplete': SPOILT},
+        ],
+        ids='+'.join,
+    )
+    @pytest.mark.parametrize('replicas', [1, 2])
+    async def test_spoilt_answers(self, start, faults, replicas):
+        cluster = await start(instances=2)
+        check = make_check(cluster)
+        spoil(cluster, replicas, **faults)
+        load = checked_load(cluster, check, seconds=2)
+        await load.task
+        left = [
+            getattr(it.faults, name)
+            for it in cluster.fleet.targets.values()
+            for name in faults
+        ]
+        assert min(left) == 0
+        assert check.answered
+        assert_true(check)
+
+    async def test_missing_shards_are_told(self, start):
+        cluster = await start(instances=2)
+        check = make_check(cluster)
+        (lost, replicas), *_ = shards(cluster).items()
+        for server in replicas:
+            await server.async_stop()
+        await async_accept_least(cluster, 0.5)
+        load = checked_load(cluster, check, seconds=2)
+        await load.task
+        assert {it.reply.missing for it in check.answered} == {(lost,)}
+        assert {it.reply.coverage for it in check.answered} == {0.75}
+        assert_true(check)
+
+
+async def async_accept_least(cluster, share):
+
+    profiles = build_profiles(cluster.deployment)
+    for profile in profiles.profiles:
+        profile.least_coverage = share
+    await cluster.async_accept('profiles', profiles)
+
+
+async def async_disturb(cluster, rng, load, *disturb):
+    """Disturb one connection after the other until the load ends."""
+    proxies = list(cluster.fleet.proxies.values())
+    while not load.task.done():
+        for act in disturb:
+            act(rng.choice(proxies))
+        await asyncio.wait({load.task}, timeout=0.1)
+
+
+def reset(proxy):
+    proxy.reset_open()
+
+
+def half_open(proxy):
+    proxy.half_open()
+
+
+def silence(proxy):
+    proxy.silence_open()
+
+
+def truncate(proxy):
+    proxy.set_faults(truncation())
+
+
+def delay(proxy):
+    proxy.set_faults(delays(0.02))
+
+
+class TestWholeAnswers:
+    @pytest.mark.parametrize(
+        'acts',
+        [
+            (reset,),
+            (half_open,),
+            (silence,),
+            (truncate,),
+            (delay,),
+            (reset, delay),
+            (truncate, half_open),
+            (silence, delay),
+        ],
+        ids=lambda acts: '+'.join(act.__name__ for act in acts),
+    )
+    async def test_connections_fail(self, start, acts):
+        cluster = await start(instances=2, proxied=True)
+        check = make_check(cluster)
+        spoil(cluster, 1, crossed=SPOILT)
+        load = checked_load(cluster, check, seconds=2)
+        await async_disturb(cluster, random.Random(SEED), load, *acts)
+        assert check.answered
+        assert_true(check)
+        for proxy in cluster.fleet.proxies.values():
+            proxy.set_faults(delays(0))
+            proxy.reset_open()
+        queries = [
+            check.make_queries(SEARCH)(random.Random(number))
+            for number in range(4)
+        ]
+        answers = await async_ask_all(cluster, queries)
+        assert [it.reply.request_id for it in answers] == [
+            it.request_id for it in queries
+        ]
