--- a/bitternturn/cli/client.py
+++ b/bitternturn/cli/client.py
@@ -82,22 +82,17 @@
         body = b'' if content is None else msgspec.json.encode(content)
         given = {name: text for name, text in arguments.items() if text}
         target = f'{path}?{urlencode(given)}' if given else path
-        try:
-            async with asyncio.timeout(self.timeout_s):
-                response = await self._async_exchange(
-                    method,
-                    target,
-                    headers,
-                    body,
-                )
-        except TimeoutError as error:
-            raise BitternturnError(
-                f'no answer in {self.timeout_s:g} s',
-                code=ErrorCode.CONNECTION_LOST,
-                step=STEP_CALL,
-                peer=self.peer,
-            ) from error
-        return self._decode(response)
+        return self._decode(
+            await self._async_in_time(method, target, headers, body),
+        )
+
+    async def async_metrics(self) -> str:
+        """Return the metrics of the instance in the Prometheus text form."""
+        headers = {'connection': 'close'}
+        response = await self._async_in_time('GET', '/metrics', headers, b'')
+        if response.status != STATUS_OK:
+            self._decode(response)
+        return response.body.decode(errors='replace')
 
     async def async_configuration(
         self,
@@ -130,6 +125,30 @@
         except msgspec.ValidationError as error:
             raise self._bad_answer(error) from error
 
+    async def _async_in_time(
+        self,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> Response:
+        """Make one call; raises BitternturnError CONNECTION_LOST when late."""
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                return await self._async_exchange(
+                    method,
+                    target,
+                    headers,
+                    body,
+                )
+        except TimeoutError as error:
+            raise BitternturnError(
+                f'no answer in {self.timeout_s:g} s',
+                code=ErrorCode.CONNECTION_LOST,
+                step=STEP_CALL,
+                peer=self.peer,
+            ) from error
+
     async def _async_exchange(
         self,
         method: str,
--- /dev/null
+++ b/bitternturn/cli/overview.py
@@ -0,0 +1,224 @@
+"""The whole tier as its instances tell it, and what is wrong with it."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, field
+from typing import Final
+
+from bitternturn.administration.models import (
+    MemberStatus,
+    StatusReport,
+    TargetStatus,
+)
+from bitternturn.cli.client import OperatorClient
+from bitternturn.cli.readings import ProfileReading, read_profiles
+from bitternturn.core.errors import BitternturnError
+from bitternturn.schema.config_pb2 import SWITCH_STATE_OUT
+
+READY: Final = 'ready'
+KINDS: Final = ('view', 'profiles', 'indexes', 'switches')
+NAMES_SHOWN: Final = 5
+
+
+@dataclass(kw_only=True, slots=True)
+class InstanceReading:
+    """One member of the view and what it answered."""
+
+    member: MemberStatus
+    report: StatusReport | None = None
+    metrics: str = ''
+    error: str = ''
+
+    @property
+    def state(self) -> str:
+        """State in a word or two."""
+        if self.report is None:
+            return 'no answer'
+        if self.report.draining:
+            return 'draining'
+        if not self.report.ready:
+            return f'not ready: {self.report.why_not_ready}'
+        return READY
+
+
+@dataclass(kw_only=True, slots=True)
+class Overview:
+    """What the asked instance and its members know together."""
+
+    asked: StatusReport
+    instances: list[InstanceReading]
+    domains_out: dict[str, str]
+    targets: list[TargetStatus] = field(default_factory=list)
+    profiles: dict[str, ProfileReading] = field(default_factory=dict)
+
+    @property
+    def newest(self) -> dict[str, int]:
+        """Newest version of each kind that any instance has."""
+        reports = [self.asked, *self._reports()]
+        return {
+            kind: max(getattr(it.versions, kind) for it in reports)
+            for kind in KINDS
+        }
+
+    def wrongs(self) -> list[str]:
+        """Return one line for each thing that is not as it should be."""
+        return [
+            *self._asked_wrongs(),
+            *self._instance_wrongs(),
+            *(
+                f'failure domain {name} is out{_because(reason)}'
+                for name, reason in sorted(self.domains_out.items())
+            ),
+            *self._target_wrongs(),
+        ]
+
+    def domain_rows(self) -> list[tuple[str, str, int, str]]:
+        """Return name, state, instances and targets by state per domain."""
+        instances = Counter(it.member.failure_domain for it in self.instances)
+        names = {it.failure_domain for it in self.targets}
+        return [
+            (
+                name,
+                'out' if name in self.domains_out else 'in',
+                instances[name],
+                count_states(
+                    it for it in self.targets if it.failure_domain == name
+                ),
+            )
+            for name in sorted({*names, *instances, *self.domains_out})
+        ]
+
+    def _reports(self) -> Iterator[StatusReport]:
+        """Yield the reports that came."""
+        for reading in self.instances:
+            if reading.report is not None:
+                yield reading.report
+
+    def _asked_wrongs(self) -> Iterator[str]:
+        """Yield what only the asked instance can tell, before any view."""
+        known = {it.member.instance_id for it in self.instances}
+        if self.asked.instance_id not in known:
+            reason = self.asked.why_not_ready or 'not a member of the view'
+            yield f'instance {self.asked.instance_id}: not ready: {reason}'
+
+    def _instance_wrongs(self) -> Iterator[str]:
+        """Yield instances that are absent, not ready, behind or cut off."""
+        newest = self.newest
+        for reading in self.instances:
+            name = reading.member.instance_id
+            if reading.state != READY:
+                place = f' at {reading.member.operators}'
+                where = place if reading.report is None else ''
+                why = f': {reading.error}' if reading.error else ''
+                yield f'instance {name}: {reading.state}{where}{why}'
+            if reading.report is None:
+                continue
+            if not reading.report.store_reached:
+                yield f'instance {name}: object API not reached'
+            for kind, version in asdict(reading.report.versions).items():
+                if version < newest[kind]:
+                    yield (
+                        f'instance {name}: {kind} at version {version}, '
+                        f'newest is {newest[kind]}'
+                    )
+
+    def _target_wrongs(self) -> Iterator[str]:
+        """Yield the states other than ready with some names."""
+        by_state: dict[str, list[str]] = {}
+        for target in self.targets:
+            if target.failure_domain not in self.domains_out:
+                by_state.setdefault(state_of(target), []).append(target.target)
+        by_state.pop(READY, None)
+        for state, names in sorted(by_state.items()):
+            more = ', ...' if len(names) > NAMES_SHOWN else ''
+            shown = ', '.join(names[:NAMES_SHOWN])
+            yield f'targets {state}: {len(names)} ({shown}{more})'
+
+
+def state_of(target: TargetStatus) -> str:
+    """Return the state of a target in a word."""
+    return target.state or ('idle' if target.owner else 'without owner')
+
+
+def count_states(targets: Iterator[TargetStatus]) -> str:
+    """Return how many targets are in which state."""
+    states = Counter(map(state_of, targets))
+    return ', '.join(f'{count} {state}' for state, count in states.items())
+
+
+async def async_overview(client: OperatorClient) -> Overview:
+    """Ask one instance, then every member that it knows."""
+    asked = await client.async_status()
+    switches = await client.async_switches()
+    instances = await asyncio.gather(
+        *(
+            _async_read(member, _client_of(member, asked, client))
+            for member in asked.members
+        ),
+    )
+    return Overview(
+        asked=asked,
+        instances=list(instances),
+        domains_out={
+            switch.name: switch.reason
+            for switch in switches.failure_domains
+            if switch.state == SWITCH_STATE_OUT
+        },
+        targets=_merge_targets(asked, instances),
+        profiles=read_profiles(it.metrics for it in instances),
+    )
+
+
+async def _async_read(
+    member: MemberStatus,
+    client: OperatorClient | None,
+) -> InstanceReading:
+    """Return what one member answers."""
+    reading = InstanceReading(member=member)
+    if client is None:
+        return reading
+    try:
+        reading.report = await client.async_status()
+        reading.metrics = await client.async_metrics()
+    except BitternturnError as error:
+        reading.error = str(error)
+    return reading
+
+
+def _client_of(
+    member: MemberStatus,
+    asked: StatusReport,
+    client: OperatorClient,
+) -> OperatorClient | None:
+    """Return the client of a member; the asked one's may be a tunnel."""
+    if member.instance_id == asked.instance_id:
+        return client
+    host, _, port = member.operators.rpartition(':')
+    if not port.isdecimal():
+        return None
+    return OperatorClient(
+        host=host,
+        port=int(port),
+        timeout_s=client.timeout_s,
+    )
+
+
+def _merge_targets(
+    asked: StatusReport,
+    instances: list[InstanceReading],
+) -> list[TargetStatus]:
+    """Return each target as its owner tells it, else as the asked one."""
+    told = {
+        target.target: target
+        for reading in instances
+        if reading.report is not None
+        for target in reading.report.targets
+        if target.owner == reading.report.instance_id
+    }
+    return [told.get(target.target, target) for target in asked.targets]
+
+
+def _because(reason: str) -> str:
+    """Return a reason in brackets."""
+    return f' ({reason})' if reason else ''
--- a/bitternturn/cli/status.py
+++ b/bitternturn/cli/status.py
@@ -1,61 +1,136 @@
-"""Command `status`: what one instance knows."""
+"""Command `status`: what is wrong first, then the whole tier."""
 
 import asyncio
 from dataclasses import asdict
 
 from absl import flags
 
-from bitternturn.administration.models import StatusReport
 from bitternturn.cli.const import DEFAULT_WATCH_INTERVAL_S
 from bitternturn.cli.models import Action, Command, Invocation
 from bitternturn.cli.output import print_json, print_table
+from bitternturn.cli.overview import (
+    KINDS,
+    READY,
+    InstanceReading,
+    Overview,
+    async_overview,
+    count_states,
+    state_of,
+)
+from bitternturn.cli.readings import ProfileReading
+from bitternturn.core.clock import MS_PER_SECOND
 
 
 async def _async_status(call: Invocation) -> None:
-    """Print the report once, or again and again."""
-    _print_report(await call.client.async_status(), as_json=call.json)
+    """Print the state once, or again and again."""
+    await _async_print(call)
     while call.flags.watch:
         await asyncio.sleep(call.flags.interval)
         print()
-        _print_report(await call.client.async_status(), as_json=call.json)
+        await _async_print(call)
 
 
-def _print_report(report: StatusReport, *, as_json: bool) -> None:
-    """Print a report."""
-    if as_json:
-        print_json(asdict(report))
+async def _async_print(call: Invocation) -> None:
+    """Print the tier for people, or the instance's report as JSON."""
+    if call.json:
+        print_json(asdict(await call.client.async_status()))
         return
-    ready = 'ready' if report.ready else f'not ready: {report.why_not_ready}'
-    draining = ', draining' if report.draining else ''
-    store = 'reached' if report.store_reached else 'not reached'
-    versions = ', '.join(
-        f'{name} {version}' for name, version in asdict(report.versions).items()
+    overview = await async_overview(call.client)
+    _print_summary(overview)
+    print()
+    _print_instances(overview)
+    print()
+    print_table(
+        ('failure domain', 'state', 'instances', 'targets'),
+        overview.domain_rows(),
     )
-    print(f'instance {report.instance_id} in {report.failure_domain}')
-    print(f'state    {ready}{draining}')
-    print(f'versions {versions}')
-    print(f'lease    {report.lease_s:.1f} s left; object API {store}')
-    print(f'members  {len(report.members)}')
-    print(f'profiles {", ".join(report.profiles) or "none"}')
     print()
+    _print_profiles(overview)
+    if call.flags.targets:
+        print()
+        _print_targets(overview)
+
+
+def _print_summary(overview: Overview) -> None:
+    """Print what is wrong, or that nothing is."""
+    ready = sum(it.state == READY for it in overview.instances)
+    targets = count_states(iter(overview.targets)) or 'none'
+    print(f'instances {ready} of {len(overview.instances)} ready')
+    print(f'targets   {targets}')
+    wrongs = overview.wrongs()
+    print(f'wrong     {len(wrongs) or "nothing"}')
+    for wrong in wrongs:
+        print(f'  {wrong}')
+
+
+def _print_instances(overview: Overview) -> None:
+    """Print a line per instance of the view."""
+    print_table(
+        ('instance', 'failure domain', 'state', *KINDS, 'lease s', 'owns'),
+        [_instance_row(reading) for reading in overview.instances],
+    )
+
+
+def _instance_row(reading: InstanceReading) -> tuple[object, ...]:
+    """Return the line of an instance."""
+    member, report = reading.member, reading.report
+    name = (member.instance_id, member.failure_domain, reading.state)
+    if report is None:
+        return (*name, *('?' for _ in KINDS), '?', '?')
+    owned = sum(it.owner == report.instance_id for it in report.targets)
+    versions = (getattr(report.versions, kind) for kind in KINDS)
+    return (*name, *versions, f'{report.lease_s:.1f}', owned)
+
+
+def _print_profiles(overview: Overview) -> None:
+    """Print a line per profile."""
+    print_table(
+        ('profile', 'answered', 'refused', 'coverage', 'p99 ms'),
+        [
+            _profile_row(name, overview.profiles.get(name, ProfileReading()))
+            for name in overview.asked.profiles
+        ],
+    )
+
+
+def _profile_row(name: str, reading: ProfileReading) -> tuple[object, ...]:
+    """Return the line of a profile."""
+    refused = ', '.join(
+        f'{count} {code}' for code, count in reading.refused.most_common()
+    )
+    answered = int(reading.answered)
+    if not answered:
+        return (name, answered, refused or 0, '-', '-')
+    bound = f'<= {reading.p99_s * MS_PER_SECOND:g}'
+    return (name, answered, refused or 0, f'{reading.coverage:.2%}', bound)
+
+
+def _print_targets(overview: Overview) -> None:
+    """Print a line per target as its owner tells it."""
     print_table(
         ('target', 'state', 'owner', 'limit', 'in flight', 'queued'),
         [
             (
                 target.target,
-                'ejected' if target.ejected else target.state,
+                state_of(target),
                 target.owner,
                 target.limit,
                 target.in_flight,
                 target.queued,
             )
-            for target in report.targets
+            for target in overview.targets
         ],
     )
 
 
 def _define_flags(values: flags.FlagValues) -> None:
     """Define the flags."""
+    flags.DEFINE_boolean(
+        'targets',
+        False,
+        'list every target as well',
+        flag_values=values,
+    )
     flags.DEFINE_boolean(
         'watch',
         False,
@@ -73,7 +148,7 @@
 
 COMMAND = Command(
     name='status',
-    summary='Show what one instance knows: view, versions, targets.',
+    summary='Show what is wrong, then instances, failure domains, profiles.',
     example='bitternturn status --watch',
     actions={'': Action(run=_async_status)},
     define_flags=_define_flags,
