Refuse too long numbers, too deep JSON and broken frames

Cause: int() raises above 4300 digits, decoders of deep JSON and TOML raise RecursionError, and protobuf's DecodeError left the peers' handlers; each became a 500, an unhandled exception in a callback or a failed task. Change: read_unsigned and DECODE_ERRORS in core/decoding.py serve every parser that faces outside; async_receive refuses what is no message.

--- a/bitternturn/callers/fanout.py
+++ b/bitternturn/callers/fanout.py
@@ -15,6 +15,7 @@
 )
 from bitternturn.callers.progress import Attempt, ShardProgress, ShardState
 from bitternturn.callers.timers import Timers
+from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import ShardId, TargetId
 from bitternturn.policy.const import DEFAULT_ATTEMPTS
@@ -479,7 +480,7 @@
     """Return the hits of a target's answer; None when it has none."""
     try:
         answer = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
     hits = answer.get('hits') if isinstance(answer, dict) else None
     return hits if well_formed(hits) else None
--- a/bitternturn/callers/parse.py
+++ b/bitternturn/callers/parse.py
@@ -8,6 +8,7 @@
 from bitternturn.callers import const
 from bitternturn.callers.models import QueryBody, QueryRequest
 from bitternturn.claims.const import MAX_KEY_BYTES
+from bitternturn.core.decoding import DECODE_ERRORS, read_unsigned
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import IndexName, ProfileName, RequestId, ShardId
 from bitternturn.http.models import Request
@@ -61,7 +62,7 @@
     """Return the body's typed form."""
     try:
         body = msgspec.json.decode(request.body, type=QueryBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise _bad(request, str(error)) from error
     if not bytes(body.query).lstrip().startswith(b'{'):
         raise _bad(request, 'query is not an object')
@@ -120,6 +121,7 @@
     text = request.headers.get(const.HEADER_DEADLINE_MS)
     if text is None:
         return profile.deadline_ms
-    if not text.isdecimal() or int(text) < 1:
+    given = read_unsigned(text, largest=profile.deadline_ms)
+    if not given:
         raise _bad(request, 'deadline is not a positive number')
-    return min(int(text), profile.deadline_ms)
+    return given
--- a/bitternturn/cli/client.py
+++ b/bitternturn/cli/client.py
@@ -17,6 +17,7 @@
     Content,
     wrap_content,
 )
+from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import Version
 from bitternturn.http.client import async_connect
@@ -172,7 +173,7 @@
         """Return the body of an answer; raises for an error's."""
         try:
             answer = msgspec.json.decode(response.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise self._bad_answer(error) from error
         if response.status == STATUS_OK:
             return answer
--- a/bitternturn/cli/files.py
+++ b/bitternturn/cli/files.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bitternturn.cli.models import usage_error
+from bitternturn.core.decoding import DECODE_ERRORS
 
 STANDARD_INPUT: Final = '-'
 
@@ -19,7 +20,7 @@
         raise usage_error(f'{name}: {error.strerror}') from error
     try:
         return msgspec.json.decode(text)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise usage_error(f'{name}: {error}') from error
 
 
--- a/bitternturn/core/settings.py
+++ b/bitternturn/core/settings.py
@@ -73,7 +73,8 @@
     """Return the settings of a TOML text; raises SettingsError."""
     try:
         table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    # Too deep nesting and too long numbers are no TOMLDecodeErrors.
+    except (ValueError, RecursionError) as error:
         problem = SettingsProblem(path=source, message=str(error))
         raise SettingsError(source=source, problems=[problem]) from error
     given = dict(_flatten(table, ''))
--- a/bitternturn/core/shapes.py
+++ b/bitternturn/core/shapes.py
@@ -8,6 +8,7 @@
 from google.protobuf.descriptor import Descriptor, FieldDescriptor
 
 from bitternturn.core.const import UINT32_MAX, UINT64_MAX
+from bitternturn.core.decoding import read_unsigned
 
 
 @dataclass(kw_only=True, frozen=True, slots=True)
@@ -102,9 +103,9 @@
     """Return what is wrong with an unsigned integer."""
     # Protobuf JSON writes 64-bit integers as texts.
     if largest == UINT64_MAX and isinstance(content, str):
-        if not (content.isascii() and content.isdigit()):
+        content = read_unsigned(content, largest=largest + 1)
+        if content is None:
             return 'wants an integer'
-        content = int(content)
     if isinstance(content, bool) or not isinstance(content, int):
         return _expect(False, 'an integer', content)
     if 0 <= content <= largest:
--- a/bitternturn/http/models.py
+++ b/bitternturn/http/models.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.http.const import STATUS_OK
 
@@ -30,7 +31,7 @@
         """Return the body decoded from JSON."""
         try:
             return msgspec.json.decode(self.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise BitternturnError(
                 str(error),
                 code=ErrorCode.BAD_REQUEST,
--- a/bitternturn/owners/exchange.py
+++ b/bitternturn/owners/exchange.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bitternturn.core.clock import MS_PER_SECOND
+from bitternturn.core.decoding import DECODE_ERRORS, read_unsigned
 from bitternturn.core.errors import ErrorCode
 from bitternturn.http import const as http
 from bitternturn.http.models import Response
@@ -119,7 +120,7 @@
     """Whether an answer is not cut short."""
     try:
         answer = msgspec.json.decode(response.body, type=_Answer)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return False
     return answer.complete and bytes(memoryview(answer.hits)[:1]) == b'['
 
@@ -128,7 +129,7 @@
     """Return the result of a refusal; an unknown one leaves doubt."""
     try:
         refusal = msgspec.json.decode(response.body, type=_Refusal)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return in_doubt(sub_id, ErrorCode.TARGET_ERROR)
     code = _NOT_RUN.get((response.status, refusal.code))
     if code is None:
@@ -138,7 +139,7 @@
 
 def _read_number(text: str) -> int:
     """Return a whole number, 0 if it is none."""
-    return int(text) if text.isdecimal() and text.isascii() else 0
+    return read_unsigned(text) or 0
 
 
 @lru_cache(maxsize=const.HEADER_CACHE)
--- a/bitternturn/owners/limits.py
+++ b/bitternturn/owners/limits.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import ErrorCode
 from bitternturn.http.models import Response
 from bitternturn.owners import const
@@ -90,7 +91,7 @@
         """Take in a health report: it only ends the state of draining."""
         try:
             health = msgspec.json.decode(response.body, type=_Health)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return
         if health.state and health.state != const.STATE_DRAINING:
             self.draining_at = None
--- a/bitternturn/peers/frames.py
+++ b/bitternturn/peers/frames.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+from google.protobuf.message import DecodeError
+
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.peers.const import MAX_FRAME_BYTES, STEP_EXCHANGE
 
@@ -21,12 +23,15 @@
     """Return the next message, None at the end of the stream.
 
     grpclib reads a message of any announced length into memory; this raises
-    BitternturnError with BODY_TOO_LARGE for one above `MAX_FRAME_BYTES`.
+    BitternturnError with BODY_TOO_LARGE for one above `MAX_FRAME_BYTES`, and
+    with BAD_ANSWER for what is no message.
     """
     wire = stream._stream
     prefix = await wire.recv_data(_PREFIX.size)
     if not prefix:
         return None
+    if len(prefix) < _PREFIX.size:
+        raise _unreadable('cut short', peer)
     compressed, size = _PREFIX.unpack(prefix)
     if compressed or size > MAX_FRAME_BYTES:
         raise BitternturnError(
@@ -35,7 +40,23 @@
             step=STEP_EXCHANGE,
             peer=peer,
         )
-    return decode(await wire.recv_data(size))
+    body = await wire.recv_data(size)
+    if len(body) < size:
+        raise _unreadable('cut short', peer)
+    try:
+        return decode(body)
+    except DecodeError as error:
+        raise _unreadable(str(error), peer) from error
+
+
+def _unreadable(message: str, peer: str) -> BitternturnError:
+    """Return the error of a frame that holds no message."""
+    return BitternturnError(
+        message,
+        code=ErrorCode.BAD_ANSWER,
+        step=STEP_EXCHANGE,
+        peer=peer,
+    )
 
 
 def ended_cleanly(stream: Any) -> bool:
--- a/bitternturn/platform/client.py
+++ b/bitternturn/platform/client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bitternturn.core.clock import Clock
+from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import Version
 from bitternturn.http import const as http
@@ -114,7 +115,7 @@
         response = await self.async_read(path)
         try:
             return msgspec.json.decode(response.body, type=ObjectList)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise self._bad_answer(path, error) from error
 
     async def async_put(
@@ -144,7 +145,7 @@
                 return self._own_version(present, token, path)
             try:
                 reply = msgspec.json.decode(response.body, type=WriteReply)
-            except msgspec.DecodeError as error:
+            except DECODE_ERRORS as error:
                 raise self._bad_answer(path, error) from error
             return reply.version
 
@@ -301,7 +302,7 @@
         """Return the object in a line of JSON; raises BAD_ANSWER."""
         try:
             return decode_object(line)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise self._bad_answer(path, error) from error
 
     def _bad_answer(self, path: str, error: Exception) -> BitternturnError:
--- a/bitternturn/platform/instances.py
+++ b/bitternturn/platform/instances.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.platform import const
 from bitternturn.platform.client import ObjectClient
@@ -18,7 +19,7 @@
     response = await client.async_read(const.PATH_INSTANCES)
     try:
         listed = msgspec.json.decode(response.body, type=InstanceList)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise BitternturnError(
             str(error),
             code=ErrorCode.BAD_ANSWER,
--- /dev/null
+++ b/tests/core/test_decoding.py
@@ -0,0 +1,103 @@
+"""Tests of inputs that are too long or too deep to read."""
+
+import random
+
+import pytest
+
+from bitternturn.callers.parse import parse_query
+from bitternturn.configuration.check import parse_content
+from bitternturn.configuration.models import (
+    ConfigurationKind,
+    InvalidConfiguration,
+)
+from bitternturn.core.const import UINT64_MAX
+from bitternturn.core.decoding import read_unsigned
+from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.core.settings import SettingsError, parse_settings
+from bitternturn.http.models import Request, Response
+from bitternturn.owners.exchange import judge
+from bitternturn.owners.models import make_work
+from bitternturn.schema.config_pb2 import Profile
+from bitternturn.schema.peers_pb2 import QueryGroup, SubQuery
+from tests.configuration.fakes import make_indexes
+
+LONG = '9' * 5000
+DEEP = b'{"query":' * 100_000
+
+
+def parse(body=b'{"profile":"desk","query":{}}', **headers):
+    index = make_indexes().indexes[0]
+    return parse_query(
+        request=Request(
+            method='POST',
+            path=f'/v1/query/{index.name}',
+            headers={
+                name.replace('_', '-'): it for name, it in headers.items()
+            },
+            body=body,
+        ),
+        index_of=lambda name: index,
+        profile_of=lambda name: Profile(
+            name='desk', deadline_ms=100, repeatable=True
+        ),
+        rng=random.Random(1),
+        now=0,
+    )
+
+
+class TestReadUnsigned:
+    @pytest.mark.parametrize('text', ['', '-1', '1e3', '\u00b2', '\u0663'])
+    def test_no_number(self, text):
+        assert read_unsigned(text) is None
+
+    def test_bounded(self):
+        assert read_unsigned('0' * 6000 + '7') == 7
+        assert read_unsigned(LONG) == UINT64_MAX
+        assert read_unsigned('12', largest=10) == 10
+
+
+class TestCallers:
+    def test_long_deadline_is_the_profiles(self):
+        assert parse(x_deadline_ms=LONG).deadline == 0.1
+
+    def test_deep_body_is_refused(self):
+        with pytest.raises(BitternturnError) as caught:
+            parse(DEEP)
+        assert caught.value.code is ErrorCode.BAD_REQUEST
+
+
+class TestTargets:
+    def test_long_numbers_and_deep_bodies(self):
+        work = make_work(QueryGroup(index='i'), SubQuery(id=1, shard='s'), 0)
+        for status in (200, 503):
+            verdict = judge(
+                work,
+                'r',
+                Response(
+                    status=status,
+                    headers={
+                        'x-request-id': 'r',
+                        'x-cold-limit': LONG,
+                        'x-held-snapshots': f'1,{LONG}',
+                        'x-index': 'i',
+                        'x-shard': 's',
+                        'x-snapshot': '0',
+                        'content-length': str(len(DEEP)),
+                    },
+                    body=DEEP,
+                ),
+            )
+            assert verdict.result.code
+            assert verdict.held_snapshots == (1, UINT64_MAX)
+
+
+class TestOperators:
+    @pytest.mark.parametrize('value', [LONG, '[' * 5000])
+    def test_settings(self, value):
+        with pytest.raises(SettingsError):
+            parse_settings(f'a = {value}')
+
+    def test_long_number_in_a_configuration(self):
+        content = {'indexes': [{'maps': [{'snapshot': LONG}]}]}
+        with pytest.raises(InvalidConfiguration):
+            parse_content(ConfigurationKind.INDEXES, content)
