Show readiness, lease and reach of the object API as gauges

An alarm on an instance had nothing to watch in GET /metrics; the report of /v1/status had the three figures. tests/daemon holds the gauges.

--- a/bitternturn/daemon/lifecycle.py
+++ b/bitternturn/daemon/lifecycle.py
@@ -11,7 +11,8 @@
 from bitternturn.core.errors import BitternturnError
 from bitternturn.daemon import const
 from bitternturn.daemon.node import Node
-from bitternturn.daemon.operators import create_operators
+from bitternturn.daemon.observe import observe_instance
+from bitternturn.daemon.operators import create_operators, store_reached
 from bitternturn.http.server import HttpServer, ServerLimits
 from bitternturn.schema.settings_pb2 import NodeSettings
 from bitternturn.timeline.models import EventKind
@@ -30,6 +31,12 @@
 async def async_start(settings: NodeSettings) -> RunningNode:
     """Start an instance; it takes queries once `Node.unready` is empty."""
     node = Node(settings=settings)
+    observe_instance(
+        node.metrics,
+        ready=lambda: not node.unready(),
+        lease_s=lambda: node.membership.lease_s(node.now()),
+        store_reached=lambda: store_reached(node),
+    )
     listeners = settings.listeners
     await node.peer_server.async_start(
         host=listeners.peers.host,
--- a/bitternturn/daemon/observe.py
+++ b/bitternturn/daemon/observe.py
@@ -7,6 +7,19 @@
 from bitternturn.core.metrics import Metrics
 
 
+def observe_instance(
+    metrics: Metrics,
+    *,
+    ready: Callable[[], bool],
+    lease_s: Callable[[], float],
+    store_reached: Callable[[], bool],
+) -> None:
+    """Show what alarms on an instance watch as gauges."""
+    metrics.observe_value('ready', lambda: float(ready()))
+    metrics.observe_value('lease_seconds', lease_s)
+    metrics.observe_value('store_reached', lambda: float(store_reached()))
+
+
 def create_observer(
     metrics: Metrics,
 ) -> Callable[[QueryRequest, QueryAnswer, float], None]:
--- a/bitternturn/daemon/operators.py
+++ b/bitternturn/daemon/operators.py
@@ -81,8 +81,6 @@
 def report_status(node: Node) -> StatusReport:
     """Return what this instance knows of itself and the others."""
     versions = node.versions
-    reached = node.objects.reached_at or 0
-    failed = node.objects.failed_at or 0
     view = node.membership.view or View()
     reason = node.unready()
     return StatusReport(
@@ -98,13 +96,20 @@
             switches=versions.switches,
         ),
         lease_s=node.membership.lease_s(node.now()),
-        store_reached=reached >= failed,
+        store_reached=store_reached(node),
         members=tuple(_member_status(member) for member in view.members),
         targets=tuple(_target_statuses(node)),
         profiles=tuple(node.configuration.profile_names()),
     )
 
 
+def store_reached(node: Node) -> bool:
+    """Whether the last call to the object API was answered."""
+    reached = node.objects.reached_at or 0
+    failed = node.objects.failed_at or 0
+    return reached >= failed
+
+
 def _member_status(member: Member) -> MemberStatus:
     """Return one member of the view."""
     leaving = member.state == MEMBER_STATE_LEAVING
--- a/tests/daemon/test_embedded.py
+++ b/tests/daemon/test_embedded.py
@@ -82,3 +82,13 @@
         assert second.reply.hits == first.reply.hits
         assert runs_by_key(tier.fleet.runs())['one'] == 1
         await caller.async_stop()
+
+
+class TestMetrics:
+    async def test_gauges_for_alarms(self, tier):
+        node = tier.nodes[0].node
+        lines = node.metrics.render().decode().splitlines()
+        assert 'bitternturn_ready 1.0' in lines
+        assert 'bitternturn_store_reached 1.0' in lines
+        node.draining = True
+        assert 'bitternturn_ready 0.0' in node.metrics.render().decode()
