--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,6 +29,7 @@
 flags.DEFINE_boolean('quick', False, 'At most 50 s.')
 flags.DEFINE_integer('seed', 1, 'Seed of load and faults.')
 flags.DEFINE_string('report', '', 'Folder for a report with plots.')
+flags.DEFINE_string('compare', '', 'Results of an earlier run to compare with.')
 
 
 def main(argv: list[str]) -> None:
@@ -42,7 +43,7 @@
     results = {name: run(name, options) for name in chosen}
     if flags.FLAGS.report:
         report = importlib.import_module('bench.report')
-        report.write(flags.FLAGS.report, results)
+        report.write(flags.FLAGS.report, results, flags.FLAGS.compare)
     last = results if names[0] == 'all' else results[names[0]]
     print(json.dumps(last, sort_keys=True))
 
