Let profile put name the version its edit was made on

A profile edited for minutes and put back replaced a colleague's edit of the meantime without a word: put read the version only then. get tells the version, put takes --if-version; flags are accepted with dashes too.

--- a/bitternturn/cli/config.py
+++ b/bitternturn/cli/config.py
@@ -12,7 +12,7 @@
     configuration_path,
     read_accepted,
 )
-from bitternturn.cli.edits import async_put_content
+from bitternturn.cli.edits import async_put_content, define_if_version
 from bitternturn.cli.files import read_document
 from bitternturn.cli.models import Action, Command, Invocation, usage_error
 from bitternturn.cli.output import (
@@ -172,13 +172,7 @@
 
 def _define_flags(values: flags.FlagValues) -> None:
     """Define the flags."""
-    flags.DEFINE_integer(
-        'if_version',
-        None,
-        'version that the edit was made on; default: that of the file',
-        lower_bound=0,
-        flag_values=values,
-    )
+    define_if_version(values, default='that of the file')
 
 
 COMMAND = Command(
--- a/bitternturn/cli/edits.py
+++ b/bitternturn/cli/edits.py
@@ -1,5 +1,7 @@
 """Edits that several commands make."""
 
+from absl import flags
+
 from bitternturn.administration.codec import message_to_json
 from bitternturn.cli.client import (
     OperatorClient,
@@ -13,6 +15,17 @@
 from bitternturn.core.ids import Version
 
 
+def define_if_version(values: flags.FlagValues, *, default: str) -> None:
+    """Define the flag that names the version an edit was made on."""
+    flags.DEFINE_integer(
+        'if_version',
+        None,
+        f'version that the edit was made on; default: {default}',
+        lower_bound=0,
+        flag_values=values,
+    )
+
+
 async def async_put_content(
     client: OperatorClient,
     kind: ConfigurationKind,
--- a/bitternturn/cli/main.py
+++ b/bitternturn/cli/main.py
@@ -46,7 +46,7 @@
         raise usage_error(f'no command "{argv[1]}"; see `bitternturn --help`')
     values = _define(command)
     try:
-        _, *arguments = values(argv[1:])
+        _, *arguments = values([_join_words(it) for it in argv[1:]])
     except flags.Error as error:
         raise usage_error(str(error)) from error
     if values.help:
@@ -103,6 +103,14 @@
     return values
 
 
+def _join_words(argument: str) -> str:
+    """Return a flag's name with underscores, as absl knows it."""
+    if not argument.startswith('--'):
+        return argument
+    name, equals, given = argument.partition('=')
+    return '--' + name[2:].replace('-', '_') + equals + given
+
+
 def _find_action(
     command: Command,
     arguments: Sequence[str],
--- a/bitternturn/cli/profile.py
+++ b/bitternturn/cli/profile.py
@@ -1,14 +1,22 @@
 """Command `profile`: reads and edits profiles."""
 
+import sys
 from typing import Final
 
+from absl import flags
+
 from bitternturn.administration.codec import message_to_json
-from bitternturn.cli.edits import async_put_content, not_found
+from bitternturn.cli.edits import (
+    async_put_content,
+    define_if_version,
+    not_found,
+)
 from bitternturn.cli.files import read_document
 from bitternturn.cli.models import Action, Command, Invocation
 from bitternturn.cli.output import print_json, print_table, print_version
 from bitternturn.configuration.check import parse_content
 from bitternturn.configuration.models import ConfigurationKind
+from bitternturn.core.ids import Version
 from bitternturn.schema.config_pb2 import (
     Preference,
     Priority,
@@ -40,11 +48,15 @@
 
 
 async def _async_get(call: Invocation) -> None:
-    """Print one profile in the form that `put` takes."""
-    profiles, _ = await call.client.async_profiles()
+    """Print one profile in the form that `put` takes.
+
+    The version goes to the standard error, for `--if_version`.
+    """
+    profiles, version = await call.client.async_profiles()
     for profile in profiles.profiles:
         if profile.name == call.arguments[0]:
             print_json(message_to_json(profile))
+            print(f'version {version}', file=sys.stderr)
             return
     raise not_found('profile', call.arguments[0])
 
@@ -58,6 +70,9 @@
     )
     assert isinstance(wanted, Profiles)
     profiles, version = await call.client.async_profiles()
+    given = call.flags.if_version
+    if given is not None:
+        version = Version(given)
     _drop(profiles, wanted.profiles[0].name)
     profiles.profiles.append(wanted.profiles[0])
     accepted = await async_put_content(
@@ -83,6 +98,11 @@
     print_version(accepted, as_json=call.json)
 
 
+def _define_flags(values: flags.FlagValues) -> None:
+    """Define the flags."""
+    define_if_version(values, default='the one that stands')
+
+
 def _drop(profiles: Profiles, name: str) -> bool:
     """Remove the profile of a name; tell whether it was there."""
     for position, profile in enumerate(profiles.profiles):
@@ -120,4 +140,5 @@
         'put': Action(run=_async_put, arguments=('FILE',)),
         'delete': Action(run=_async_delete, arguments=('NAME',)),
     },
+    define_flags=_define_flags,
 )
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -84,6 +84,24 @@
         await shell.async_run('profile', 'delete', 'desk')
         assert await shell.async_json('profile', 'list') == []
 
+    async def test_put_on_an_older_version_shows_both_sides(self, shell):
+        await shell.async_run('profile', 'put', shell.write(DESK))
+        await shell.async_run('profile', 'get', 'desk')
+        version = shell.error.split()[-1]
+        theirs = shell.write({**DESK, 'deadline_ms': 70})
+        await shell.async_run('profile', 'put', theirs)
+        mine = shell.write({**DESK, 'deadline_ms': 60})
+        await shell.async_run(
+            'profile',
+            'put',
+            mine,
+            f'--if-version={version}',
+            expect=const.EXIT_CONFLICT,
+        )
+        assert '"deadline_ms":70' in shell.error
+        kept = await shell.async_json('profile', 'get', 'desk')
+        assert kept['deadline_ms'] == 70
+
     async def test_missing(self, shell):
         for verb in ('get', 'delete'):
             await shell.async_run(
