Count warm targets as sound; let profile put keep its place

status named every warm target as wrong, and a put moved the profile to the end, so that config diff showed it as removed and added.

--- a/bitternturn/cli/overview.py
+++ b/bitternturn/cli/overview.py
@@ -17,6 +17,8 @@
 from bitternturn.schema.config_pb2 import SWITCH_STATE_OUT
 
 READY: Final = 'ready'
+# State of a target that bears its full load.
+WARM: Final = 'warm'
 KINDS: Final = ('view', 'profiles', 'indexes', 'switches')
 NAMES_SHOWN: Final = 5
 
@@ -124,12 +126,12 @@
                     )
 
     def _target_wrongs(self) -> Iterator[str]:
-        """Yield the states other than ready with some names."""
+        """Yield the states other than warm with some names."""
         by_state: dict[str, list[str]] = {}
         for target in self.targets:
             if target.failure_domain not in self.domains_out:
                 by_state.setdefault(state_of(target), []).append(target.target)
-        by_state.pop(READY, None)
+        by_state.pop(WARM, None)
         for state, names in sorted(by_state.items()):
             more = ', ...' if len(names) > NAMES_SHOWN else ''
             shown = ', '.join(names[:NAMES_SHOWN])
--- a/bitternturn/cli/profile.py
+++ b/bitternturn/cli/profile.py
@@ -73,8 +73,7 @@
     given = call.flags.if_version
     if given is not None:
         version = Version(given)
-    _drop(profiles, wanted.profiles[0].name)
-    profiles.profiles.append(wanted.profiles[0])
+    _replace(profiles, wanted.profiles[0])
     accepted = await async_put_content(
         call.client,
         ConfigurationKind.PROFILES,
@@ -103,6 +102,15 @@
     define_if_version(values, default='the one that stands')
 
 
+def _replace(profiles: Profiles, wanted: Profile) -> None:
+    """Put a profile in the place of the one with its name, or last."""
+    for profile in profiles.profiles:
+        if profile.name == wanted.name:
+            profile.CopyFrom(wanted)
+            return
+    profiles.profiles.append(wanted)
+
+
 def _drop(profiles: Profiles, name: str) -> bool:
     """Remove the profile of a name; tell whether it was there."""
     for position, profile in enumerate(profiles.profiles):
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -76,8 +76,13 @@
         printed = await shell.async_run('profile', 'put', shell.write(DESK))
         assert printed.startswith('accepted as version ')
         assert await shell.async_json('profile', 'get', 'desk') == DESK
+        other = shell.write({**DESK, 'name': 'other'})
+        await shell.async_run('profile', 'put', other)
         changed = shell.write({**DESK, 'deadline_ms': 70})
         await shell.async_run('profile', 'put', changed)
+        listed = await shell.async_json('profile', 'list')
+        assert [it['name'] for it in listed] == ['desk', 'other']
+        await shell.async_run('profile', 'delete', 'other')
         rows = (await shell.async_run('profile', 'list')).splitlines()
         assert len(rows) == 3
         assert rows[-1].split()[:4] == ['desk', 'normal', '70', '50.0%']
