--- a/bench/fuzz_inputs.py
+++ b/bench/fuzz_inputs.py
@@ -72,6 +72,18 @@
     return json.dumps(changed).encode('utf-8', 'surrogatepass')
 
 
+def either(rng: random.Random, sound: Any) -> bytes:
+    """Return sound JSON half the time: what is read later needs it."""
+    if rng.random() < 0.5:
+        return json.dumps(sound).encode()
+    return spoil_json(rng, sound)
+
+
+def some(rng: random.Random, headers: dict[str, str]) -> dict[str, str]:
+    """Return some of the headers: one may hide the faults of another."""
+    return {name: text for name, text in headers.items() if rng.random() < 0.6}
+
+
 def spoil_text(rng: random.Random, sound: str) -> str:
     """Return an odd text, or a sound one with changes, in Latin-1."""
     if rng.random() < 0.5:
--- a/bench/fuzz_wire.py
+++ b/bench/fuzz_wire.py
@@ -11,7 +11,13 @@
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
-from bench.fuzz_inputs import http_text, spoil_bytes, spoil_json, spoil_text
+from bench.fuzz_inputs import (
+    either,
+    http_text,
+    some,
+    spoil_bytes,
+    spoil_text,
+)
 from bench.processes import HOST
 from bitternturn.http.models import Request, Response
 from bitternturn.http.server import HttpServer
@@ -58,8 +64,9 @@
     content: Any,
 ) -> bytes:
     """Return a request with some part spoiled."""
-    body = spoil_json(rng, content)
-    if rng.random() < 0.5:
+    body = either(rng, content)
+    headers = some(rng, headers)
+    if headers and rng.random() < 0.7:
         name = rng.choice(sorted(headers))
         headers = {**headers, name: spoil_text(rng, headers[name])}
     head = b''.join(
--- a/bench/scenarios/fuzz.py
+++ b/bench/scenarios/fuzz.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 from bench.fuzz_inputs import (
+    either,
     make_toml_spoiler,
+    some,
     spoil_bytes,
     spoil_json,
     spoil_text,
@@ -40,12 +42,6 @@
 from bitternturn.standins.fleet import TargetFleet
 
 INDEX = 'pay-lookup'
-SOUND = {
-    'profile': 'shed-queue',
-    'query': {'match': {'picker': 'p-0017'}},
-    'shards': ['s0'],
-    'limit': 5,
-}
 HEADERS = {
     'x-request-id': 'a1',
     'x-deadline-ms': '500',
@@ -79,6 +75,17 @@
 TRIES = 100
 
 
+def make_sound(rng: random.Random, tier: EmbeddedTier) -> dict[str, Any]:
+    """Return a sound body; only one of the profiles takes a key."""
+    shard = tier.fleet.indexes.indexes[0].maps[-1].shards[0].id
+    return {
+        'profile': rng.choice(('shed-queue', 'record-weighing')),
+        'query': {'match': {'picker': 'p-0017'}},
+        'shards': [shard],
+        'limit': 5,
+    }
+
+
 def attack_parsers(
     rng: random.Random,
     watch: CrashWatch,
@@ -103,12 +110,14 @@
         0,
     )
     for _ in range(DIRECT):
-        headers = {k: spoil_text(rng, v) for k, v in HEADERS.items()}
         request = Request(
             method='POST',
             path=f'/v1/query/{INDEX}',
-            headers=headers if rng.random() < 0.7 else {},
-            body=spoil_json(rng, SOUND),
+            headers={
+                name: spoil_text(rng, text)
+                for name, text in some(rng, HEADERS).items()
+            },
+            body=either(rng, make_sound(rng, tier)),
         )
         watch.parse(
             lambda request=request: parse_query(  # type: ignore[misc]
@@ -128,7 +137,7 @@
                 **TARGET_HEADERS,
                 header: spoil_text(rng, TARGET_HEADERS[header]),
             },
-            body=spoil_json(rng, ANSWER),
+            body=either(rng, ANSWER),
         )
         watch.parse(lambda answer=response: judge(work, 'r', answer))  # type: ignore[misc]
         line = spoil_json(rng, OBJECT)
@@ -155,9 +164,14 @@
     running = tier.nodes[0]
     node = running.node
     shard = tier.fleet.indexes.indexes[0].maps[-1].shards[0].id
-    sound = {**SOUND, 'shards': [shard]}
     callers = [
-        make_http(rng, 'POST', f'/v1/query/{INDEX}', HEADERS, sound)
+        make_http(
+            rng,
+            'POST',
+            f'/v1/query/{INDEX}',
+            HEADERS,
+            make_sound(rng, tier),
+        )
         for _ in range(WIRE)
     ]
     await async_flood(node.callers.port, callers)
