Follow what an index answers and shed whole queries at the entry

Cause: at full load a query was let in of which one shard was then refused, and the work of its other shards was lost. Change: a token bucket per index whose rate follows the answered queries, urgent profiles first; a query that fails for load says overloaded, also when a part ran.

--- a/bitternturn/callers/handler.py
+++ b/bitternturn/callers/handler.py
@@ -65,18 +65,19 @@
         if request.path == const.PATH_READY:
             return _ready(services.unready())
         if not request.path.startswith(const.PATH_QUERY):
-            return _refuse(ErrorCode.NOT_FOUND, STEP_ROUTE)
+            return _refuse(ErrorCode.NOT_FOUND, STEP_ROUTE, request)
         if request.method != 'POST':
-            return _refuse(ErrorCode.METHOD_NOT_ALLOWED, STEP_ROUTE)
+            return _refuse(ErrorCode.METHOD_NOT_ALLOWED, STEP_ROUTE, request)
         return await _async_query(request, services, keyed)
 
     return async_handle
 
 
-def _refuse(code: ErrorCode, step: str) -> Response:
-    """Return a refusal of a request without a known id."""
+def _refuse(code: ErrorCode, step: str, request: Request) -> Response:
+    """Return a refusal of a request that was not checked whole."""
+    request_id = RequestId(request.headers.get(const.HEADER_REQUEST_ID, ''))
     return encode_answer(
-        refusal(request_id=RequestId(''), code=code, step=step),
+        refusal(request_id=request_id, code=code, step=step),
     )
 
 
@@ -97,7 +98,7 @@
     """Check, admit and run one query."""
     entry = services.entry
     if services.unready() and services.unready() != 'draining':
-        return _refuse(ErrorCode.NOT_READY, STEP_ADMIT)
+        return _refuse(ErrorCode.NOT_READY, STEP_ADMIT, request)
     try:
         query = parse_query(
             request=request,
@@ -107,7 +108,7 @@
             now=entry.now(),
         )
     except BitternturnError as error:
-        return _refuse(error.code, error.step)
+        return _refuse(error.code, error.step, request)
     refused = _admit(services, query)
     if refused is not None:
         return encode_answer(
@@ -132,10 +133,13 @@
     query: QueryRequest,
 ) -> Refusal | None:
     """Count a query in, or refuse it for load."""
-    return services.admission.offer(
+    now = services.entry.now()
+    known = services.knowledge.of_index(query.index)
+    refused = known.goodput.offer(query.profile.priority, now)
+    return refused or services.admission.offer(
         ProfileName(query.profile.name),
         query.profile.priority,
-        services.entry.now(),
+        now,
     )
 
 
@@ -179,7 +183,8 @@
     query: QueryRequest,
     answer: QueryAnswer,
 ) -> None:
-    """Tell the time line and the metrics how a query ended."""
+    """Tell the time line, the metrics and admission how a query ended."""
+    _learn(services, query, answer)
     latency_s = services.entry.now() - query.started
     done = answer.outcome is QueryOutcome.DONE
     services.entry.event(
@@ -191,6 +196,19 @@
     services.observe(query, answer, latency_s)
 
 
+def _learn(
+    services: CallersServices,
+    query: QueryRequest,
+    answer: QueryAnswer,
+) -> None:
+    """Follow what the index bears."""
+    goodput = services.knowledge.of_index(query.index).goodput
+    if answer.outcome is QueryOutcome.DONE:
+        goodput.on_done(services.entry.now())
+    elif answer.code is ErrorCode.OVERLOADED:
+        goodput.on_overload(services.entry.now())
+
+
 def _detail(answer: QueryAnswer) -> str:
     """Return the text of an answer's event."""
     if answer.code is None:
--- a/bitternturn/callers/knowledge.py
+++ b/bitternturn/callers/knowledge.py
@@ -5,6 +5,7 @@
 
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import FailureDomain, Snapshot, TargetId
+from bitternturn.policy.goodput import GoodputLimit
 from bitternturn.policy.health import OutlierTrack
 from bitternturn.policy.hedging import HedgeBudget, LatencyTrack
 from bitternturn.policy.replicas import LatencyAverage, ReplicaView
@@ -54,6 +55,7 @@
     targets: dict[TargetId, TargetKnowledge]
     outliers: OutlierTrack
     latency: LatencyTrack = field(default_factory=LatencyTrack)
+    goodput: GoodputLimit = field(default_factory=GoodputLimit)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -225,4 +227,5 @@
         targets=targets,
         outliers=known.outliers,
         latency=known.latency,
+        goodput=known.goodput,
     )
--- a/bitternturn/callers/query.py
+++ b/bitternturn/callers/query.py
@@ -146,7 +146,7 @@
         for shard in fan_out.shards
         if shard.state is ShardState.FAILED
     ]
-    if failed and not fan_out.ran and LOAD_CODES.issuperset(failed):
+    if failed and LOAD_CODES.issuperset(failed):
         return ErrorCode.OVERLOADED
     if len(fan_out.shards) == 1 and failed:
         return ERROR_CODES.get(failed[0], ErrorCode.COVERAGE)
