--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -67,7 +67,7 @@
 
 
 class TestTargets:
-    def test_long_numbers_and_deep_bodies(self):
+    async def test_long_numbers_and_deep_bodies(self):
         work = make_work(QueryGroup(index='i'), SubQuery(id=1, shard='s'), 0)
         for status in (200, 503):
             verdict = judge(
