--- a/bench/scenarios/timeline.py
+++ b/bench/scenarios/timeline.py
@@ -11,6 +11,7 @@
 from bench.cluster import Cluster, running_cluster
 from bench.fleet_models import Command
 from bench.options import Options
+from bench.processes import Ports
 from bench.remote_fleet import RemoteFleet
 from bench.scenarios.throughput import (
     SHARDS,
@@ -27,6 +28,7 @@
 async def async_start(
     stack: AsyncExitStack,
     options: Options,
+    ports: Ports,
     *,
     enabled: bool,
 ) -> Cluster:
@@ -39,6 +41,8 @@
         instances=2,
         extra=f'[timeline]\nenabled = {str(enabled).lower()}\n',
     )
+    # One source of ports: another would hand out the same ones.
+    cluster.ports = ports
     await stack.enter_async_context(running_cluster(cluster))
     await fleet.async_do(
         Command(call='behave', behaviour={'straggler_share': 0}),
@@ -51,13 +55,14 @@
     """Measure."""
     spell_s = options.seconds(2, 15)
     times: dict[bool, list[float]] = {True: [], False: []}
+    ports = Ports()
     async with AsyncExitStack() as stack:
         clusters = dict(
             zip(
                 (True, False),
                 await asyncio.gather(
-                    async_start(stack, options, enabled=True),
-                    async_start(stack, options, enabled=False),
+                    async_start(stack, options, ports, enabled=True),
+                    async_start(stack, options, ports, enabled=False),
                 ),
                 strict=True,
             ),
--- a/bitternturn/membership/editing.py
+++ b/bitternturn/membership/editing.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from google.protobuf.message import DecodeError
+
 from bitternturn.core.clock import Clock
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import Version
@@ -21,6 +23,7 @@
 from bitternturn.schema.membership_pb2 import View
 
 STEP_EDIT = 'view_edit'
+STEP_READ = 'view_read'
 
 # Returns the new view, or None where nothing has to change.
 Edit = Callable[[View], View | None]
@@ -49,14 +52,15 @@
     async def async_read(self) -> ViewRead:
         """Read the view; an empty one with version 0 if there is none.
 
-        Raises BitternturnError of the object client.
+        Raises BitternturnError of the object client, or BAD_ANSWER for an
+        object that is no view.
         """
         started = self.now()
         stored = await self.objects.async_get(KIND_CONTROL, NAME_VIEW)
         received = self.now()
         view = View()
         if stored is not None:
-            view = View.FromString(stored.value)
+            view = _decode(stored.value)
             view.version = stored.version
         return ViewRead(view=view, started=started, received=received)
 
@@ -97,3 +101,15 @@
             raise
         view.version = version
         return ViewRead(view=view, started=started, received=self.now())
+
+
+def _decode(value: bytes) -> View:
+    """Return the view of an object's value."""
+    try:
+        return View.FromString(value)
+    except DecodeError as error:
+        raise BitternturnError(
+            str(error),
+            code=ErrorCode.BAD_ANSWER,
+            step=STEP_READ,
+        ) from error
