Refuse at once what the wait for a lost owner outlasts

Cause: after a domain vanished the new owners of its targets held sub-requests in their queues until the deadline, though they could not send for a lease, while the other replica was idle. Change (membership, owners): a new owner whose predecessor is no longer a member, so that no hand-over can come, refuses as not run what is due before its wait ends; the entry tries another replica.

--- a/bitternturn/daemon/node.py
+++ b/bitternturn/daemon/node.py
@@ -202,6 +202,7 @@
                 owns=self.membership.owns,
                 may_send=self.membership.may_send,
                 is_out=self.configuration.is_out,
+                starts_at=self.membership.starts_at,
             ),
             pool=pool_settings_of(self.settings.connections),
             queue_capacity=queue_capacity(self.settings.limits),
--- a/bitternturn/membership/history.py
+++ b/bitternturn/membership/history.py
@@ -62,6 +62,16 @@
     return previous.first <= held
 
 
+def may_hand_over(view: View, key: OwnedTargetKey) -> bool:
+    """Whether the owner before the present one is still a member."""
+    spans = walk_owners(view, key)
+    next(spans)
+    previous = next(spans, None)
+    return previous is None or any(
+        member.incarnation == previous.owner for member in view.members
+    )
+
+
 def _active_ranks(view: View, key: OwnedTargetKey) -> dict[int, Rank]:
     """Return the ranks of the active members by incarnation."""
     return {
--- a/bitternturn/membership/service.py
+++ b/bitternturn/membership/service.py
@@ -80,6 +80,10 @@
         """Whether a request may be written to a target at this moment."""
         return self.state.may_send(target, now)
 
+    def starts_at(self, target: TargetId) -> float:
+        """Return before when no request may be written to a target."""
+        return self.state.ownership.starts_at(target)
+
     def owner(self, target: Target) -> Member | None:
         """Return the owner of a target under the latest view known."""
         return self.state.owner(target)
--- a/bitternturn/membership/takeover.py
+++ b/bitternturn/membership/takeover.py
@@ -9,7 +9,11 @@
     TargetId,
     Version,
 )
-from bitternturn.membership.history import moved_directly, owned_since
+from bitternturn.membership.history import (
+    may_hand_over,
+    moved_directly,
+    owned_since,
+)
 from bitternturn.membership.lease import Lease
 from bitternturn.membership.models import (
     MembershipTimes,
@@ -32,6 +36,8 @@
     since: Version
     last: Version
     wait_until: float
+    # Whether the owner before is still a member and may hand over.
+    handed_over: bool = True
     release: Release | None = None
     # The lease under the views since..last, frozen while releasing.
     send_until: float = float('-inf')
@@ -132,6 +138,17 @@
             return now < ownership.send_until
         return now < self.lease.valid_until(ownership.since, ownership.last)
 
+    def starts_at(self, target: TargetId) -> float:
+        """Return before when no request may be written to a target.
+
+        The past where it may start at any moment, by a hand-over for one.
+        """
+        ownership = self.owned.get(target)
+        if ownership is None or ownership.handed_over:
+            return float('-inf')
+        waiting = ownership.state is OwnershipState.WAITING
+        return ownership.wait_until if waiting else float('-inf')
+
     def unconfirmed(self, now: float) -> bool:
         """Whether a target is kept from service just by a missing lease."""
         return any(
@@ -198,6 +215,7 @@
             since=since,
             last=Version(view.version),
             wait_until=now + self.times.lease_wait_s,
+            handed_over=may_hand_over(view, key),
         )
         self.owned[key.target] = ownership
         self._start_announced(ownership)
--- a/bitternturn/owners/models.py
+++ b/bitternturn/owners/models.py
@@ -106,6 +106,11 @@
     return settings.queue_per_target or const.DEFAULT_QUEUE_CAPACITY
 
 
+def at_any_time(target: TargetId) -> float:
+    """Return a time that has passed."""
+    return float('-inf')
+
+
 @dataclass(kw_only=True, slots=True)
 class Ownership:
     """What an owner asks about a target; `may_send` right before a write."""
@@ -113,6 +118,8 @@
     owns: Callable[[TargetId], bool]
     may_send: Callable[[TargetId, float], bool]
     is_out: Callable[[TargetId], bool]
+    # Time before which nothing can be sent; the past when unknown.
+    starts_at: Callable[[TargetId], float] = at_any_time
 
 
 @dataclass(kw_only=True, slots=True)
--- a/bitternturn/owners/target.py
+++ b/bitternturn/owners/target.py
@@ -81,6 +81,8 @@
     def offer(self, work: Work, now: float) -> None:
         """Send a sub-request now, let it wait, or refuse it."""
         code = self._refusal(now)
+        if code is None and self._starts_too_late(work):
+            code = ErrorCode.NOT_OWNER
         if code is not None:
             self._settle(work, not_run(work.item.id, code))
             return
@@ -196,6 +198,10 @@
             return ErrorCode.TARGET_UNAVAILABLE
         return None
 
+    def _starts_too_late(self, work: Work) -> bool:
+        """Whether the wait after a lost owner outlasts a sub-request."""
+        return self.context.ownership.starts_at(self.id) > work.deadline
+
     def _may_write(self, now: float) -> bool:
         """Whether this instance may use the target's connections now."""
         return not self.released and self.flights.may_write(now)
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -88,6 +88,36 @@
 
         run(scenario())
 
+    def test_waits_are_told_unless_a_hand_over_may_end_them(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await asyncio.sleep(3)
+            loop = asyncio.get_running_loop()
+            nodes = list(net.nodes.values())
+
+            def told():
+                return [
+                    target.id
+                    for node in net.nodes.values()
+                    for target in net.targets
+                    if node.service.starts_at(target.id) > loop.time()
+                ]
+
+            await nodes[0].service.async_leave()
+            assert not told()
+            lost = set(started(nodes[1]))
+            assert lost
+            await nodes[1].async_crash()
+            while not told():
+                await asyncio.sleep(0.05)
+            assert set(told()) <= lost
+            await net.async_until_served(3)
+            assert not told()
+
+        run(scenario())
+
 
 class TestOutage:
     def test_owners_go_on_without_the_store(self):
--- a/tests/owners/helpers.py
+++ b/tests/owners/helpers.py
@@ -97,6 +97,7 @@
         self.owns = True
         self.lease = True
         self.out = False
+        self.starts_at = float('-inf')
         self.events = []
         self.tasks = TaskSet()
         self.skew = 0.0
@@ -106,6 +107,7 @@
                 owns=lambda target_id: self.owns,
                 may_send=lambda target_id, now: self.owns and self.lease,
                 is_out=lambda target_id: self.out,
+                starts_at=lambda target_id: self.starts_at,
             ),
             event=lambda kind, **fields: self.events.append((kind, fields)),
             tasks=self.tasks,
--- a/tests/owners/test_service.py
+++ b/tests/owners/test_service.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bitternturn.core.clock import monotonic
 from bitternturn.core.errors import ErrorCode
 from bitternturn.policy.coldstart import ColdState
 from bitternturn.schema.peers_pb2 import (
@@ -158,6 +159,16 @@
             owner.adopt_warm()
             assert (await future).outcome == OUTCOME_ANSWERED
 
+    async def test_refuses_at_once_what_the_wait_outlasts(self):
+        async with Owner() as owner:
+            owner.lease = False
+            owner.starts_at = monotonic() + 30
+            refused = owner.submit(remaining_ms=20000)
+            assert refused.done()
+            assert refused.result().outcome == OUTCOME_NOT_RUN
+            assert refused.result().code == ErrorCode.NOT_OWNER.value
+            assert not owner.submit(remaining_ms=60000).done()
+
     async def test_lapsed_lease_sends_nothing(self):
         async with Owner() as owner:
             await owner.submit()
