--- a/bitternturn/standins/object_faults.py
+++ b/bitternturn/standins/object_faults.py
@@ -20,6 +20,8 @@
     """What is wrong with the store at present."""
 
     outage: Outage = Outage.NONE
+    # The instance list answers also in an outage.
+    list_stays: bool = False
     # Added to each call, half of it before the effect.
     latency_s: float = 0
     # Writes to come that take effect while their connection closes.
--- a/bitternturn/standins/objects.py
+++ b/bitternturn/standins/objects.py
@@ -90,6 +90,8 @@
     async def async_handle(self, request: Request) -> Response:
         """Answer one call."""
         self.calls += 1
+        if self.faults.list_stays and request.path == PATH_INSTANCES:
+            return json_response(self.instances.read(self.now()))
         if self.faults.outage is Outage.SILENT:
             await async_hang()
         await asyncio.sleep(self.faults.latency_s / 2)
