--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -64,6 +64,8 @@
         self.instances: dict[str, InstanceProcess] = {}
         # A check and its pause fit into an instance's grace.
         self.caller = Caller(addresses=[], check_interval_s=0.2)
+        # Whether each target is behind a proxy.
+        self.proxied = False
         # Port of the object API as an instance sees it; a proxy's if any.
         self.objects_port_of: Callable[[str], int] = self._direct_port
         # Changes a spec before its process starts.
@@ -73,7 +75,7 @@
         """Start everything and wait until each instance is ready."""
         self._prepare_documents()
         await self.objects.async_start(host=HOST)
-        await self.fleet.async_start(host=HOST)
+        await self.fleet.async_start(host=HOST, proxied=self.proxied)
         await self.async_configure()
         await asyncio.gather(
             *(self.async_add(f'i{number}') for number in range(self.count)),
