Refuse at once while the leases of an outage may go on

Cause, by the code: a new owner that waits until no lease of the outage can be extended any more told only the end of the plain lease wait, and held sub-requests to their deadlines after that. Change (membership/takeover): it tells no end until the gate is open. Test: fails without the change (trial on a scratch copy), passes with it.

--- a/bitternturn/membership/takeover.py
+++ b/bitternturn/membership/takeover.py
@@ -66,6 +66,8 @@
         self.owned: dict[TargetId, Ownership] = {}
         self.announced: dict[TargetId, Announcement] = {}
         self.started: list[TargetId] = []
+        # Least version under which leases may be extended, at the last tick.
+        self.unsettled: Version | None = None
 
     def on_view(
         self, view: View, targets: Iterable[Target], now: float
@@ -114,10 +116,11 @@
 
         `unsettled` is the least version under which leases may be extended.
         """
+        self.unsettled = unsettled
         for target_id, ownership in self.owned.items():
             if ownership.state is not OwnershipState.WAITING:
                 continue
-            if unsettled is not None and unsettled < ownership.since:
+            if self._is_gated(ownership):
                 continue
             if now >= ownership.wait_until:
                 ownership.state = OwnershipState.OWNED
@@ -141,13 +144,17 @@
     def starts_at(self, target: TargetId) -> float:
         """Return before when no request may be written to a target.
 
-        The past where it may start at any moment, by a hand-over for one.
+        The past where it may start at any moment, by a hand-over for one;
+        infinity while the end of an outage's leases is not known.
         """
         ownership = self.owned.get(target)
         if ownership is None or ownership.handed_over:
             return float('-inf')
-        waiting = ownership.state is OwnershipState.WAITING
-        return ownership.wait_until if waiting else float('-inf')
+        if ownership.state is not OwnershipState.WAITING:
+            return float('-inf')
+        if self._is_gated(ownership):
+            return float('inf')
+        return ownership.wait_until
 
     def unconfirmed(self, now: float) -> bool:
         """Whether a target is kept from service just by a missing lease."""
@@ -181,6 +188,10 @@
             return release.clean
         return False
 
+    def _is_gated(self, ownership: Ownership) -> bool:
+        """Whether leases under an earlier view may still be extended."""
+        return self.unsettled is not None and self.unsettled < ownership.since
+
     def _place(self, key: OwnedTargetKey, view: View, now: float) -> None:
         """Bring one target in line with the view."""
         owner = self.table.owner(key.target, key.failure_domain)
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from bitternturn.membership.models import MembershipEvent
+from bitternturn.membership.models import MembershipEvent, OwnershipState
 from tests.membership.fakes import Network, run
 
 
@@ -120,6 +120,38 @@
 
 
 class TestOutage:
+    def test_wait_after_an_outage_is_told_until_it_ends(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await asyncio.sleep(3)
+            net.store.down = True
+            await asyncio.sleep(20)
+            await net.nodes[1].async_crash()
+            await asyncio.sleep(3)
+            net.store.down = False
+            loop = asyncio.get_running_loop()
+            waited = set()
+            while net.unserved():
+                waiting = {
+                    (node.name, target.id)
+                    for node in net.nodes.values()
+                    for target in net.targets
+                    if node.service.ownership_state(target.id)
+                    is OwnershipState.WAITING
+                }
+                for name, target in waiting:
+                    (node,) = [
+                        it for it in net.nodes.values() if it.name == name
+                    ]
+                    assert node.service.starts_at(target) > loop.time() - 0.06
+                waited |= waiting
+                await asyncio.sleep(0.05)
+            assert waited
+
+        run(scenario())
+
     def test_owners_go_on_without_the_store(self):
         async def scenario():
             net = Network()
