--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -52,12 +52,14 @@
         instances: int = 8,
         limits: ObjectLimits = DEFAULT_LIMITS,
         extra: str = '',
+        proxied: bool = False,
     ) -> None:
-        """Prepare; nothing runs yet."""
+        """Prepare; `proxied` puts a proxy before each target."""
         self.deployment = deployment
         self.fleet = fleet
         self.count = instances
         self.extra = extra
+        self.proxied = proxied
         self.ports = Ports()
         self.objects = ObjectApi(limits=limits)
         self.folder = Path(tempfile.mkdtemp(prefix='bitternturn-'))
--- a/bitternturn/callers/knowledge.py
+++ b/bitternturn/callers/knowledge.py
@@ -5,6 +5,7 @@
 
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import FailureDomain, Snapshot, TargetId
+from bitternturn.policy.goodput import GoodputLimit
 from bitternturn.policy.health import OutlierTrack
 from bitternturn.policy.hedging import HedgeBudget, LatencyTrack
 from bitternturn.policy.replicas import LatencyAverage, ReplicaView
@@ -54,6 +55,7 @@
     targets: dict[TargetId, TargetKnowledge]
     outliers: OutlierTrack
     latency: LatencyTrack = field(default_factory=LatencyTrack)
+    goodput: GoodputLimit = field(default_factory=GoodputLimit)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -107,11 +109,27 @@
         target: TargetId,
         snapshot: Snapshot,
     ) -> bool:
-        """Return whether a target may answer from a snapshot."""
+        """Return whether a target may answer from a snapshot.
+
+        One newer than all that it last told of may have come since.
+        """
         of_target = known.targets.get(target)
         if of_target is None or self.is_out(target):
             return False
-        return not of_target.held or snapshot in of_target.held
+        held = of_target.held
+        return not held or snapshot in held or snapshot > max(held)
+
+    def holds(
+        self,
+        known: IndexKnowledge,
+        target: TargetId,
+        snapshot: Snapshot,
+    ) -> bool:
+        """Return whether a usable target told of a snapshot, or of none."""
+        if not self.usable(known, target, snapshot):
+            return False
+        held = known.targets[target].held
+        return not held or snapshot in held
 
     def views(
         self,
@@ -209,4 +227,5 @@
         targets=targets,
         outliers=known.outliers,
         latency=known.latency,
+        goodput=known.goodput,
     )
--- a/bitternturn/membership/digests.py
+++ b/bitternturn/membership/digests.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Self
 
 from bitternturn.core.ids import Incarnation, Version
 from bitternturn.membership.models import MembershipTimes
@@ -35,6 +36,8 @@
         self.me = me
         self.times = times
         self.entries: dict[Incarnation, DigestEntry] = {}
+        # When this instance first saw that a member's process had ended.
+        self.gone_at: dict[Incarnation, float] = {}
         # Last vouch of this instance, and under which version.
         self.own_vouch_at = float('-inf')
         self.own_clear_at = float('-inf')
@@ -89,11 +92,29 @@
         )
         return [self._digest(key, now) for key in (self.me, *chosen)]
 
+    def inherit(self, earlier: Self) -> None:
+        """Take over what an earlier incarnation of this process knew."""
+        self.entries.update(earlier.entries)
+        self.entries.pop(earlier.me, None)
+        self.gone_at.update(earlier.gone_at)
+
     def keep(self, incarnations: set[int]) -> None:
         """Forget members that no listed view knows."""
         for key in list(self.entries):
             if key not in incarnations and key != self.me:
                 self.entries.pop(key)
+        for key in self.gone_at.keys() - incarnations:
+            self.gone_at.pop(key)
+
+    def vouches_gone(
+        self, member: Incarnation, *, gone: bool, now: float
+    ) -> bool:
+        """Whether a member has been gone until its vouches expired."""
+        if not gone:
+            self.gone_at.pop(member, None)
+            return False
+        gone_at = self.gone_at.setdefault(member, now)
+        return now >= gone_at + self.times.vouch_wait_s
 
     def _merge_one(
         self,
--- a/bitternturn/membership/service.py
+++ b/bitternturn/membership/service.py
@@ -64,7 +64,7 @@
         self.tasks = runtime.tasks
         self.event = runtime.event
         self.hooks = hooks
-        self.store = ViewStore(objects=objects, now=self.now)
+        self.store = ViewStore(objects=objects, now=self.now, rng=self.rng)
         self.changed = asyncio.Event()
         self.joined = False
         self.leaving = False
@@ -112,17 +112,17 @@
         self.tasks.spawn(self._async_probe_loop(), name='membership probe')
 
     async def async_leave(self) -> None:
-        """Hand every target over and leave the view.
+        """Hand every target over and leave the view, when the store lets it.
 
-        Raises BitternturnError when the object API can't be reached.
+        The caller bounds the time; a member that ends before is found dead.
         """
         self.leaving = True
-        await self._async_edit(partial(views.leave, incarnation=self._key()))
+        await self._async_insist(partial(views.leave, incarnation=self._key()))
         while self.state.ownership.owned:
             self.changed.clear()
             await self.changed.wait()
         await self.handover.async_finish()
-        await self._async_edit(lambda view: views.remove(view, [self._key()]))
+        await self._async_insist(lambda view: views.remove(view, [self._key()]))
         self.event(MembershipEvent.LEFT)
 
     def on_view(self, view: View) -> None:
@@ -175,6 +175,18 @@
             on_change=self.changed.set,
         )
 
+    def _renew(self) -> None:
+        """Go on with the view known under a new incarnation."""
+        view = self.view
+        digests = self.state.digests
+        me = Member()
+        me.CopyFrom(self.me)
+        me.incarnation = self.rng.getrandbits(const.INCARNATION_BITS)
+        self._reset(me)
+        self.state.digests.inherit(digests)
+        if view is not None:
+            self.on_view(view)
+
     def _key(self) -> Incarnation:
         """Return the present incarnation."""
         return Incarnation(self.me.incarnation)
@@ -203,34 +215,47 @@
         """Edit the view and take in the result."""
         self._on_read(await self.store.async_edit(edit, self.state))
 
+    async def _async_insist(self, edit: Edit) -> None:
+        """Edit the view, however often it takes."""
+        delay = const.JOIN_RETRY_S
+        while True:
+            try:
+                await self._async_edit(edit)
+            except BitternturnError as error:
+                LOGGER.warning('can not edit the view: {}', error)
+            else:
+                return
+            await asyncio.sleep(delay * self.rng.random())
+            delay = min(delay * 2, const.JOIN_RETRY_LIMIT_S)
+
     async def _async_try_join(self) -> bool:
         """Join once; else learn the view from a peer."""
         try:
             await self._async_edit(partial(views.join, member=self.me))
         except BitternturnError as error:
             LOGGER.warning('can not join: {}', error)
-            await self._async_fetch_from_seeds()
+            for seed in self.hooks.seeds():
+                if self.view is None:
+                    await self._async_fetch(seed.host, seed.port)
             return False
         self.joined = True
         self.event(MembershipEvent.JOINED)
         return True
 
     async def _async_join(self) -> None:
-        """Try to join until it works."""
+        """Try to join until it works.
+
+        Each try has an incarnation of its own: an earlier one may have joined
+        after all and have been removed since.
+        """
         delay = const.JOIN_RETRY_S
-        while True:
+        while not self.leaving:
             await asyncio.sleep(delay * (1 + self.rng.random()))
+            self._renew()
             if await self._async_try_join():
                 return
             delay = min(delay * 2, const.JOIN_RETRY_LIMIT_S)
 
-    async def _async_fetch_from_seeds(self) -> None:
-        """Fetch the view from the first seed that has one."""
-        for seed in self.hooks.seeds():
-            await self._async_fetch(seed.host, seed.port)
-            if self.view is not None:
-                return
-
     async def _async_fetch(self, host: str, port: int) -> None:
         """Fetch a later view from a peer."""
         request = FetchRequest(
@@ -280,7 +305,7 @@
             self.background.once('confirm', self._async_confirm)
         if self._replaced():
             self.background.once('rejoin', self._async_rejoin)
-        if self._dead(now):
+        if self._dead(now, cut_off=self.prober.detector.cut_off()):
             self.background.once('remove', self._async_remove)
 
     def _replaced(self) -> bool:
@@ -292,12 +317,12 @@
             and self.state.listed is None
         )
 
-    def _dead(self, now: float) -> list[Incarnation]:
+    def _dead(self, now: float, *, cut_off: bool) -> list[Incarnation]:
         """Return the members that this instance should remove."""
         overdue = self.prober.detector.overdue(now)
         if not self.joined or self._replaced():
             return []
-        if not self.prober.detector.cut_off():
+        if not cut_off:
             return overdue
         is_gone = self.state.gone(now)
         return [member for member in overdue if is_gone(member)]
@@ -306,7 +331,8 @@
         """Remove the dead members, unless another instance comes first."""
         spread = self.times.probe_interval_s / 2
         await asyncio.sleep(self.rng.random() * spread)
-        dead = set(self._dead(self.now()))
+        cut_off = not await self.prober.async_reaches_half()
+        dead = set(self._dead(self.now(), cut_off=cut_off))
 
         def edit(view: View) -> View | None:
             """Remove those that are still in the view."""
@@ -327,13 +353,8 @@
         self.event(MembershipEvent.REPLACED)
         await self.handover.async_finish()
         self.joined = False
-        view = self.view
-        me = Member()
-        me.CopyFrom(self.me)
-        me.incarnation = self.rng.getrandbits(const.INCARNATION_BITS)
-        self._reset(me)
-        if view is not None:
-            self.on_view(view)
+        self._renew()
+        await self.prober.async_await_peers()
         await self._async_join()
 
     async def _async_probe_loop(self) -> None:
@@ -353,6 +374,7 @@
         due = detector.due_suspects(now)
         if chosen is not None:
             due.append(chosen)
+        due.extend(self.prober.domain_probes())
         view = self.view or View()
         for key in due:
             member = views.member_of(view, key)
--- a/bitternturn/policy/retries.py
+++ b/bitternturn/policy/retries.py
@@ -35,14 +35,13 @@
         ErrorCode.IN_DOUBT,
     )
 )
-
-# Refusals of owners and links that sent nothing. A target that drains refuses
-# itself only until its owner knows.
-UNSENT = frozenset(
+# Refusals after which another try adds no load: no target ran anything.
+UNCHARGED = frozenset(
     (
-        ErrorCode.DRAINING,
         ErrorCode.NOT_OWNER,
         ErrorCode.PEER_UNREACHABLE,
+        ErrorCode.DRAINING,
+        ErrorCode.SNAPSHOT_GONE,
         ErrorCode.TARGET_OUT,
         ErrorCode.TARGET_UNAVAILABLE,
     )
@@ -66,10 +65,10 @@
     untried: int = 1,
     expected_s: float = DEFAULT_RETRY_FLOOR_S,
 ) -> bool:
-    """Decide on one more try; a token is spent when it is allowed.
+    """Decide on one more try; a token is spent when it may add load.
 
-    The budget bounds what targets bear beyond the first tries: a try that was
-    never sent to its target costs none.
+    The budget bounds what targets bear beyond the first tries: a try that
+    adds no load costs none.
 
     `attempts` were made so far, `untried` replicas of the shard were not
     asked yet. With none left only failures that may pass are retried: an
@@ -85,8 +84,8 @@
     codes = ELSEWHERE if untried > 0 else PASSING
     if code not in codes:
         return False
-    unsent = outcome == peers_pb2.OUTCOME_NOT_RUN and code in UNSENT
-    return unsent or budget.try_spend()
+    uncharged = outcome == peers_pb2.OUTCOME_NOT_RUN and code in UNCHARGED
+    return uncharged or budget.try_spend()
 
 
 def retry_delay_s(*, attempts: int, rng: random.Random) -> float:
