--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from bitternturn.membership.models import MembershipEvent
+from bitternturn.membership.models import MembershipEvent, OwnershipState
 from tests.membership.fakes import Network, run
 
 
@@ -98,6 +98,36 @@
 
         run(scenario())
 
+    def test_waits_are_told_unless_a_hand_over_may_end_them(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await asyncio.sleep(3)
+            loop = asyncio.get_running_loop()
+            nodes = list(net.nodes.values())
+
+            def told():
+                return [
+                    target.id
+                    for node in net.nodes.values()
+                    for target in net.targets
+                    if node.service.starts_at(target.id) > loop.time()
+                ]
+
+            await nodes[0].service.async_leave()
+            assert not told()
+            lost = set(started(nodes[1]))
+            assert lost
+            await nodes[1].async_crash()
+            while not told():
+                await asyncio.sleep(0.05)
+            assert set(told()) <= lost
+            await net.async_until_served(3)
+            assert not told()
+
+        run(scenario())
+
 
 class TestReplacement:
     def test_new_process_at_an_old_address(self):
@@ -147,6 +177,38 @@
 
 
 class TestOutage:
+    def test_wait_after_an_outage_is_told_until_it_ends(self):
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await asyncio.sleep(3)
+            net.store.down = True
+            await asyncio.sleep(20)
+            await net.nodes[1].async_crash()
+            await asyncio.sleep(3)
+            net.store.down = False
+            loop = asyncio.get_running_loop()
+            waited = set()
+            while net.unserved():
+                waiting = {
+                    (node.name, target.id)
+                    for node in net.nodes.values()
+                    for target in net.targets
+                    if node.service.ownership_state(target.id)
+                    is OwnershipState.WAITING
+                }
+                for name, target in waiting:
+                    (node,) = [
+                        it for it in net.nodes.values() if it.name == name
+                    ]
+                    assert node.service.starts_at(target) > loop.time() - 0.06
+                waited |= waiting
+                await asyncio.sleep(0.05)
+            assert waited
+
+        run(scenario())
+
     def test_owners_go_on_without_the_store(self):
         async def scenario():
             net = Network()
