--- a/bitternturn/peers/server.py
+++ b/bitternturn/peers/server.py
@@ -186,6 +186,8 @@
         """Answer a probe under the name of this instance."""
         reply = await self.handlers.probe(request)
         reply.hello.CopyFrom(self.handlers.hello())
+        # Peers without an exchange stream learn of changes by probes alone.
+        reply.versions.CopyFrom(self.handlers.versions())
         return reply
 
     async def _async_answer(
