--- a/bitternturn/policy/retries.py
+++ b/bitternturn/policy/retries.py
@@ -67,6 +67,9 @@
 ) -> bool:
     """Decide on one more try; a token is spent when it may add load.
 
+    The budget bounds what targets bear beyond the first tries: a try that
+    adds no load costs none.
+
     `attempts` were made so far, `untried` replicas of the shard were not
     asked yet. With none left only failures that may pass are retried: an
     overload, for one, then holds for the whole service. A try that takes
@@ -79,9 +82,10 @@
     if attempts >= DEFAULT_ATTEMPTS or remaining_s <= expected_s:
         return False
     codes = ELSEWHERE if untried > 0 else PASSING
-    if outcome == peers_pb2.OUTCOME_NOT_RUN and code in UNCHARGED:
-        return code in codes
-    return code in codes and budget.try_spend()
+    if code not in codes:
+        return False
+    uncharged = outcome == peers_pb2.OUTCOME_NOT_RUN and code in UNCHARGED
+    return uncharged or budget.try_spend()
 
 
 def retry_delay_s(*, attempts: int, rng: random.Random) -> float:
--- a/bitternturn/standins/caller.py
+++ b/bitternturn/standins/caller.py
@@ -28,6 +28,8 @@
 
 DEFAULT_CHECK_INTERVAL_S: Final = 0.5
 DEFAULT_TIMEOUT_S: Final = 10.0
+# A busy entry is not an absent one.
+DEFAULT_CHECK_TIMEOUT_S: Final = 2.0
 PATH_READY: Final = '/ready'
 
 
@@ -46,7 +48,7 @@
         self.addresses = list(addresses)
         self.now = now
         self.check_interval_s = check_interval_s
-        self.check_timeout_s = check_interval_s
+        self.check_timeout_s = DEFAULT_CHECK_TIMEOUT_S
         self.timeout_s = timeout_s
         self.ready: list[EntryAddress] = []
         self.idle: dict[EntryAddress, list[ClientConnection]] = {}
