--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -19,6 +19,7 @@
     ResultFrame,
     SubQuery,
     SubResult,
+    Versions,
 )
 from tests.peers.helpers import (
     FAST,
@@ -291,6 +292,13 @@
 
 
 class TestCalls:
+    async def test_probe_tells_every_version_in_force(self, peer):
+        peer.handlers.versions = lambda: Versions(view=8, profiles=5)
+        link = make_link(peer.server.port)
+        reply = await link.async_probe(ProbeRequest(hello=make_hello('a')))
+        assert reply.versions == Versions(view=8, profiles=5)
+        await link.async_close()
+
     async def test_answer_and_error(self, peer):
         link = make_link(peer.server.port)
         hello = make_hello('a')
