Rank owners as tuples; measure tables at the planned size

Cause: when a failure domain is lost every instance finds the owners of its targets anew on its one loop; at 440 instances and 2,400 targets each rank was a frozen dataclass, compared in Python. Change: Rank is a NamedTuple with the same order; python -m bench.planned_size measures it without processes.

--- /dev/null
+++ b/bench/planned_size.py
@@ -0,0 +1,114 @@
+"""Sizes of messages and tables at the planned size, without processes.
+
+Run as `python -m bench.planned_size`; prints one JSON object.
+"""
+
+import collections
+import dataclasses
+import json
+import random
+import time
+
+from bitternturn.core.ids import FailureDomain, Snapshot, TargetId
+from bitternturn.membership.const import UNSETTLED_VIEWS
+from bitternturn.membership.ownership import OwnershipTable
+from bitternturn.schema.config_pb2 import Indexes
+from bitternturn.schema.membership_pb2 import (
+    MEMBER_STATE_ACTIVE,
+    Member,
+    View,
+)
+from bitternturn.standins.deployments import build_indexes, load_deployment
+
+NODES = 440
+TARGETS = 2400
+DOMAINS = tuple(f'domain-{number}' for number in range(7))
+REGIONS = 3
+INDEX = 'pay-lookup'
+HOST = '10.100.100.17'
+PORT = 7000
+SEED = 1
+
+
+def make_member(number: int, rng: random.Random) -> Member:
+    """Return a member with addresses of usual length."""
+    return Member(
+        instance_id=f'{rng.getrandbits(48):012x}',
+        incarnation=rng.getrandbits(62),
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        region=f'region-{number % len(DOMAINS) % REGIONS}',
+        peer_host=HOST,
+        peer_port=PORT,
+        operator_host=HOST,
+        operator_port=PORT,
+        state=MEMBER_STATE_ACTIVE,
+    )
+
+
+def make_indexes() -> Indexes:
+    """Return one index with all targets, two replicas for each shard."""
+    deployment = load_deployment('atlas')
+    spec = dataclasses.replace(
+        deployment.index(INDEX), shards=TARGETS // 2, replicas=2
+    )
+    wide = dataclasses.replace(
+        deployment, indexes=(spec,), failure_domains=DOMAINS
+    )
+    snapshots = (Snapshot(1), Snapshot(2))
+    indexes = build_indexes(wide, snapshots=snapshots, host=HOST)
+    for target in indexes.indexes[0].targets:
+        target.port = PORT
+    return indexes
+
+
+def count_owned(table: OwnershipTable, indexes: Indexes) -> list[int]:
+    """Return how many targets each owner has, the most first."""
+    owners: collections.Counter[int] = collections.Counter()
+    for target in indexes.indexes[0].targets:
+        owner = table.owner(
+            TargetId(target.id), FailureDomain(target.failure_domain)
+        )
+        if owner is not None:
+            owners[owner.incarnation] += 1
+    return sorted(owners.values(), reverse=True)
+
+
+def main() -> None:
+    """Measure and print."""
+    rng = random.Random(SEED)
+    members = [make_member(number, rng) for number in range(NODES)]
+    view = View(version=1, members=members)
+    alone = len(view.SerializeToString())
+    for number in range(UNSETTLED_VIEWS):
+        view.unsettled.add(
+            version=number + 1,
+            incarnations=[member.incarnation for member in members],
+        )
+    indexes = make_indexes()
+    table = OwnershipTable(view=view)
+    started = time.process_time()
+    owned = count_owned(table, indexes)
+    first_s = time.process_time() - started
+    left = [it for it in members if it.failure_domain != DOMAINS[0]]
+    table.advance(View(version=2, members=left))
+    started = time.process_time()
+    owned_after = count_owned(table, indexes)
+    lost_s = time.process_time() - started
+    print(
+        json.dumps(
+            {
+                'view_bytes': alone,
+                'view_bytes_unsettled': len(view.SerializeToString()),
+                'indexes_bytes': len(indexes.SerializeToString()),
+                'most_owned': owned[0],
+                'most_owned_without_domain': owned_after[0],
+                'owners_first_s': round(first_s, 3),
+                'owners_without_domain_s': round(lost_s, 3),
+            },
+            sort_keys=True,
+        ),
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/bitternturn/membership/ownership.py
+++ b/bitternturn/membership/ownership.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import xxhash
 
@@ -13,9 +14,11 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True, order=True)
-class Rank:
-    """Place of a member in the order of a target; the least one owns it."""
+class Rank(NamedTuple):
+    """Place of a member in the order of a target; the least one owns it.
+
+    A tuple: the loss of a failure domain makes some hundred thousand at once.
+    """
 
     foreign: bool
     score: int
