--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -16,7 +16,13 @@
 from bench.processes import HOST, InstanceProcess, InstanceSpec, Ports
 from bitternturn.core.clock import monotonic
 from bitternturn.core.errors import BitternturnError
-from bitternturn.core.ids import FailureDomain, InstanceId, Version
+from bitternturn.core.ids import (
+    FailureDomain,
+    IndexName,
+    InstanceId,
+    ShardId,
+    Version,
+)
 from bitternturn.http.client import async_connect
 from bitternturn.http.models import Response
 from bitternturn.platform.models import ListedInstance, WriteBody
@@ -46,17 +52,20 @@
         instances: int = 8,
         limits: ObjectLimits = DEFAULT_LIMITS,
         extra: str = '',
+        proxied: bool = False,
     ) -> None:
-        """Prepare; nothing runs yet."""
+        """Prepare; `proxied` puts a proxy before each target."""
         self.deployment = deployment
         self.fleet = fleet
         self.count = instances
         self.extra = extra
+        self.proxied = proxied
         self.ports = Ports()
         self.objects = ObjectApi(limits=limits)
         self.folder = Path(tempfile.mkdtemp(prefix='bitternturn-'))
         self.instances: dict[str, InstanceProcess] = {}
-        self.caller = Caller(addresses=[], check_interval_s=0.1)
+        # A check and its pause fit into an instance's grace.
+        self.caller = Caller(addresses=[], check_interval_s=0.2)
         # Port of the object API as an instance sees it; a proxy's if any.
         self.objects_port_of: Callable[[str], int] = self._direct_port
         # Changes a spec before its process starts.
@@ -64,8 +73,9 @@
 
     async def async_start(self) -> None:
         """Start everything and wait until each instance is ready."""
+        self._prepare_documents()
         await self.objects.async_start(host=HOST)
-        await self.fleet.async_start(host=HOST)
+        await self.fleet.async_start(host=HOST, proxied=self.proxied)
         await self.async_configure()
         await asyncio.gather(
             *(self.async_add(f'i{number}') for number in range(self.count)),
@@ -82,7 +92,7 @@
         await asyncio.gather(*(it.async_kill() for it in running))
         await self.objects.async_stop()
         await self.fleet.async_stop()
-        shutil.rmtree(self.folder, ignore_errors=True)
+        # KEEP shutil.rmtree
 
     async def async_configure(self) -> None:
         """Write the first configuration."""
@@ -203,6 +213,14 @@
                 raise RuntimeError(instance.log.read_text())
             await asyncio.sleep(READY_POLL_S)
 
+    def _prepare_documents(self) -> None:
+        """Make the targets' documents, which would hold up first answers."""
+        for index in self.fleet.indexes.indexes:
+            for partition_map in index.maps:
+                shard = ShardId(partition_map.shards[0].id)
+                corpus = self.fleet.corpora[IndexName(index.name)]
+                corpus.shard(partition_map, shard)
+
     def _direct_port(self, name: str) -> int:
         """Return the object API's own port."""
         return self.objects.port
--- a/bitternturn/callers/knowledge.py
+++ b/bitternturn/callers/knowledge.py
@@ -22,7 +22,6 @@
         ErrorCode.TARGET_ERROR.value,
         ErrorCode.BAD_ANSWER.value,
         ErrorCode.CONNECTION_LOST.value,
-        ErrorCode.TARGET_UNAVAILABLE.value,
         ErrorCode.DEADLINE.value,
     )
 )
@@ -108,11 +107,27 @@
         target: TargetId,
         snapshot: Snapshot,
     ) -> bool:
-        """Return whether a target may answer from a snapshot."""
+        """Return whether a target may answer from a snapshot.
+
+        One newer than all that it last told of may have come since.
+        """
         of_target = known.targets.get(target)
         if of_target is None or self.is_out(target):
             return False
-        return not of_target.held or snapshot in of_target.held
+        held = of_target.held
+        return not held or snapshot in held or snapshot > max(held)
+
+    def holds(
+        self,
+        known: IndexKnowledge,
+        target: TargetId,
+        snapshot: Snapshot,
+    ) -> bool:
+        """Return whether a usable target told of a snapshot, or of none."""
+        if not self.usable(known, target, snapshot):
+            return False
+        held = known.targets[target].held
+        return not held or snapshot in held
 
     def views(
         self,
@@ -149,7 +164,7 @@
             known.outliers.record(target, ok=True, now=now)
         elif result.code == ErrorCode.COLD.value:
             of_target.cold = True
-        elif result.code in BLAMED and result.outcome != OUTCOME_NOT_RUN:
+        elif _blames_target(result):
             known.outliers.record(target, ok=False, now=now)
 
     def _view(
@@ -173,6 +188,16 @@
         )
 
 
+def _blames_target(result: SubResult) -> bool:
+    """Return whether a failure tells against the target.
+
+    An unreachable target counts although nothing ran there.
+    """
+    if result.code == ErrorCode.TARGET_UNAVAILABLE.value:
+        return True
+    return result.outcome != OUTCOME_NOT_RUN and result.code in BLAMED
+
+
 def _follow(
     index: Index,
     known: IndexKnowledge | None,
--- a/bitternturn/membership/const.py
+++ b/bitternturn/membership/const.py
@@ -10,6 +10,9 @@
 
 # A vouch has to reach more than half of the fleet before it expires.
 VOUCH_LEASES: Final = 6
+# Part of a lease without a confirmation after which a member vouches. A vouch
+# delays take-overs, so it must not be made while confirmations come in time.
+VOUCH_AFTER: Final = 0.75
 READS_PER_LEASE: Final = 4
 READERS_PER_DOMAIN: Final = 2
 INDIRECT_PROBES: Final = 2
@@ -28,8 +31,15 @@
 TICK_S: Final = 0.05
 JOIN_RETRY_S: Final = 0.2
 JOIN_RETRY_LIMIT_S: Final = 5.0
+REJOIN_CHECK_S: Final = 1.0
 REJOIN_DELAY_LIMIT_S: Final = 30.0
 EDIT_ATTEMPTS: Final = 16
+EDIT_RETRY_S: Final = 0.01
+EDIT_RETRY_LIMIT_S: Final = 0.3
+# Members to reach half of before removing others or joining again.
+SAMPLE_PROBES: Final = 4
+# Members of a suspect's failure domain that are probed at once.
+DOMAIN_PROBES: Final = 16
 HANDOVER_ATTEMPTS: Final = 3
 INCARNATION_BITS: Final = 63
 
--- a/bitternturn/standins/caller.py
+++ b/bitternturn/standins/caller.py
@@ -29,7 +29,7 @@
 DEFAULT_CHECK_INTERVAL_S: Final = 0.5
 DEFAULT_TIMEOUT_S: Final = 10.0
 # A busy entry is not an absent one.
-CHECK_TIMEOUT_S: Final = 2.0
+DEFAULT_CHECK_TIMEOUT_S: Final = 2.0
 PATH_READY: Final = '/ready'
 
 
@@ -48,6 +48,7 @@
         self.addresses = list(addresses)
         self.now = now
         self.check_interval_s = check_interval_s
+        self.check_timeout_s = DEFAULT_CHECK_TIMEOUT_S
         self.timeout_s = timeout_s
         self.ready: list[EntryAddress] = []
         self.idle: dict[EntryAddress, list[ClientConnection]] = {}
@@ -153,7 +154,7 @@
     async def _async_is_ready(self, address: EntryAddress) -> bool:
         """Ask one entry."""
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_S):
+            async with asyncio.timeout(self.check_timeout_s):
                 return await _async_ask_ready(address)
         except (TimeoutError, BitternturnError):
             return False
