Cut what members do when nothing changes

Each tick looked again whether each of up to 16 earlier views was settled, over all members; each probe carried up to 64 digests that everyone knew; all members of a domain asked its first reader. When 2,400 targets were configured at once every instance stood still for a moment, suspected all others, and probed all suspects directly and through two others in each interval. Change: a view that was found settled stays so, since no lease under it can be extended any more; digests that were sent 20 times make up at most 3 of a message; members ask the readers in any order; 8 suspects at most are probed again in one interval. With tests of the digests, the settled views and the suspects.

--- a/bitternturn/membership/const.py
+++ b/bitternturn/membership/const.py
@@ -16,6 +16,8 @@
 READS_PER_LEASE: Final = 4
 READERS_PER_DOMAIN: Final = 2
 INDIRECT_PROBES: Final = 2
+# Suspects that are probed again in one interval.
+SUSPECTS_PER_ROUND: Final = 8
 # Share of silent members above which an instance takes itself to be cut off.
 CUT_OFF_SHARE: Final = 0.67
 # Least and most time between probes, in intervals.
@@ -24,6 +26,11 @@
 HURRIED_PROBES: Final = 4
 
 DIGESTS_PER_MESSAGE: Final = 64
+# Messages that carry a changed digest on; twice the rounds in which news
+# reaches a fleet of some hundreds.
+DIGEST_SENDS: Final = 20
+# Digests of others in a message when nothing has changed.
+KNOWN_DIGESTS: Final = 3
 LEASE_VERSIONS: Final = 16
 UNSETTLED_VIEWS: Final = 16
 HISTORY_CHANGES: Final = 256
--- a/bitternturn/membership/detector.py
+++ b/bitternturn/membership/detector.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 
 from bitternturn.core.ids import Incarnation
-from bitternturn.membership.const import CUT_OFF_SHARE
+from bitternturn.membership.const import (
+    CUT_OFF_SHARE,
+    SUSPECTS_PER_ROUND,
+)
 from bitternturn.membership.models import MembershipTimes
 
 
@@ -49,12 +52,15 @@
         return None
 
     def due_suspects(self, now: float) -> list[Incarnation]:
-        """Return the suspects to probe again now."""
+        """Return the suspects to probe again now, a few at a time."""
         due = [
             key
             for key, suspicion in self.suspicions.items()
             if now - suspicion.probed_at >= self.times.probe_interval_s
         ]
+        # Probes of everybody by everybody would keep a slow fleet slow.
+        due.sort(key=lambda key: self.suspicions[key].probed_at)
+        due = due[:SUSPECTS_PER_ROUND]
         for key in due:
             self.suspicions[key].probed_at = now
         return due
--- a/bitternturn/membership/digests.py
+++ b/bitternturn/membership/digests.py
@@ -7,6 +7,7 @@
 from typing import Self
 
 from bitternturn.core.ids import Incarnation, Version
+from bitternturn.membership.const import DIGEST_SENDS, KNOWN_DIGESTS
 from bitternturn.membership.models import MembershipTimes
 from bitternturn.schema.peers_pb2 import MemberDigest
 
@@ -80,16 +81,26 @@
                 self._merge_one(digest, received_at, asked_at)
 
     def outgoing(self, *, now: float, limit: int) -> list[MemberDigest]:
-        """Return this member's digest and those sent least often."""
+        """Return this member's digest and those sent least often.
+
+        Digests that were sent often enough make up few of them.
+        """
         own = self.entries.get(self.me)
         if own is None:
             return []
         own.clear = own.clear or now >= self.own_clear_at
-        chosen = heapq.nsmallest(
+        others = heapq.nsmallest(
             limit - 1,
             (key for key in self.entries if key != self.me),
             key=lambda key: self.entries[key].sent,
         )
+        # What everyone has heard costs bytes only; some go on being sent, in
+        # case a member missed them.
+        chosen = [
+            key
+            for place, key in enumerate(others)
+            if place < KNOWN_DIGESTS or self.entries[key].sent < DIGEST_SENDS
+        ]
         return [self._digest(key, now) for key in (self.me, *chosen)]
 
     def inherit(self, earlier: Self) -> None:
--- a/bitternturn/membership/probing.py
+++ b/bitternturn/membership/probing.py
@@ -108,8 +108,11 @@
             await asyncio.sleep(REJOIN_CHECK_S)
 
     async def async_confirm(self, readers: list[Member]) -> bool:
-        """Ask the readers for a fresh confirmation; whether one had it."""
-        for reader in readers:
+        """Ask the readers for a fresh confirmation; whether one had it.
+
+        In any order, so that they share the members of a large domain.
+        """
+        for reader in self.rng.sample(readers, len(readers)):
             asked_at = self.now()
             reply = await self.async_probe(reader)
             if reply is None or not reply.HasField('confirmation'):
--- a/bitternturn/membership/state.py
+++ b/bitternturn/membership/state.py
@@ -49,6 +49,8 @@
         self.lease = Lease(lease_s=times.lease_s)
         self.digests = DigestTable(me=me, times=times)
         self.ownership = TargetOwnership(me=me, lease=self.lease, times=times)
+        # Earlier views whose leases are over; they stay so.
+        self.settled_views: set[int] = set()
         # The last attempt at a confirmation failed.
         self.failing = False
 
@@ -154,17 +156,27 @@
 
     def settled(self, view: View, now: float) -> IsSettled:
         """Return the test whether an earlier view's leases are all over."""
-        is_gone = gone_members(view, is_gone=self.is_gone, now=now)
+        self.settled_views.intersection_update(
+            earlier.version for earlier in view.unsettled
+        )
+        is_gone: IsGoneMember | None = None
 
         def test(earlier: EarlierView) -> bool:
             """Whether an earlier view is settled."""
-            return is_settled(
+            nonlocal is_gone
+            if earlier.version in self.settled_views:
+                return True
+            is_gone = is_gone or self.gone(now)
+            settled = is_settled(
                 earlier,
                 table=self.digests,
                 times=self.times,
                 is_gone=is_gone,
                 now=now,
             )
+            if settled:
+                self.settled_views.add(earlier.version)
+            return settled
 
         return test
 
