Tell all versions with probes

Change: a probe and its answer carry the versions of all configurations. Test: both sides observe them.

--- a/bitternturn/peers/calls.py
+++ b/bitternturn/peers/calls.py
@@ -48,6 +48,7 @@
         host: str,
         port: int,
         hello: Callable[[], peers_pb2.Hello],
+        versions: Callable[[], peers_pb2.Versions],
         observe: Observe,
     ) -> None:
         """Prepare; the first call connects. `hello` tells who calls."""
@@ -55,6 +56,7 @@
         self.port = port
         self.peer = f'{host}:{port}'
         self.hello = hello
+        self.versions = versions
         self.observe = observe
         self.peer_hello = peers_pb2.Hello()
         self._connection: Connection | None = None
@@ -73,7 +75,8 @@
         *,
         timeout_s: float = DEFAULT_CALL_TIMEOUT_S,
     ) -> peers_pb2.ProbeReply:
-        """Ask whether the peer lives."""
+        """Ask whether the peer lives, and tell which versions are held."""
+        request.versions.CopyFrom(self.versions())
         reply: peers_pb2.ProbeReply = await self._async_call(
             'Probe', request, timeout_s
         )
--- a/bitternturn/peers/link.py
+++ b/bitternturn/peers/link.py
@@ -61,6 +61,7 @@
             host=host,
             port=port,
             hello=handlers.hello,
+            versions=handlers.versions,
             observe=handlers.observe,
         )
         self.handlers = handlers
--- a/bitternturn/peers/server.py
+++ b/bitternturn/peers/server.py
@@ -193,6 +193,8 @@
         """Answer a probe under the name of this instance."""
         reply = await self.handlers.probe(request)
         reply.hello.CopyFrom(self.handlers.hello())
+        # Probes pass where no query does, so that they tell all versions.
+        reply.versions.CopyFrom(self.handlers.versions())
         return reply
 
     async def _async_answer(
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -19,6 +19,7 @@
     ResultFrame,
     SubQuery,
     SubResult,
+    Versions,
 )
 from tests.peers.helpers import (
     FAST,
@@ -308,6 +309,21 @@
         assert caught.value.code is ErrorCode.CLAIM_UNAVAILABLE
         await link.async_close()
 
+    async def test_probe_tells_all_versions_of_both_sides(self, peer):
+        heard = []
+        link = make_link(
+            peer.server.port,
+            observe=lambda hello, versions: heard.append(versions),
+        )
+        link.versions = lambda: Versions(profiles=5, switches=6)
+        peer.handlers.versions = lambda: Versions(view=7, indexes=8)
+        seen = []
+        peer.handlers.observe = lambda hello, versions: seen.append(versions)
+        await link.async_probe(ProbeRequest(hello=make_hello('a')))
+        assert seen == [Versions(profiles=5, switches=6)]
+        assert heard == [Versions(view=7, indexes=8)]
+        await link.async_close()
+
     async def test_timeout_makes_the_next_call_connect_anew(self, peer):
         relay = Relay(peer.server.port)
         await relay.async_start()
