Ask nobody about a silent member while cut off

Cause: an instance that stood still suspects nearly everyone when it wakes, and asked two others about each, who were silent as well. Change: the indirect probe is left out while the detector takes the instance to be cut off; such an instance removes nobody by that alone.

--- a/bitternturn/membership/probing.py
+++ b/bitternturn/membership/probing.py
@@ -78,6 +78,9 @@
             self.detector.on_alive(incarnation)
             return True
         self.detector.on_silent(incarnation, asked_at)
+        if self.detector.cut_off():
+            # Others are no help while nearly nobody is heard.
+            return False
         if not await self._async_check_through_others(member):
             return False
         self.detector.on_alive(incarnation)
--- a/bitternturn/standins/proxy.py
+++ b/bitternturn/standins/proxy.py
@@ -38,6 +38,9 @@
         self.faults = no_faults()
         self.connections: list[ProxyConnection] = []
         self.accepted = 0
+        # Bytes and reads of both directions.
+        self.bytes = 0
+        self.reads = 0
         self.host = ''
         self.port = 0
         self.tasks = TaskSet()
@@ -186,6 +189,8 @@
         if limit is not None:
             data = data[: max(0, limit - self.passed)]
         self.passed += len(data)
+        self.connection.proxy.bytes += len(data)
+        self.connection.proxy.reads += 1
         self.line.push(data, faults.delay_s)
         if limit is not None and self.passed >= limit:
             self.line.push(None, faults.delay_s)
