--- a/bench/planned_size.py
+++ b/bench/planned_size.py
@@ -10,7 +10,11 @@
 import time
 
 from bitternturn.core.ids import FailureDomain, Snapshot, TargetId
-from bitternturn.membership.const import UNSETTLED_VIEWS
+from bitternturn.membership.const import (
+    DIGESTS_PER_MESSAGE,
+    KNOWN_DIGESTS,
+    UNSETTLED_VIEWS,
+)
 from bitternturn.membership.ownership import OwnershipTable
 from bitternturn.schema.config_pb2 import Indexes
 from bitternturn.schema.membership_pb2 import (
@@ -18,6 +22,14 @@
     Member,
     View,
 )
+from bitternturn.schema.peers_pb2 import (
+    Confirmation,
+    Hello,
+    MemberDigest,
+    ProbeReply,
+    ProbeRequest,
+    Versions,
+)
 from bitternturn.standins.deployments import build_indexes, load_deployment
 
 NODES = 440
@@ -28,6 +40,8 @@
 HOST = '10.100.100.17'
 PORT = 7000
 SEED = 1
+CLUSTER = 'bitternturn'
+VERSION = 123_456
 
 
 def make_member(number: int, rng: random.Random) -> Member:
@@ -73,6 +87,31 @@
     return sorted(owners.values(), reverse=True)
 
 
+def exchange_bytes(member: Member, digests: int, rng: random.Random) -> int:
+    """Return the bytes of a probe and its answer with so many digests."""
+    hello = Hello(
+        cluster=CLUSTER,
+        instance_id=member.instance_id,
+        incarnation=member.incarnation,
+        member=member,
+    )
+    versions = Versions(view=VERSION, profiles=VERSION, indexes=VERSION)
+    told = [
+        MemberDigest(
+            incarnation=rng.getrandbits(62), view_version=VERSION, clear=True
+        )
+        for _ in range(digests)
+    ]
+    request = ProbeRequest(hello=hello, versions=versions, digests=told)
+    reply = ProbeReply(
+        hello=hello,
+        versions=versions,
+        digests=told,
+        confirmation=Confirmation(view_version=VERSION, age_ms=200),
+    )
+    return len(request.SerializeToString()) + len(reply.SerializeToString())
+
+
 def main() -> None:
     """Measure and print."""
     rng = random.Random(SEED)
@@ -100,6 +139,12 @@
                 'view_bytes': alone,
                 'view_bytes_unsettled': len(view.SerializeToString()),
                 'indexes_bytes': len(indexes.SerializeToString()),
+                'quiet_probe_bytes': exchange_bytes(
+                    members[0], 1 + KNOWN_DIGESTS, rng
+                ),
+                'news_probe_bytes': exchange_bytes(
+                    members[0], DIGESTS_PER_MESSAGE, rng
+                ),
                 'most_owned': owned[0],
                 'most_owned_without_domain': owned_after[0],
                 'owners_first_s': round(first_s, 3),
