--- a/bench/scenarios/control.py
+++ b/bench/scenarios/control.py
@@ -67,6 +67,7 @@
         """Prepare."""
         self.process: asyncio.subprocess.Process | None = None
         self.port = 0
+        self.indexes: dict[int, Indexes] = {}
 
     async def async_start(self) -> None:
         """Start the process and learn its port."""
@@ -109,7 +110,12 @@
     ) -> None:
         """Start the one listener."""
         await self.idle.async_start()
-        self.indexes = self.idle.build(self.deployment, TARGETS[0])
+        # Made before any instance runs: the largest takes seconds, in which
+        # this loop and the proxies on it would stand still.
+        for count in TARGETS:
+            indexes = self.idle.build(self.deployment, count)
+            self.idle.indexes[count] = indexes
+        self.indexes = self.idle.indexes[TARGETS[0]]
 
     async def async_stop(self) -> None:
         """Stop the one listener."""
@@ -160,8 +166,7 @@
     async def async_set_targets(self, count: int) -> None:
         """Configure so many targets."""
         self.targets = count
-        indexes = self.idle.build(self.cluster.deployment, count)
-        await self.cluster.async_accept('indexes', indexes)
+        await self.cluster.async_accept('indexes', self.idle.indexes[count])
 
     async def async_read(self) -> Reading:
         """Read the cost over a window in which nothing happens."""
