--- a/bitternturn/membership/probing.py
+++ b/bitternturn/membership/probing.py
@@ -78,6 +78,9 @@
             self.detector.on_alive(incarnation)
             return True
         self.detector.on_silent(incarnation, asked_at)
+        if self.detector.cut_off():
+            # Others are no help while nearly nobody is heard.
+            return False
         if not await self._async_check_through_others(member):
             return False
         self.detector.on_alive(incarnation)
@@ -108,8 +111,11 @@
             await asyncio.sleep(REJOIN_CHECK_S)
 
     async def async_confirm(self, readers: list[Member]) -> bool:
-        """Ask the readers for a fresh confirmation; whether one had it."""
-        for reader in readers:
+        """Ask the readers for a fresh confirmation; whether one had it.
+
+        In any order, so that they share the members of a large domain.
+        """
+        for reader in self.rng.sample(readers, len(readers)):
             asked_at = self.now()
             reply = await self.async_probe(reader)
             if reply is None or not reply.HasField('confirmation'):
--- a/bitternturn/membership/takeover.py
+++ b/bitternturn/membership/takeover.py
@@ -10,6 +10,7 @@
     Version,
 )
 from bitternturn.membership.history import (
+    may_hand_over,
     next_owner,
     owned_since,
     owned_throughout,
@@ -38,6 +39,8 @@
     since: Version
     last: Version
     wait_until: float
+    # Whether the owner before is still a member and may hand over.
+    handed_over: bool = True
     release: Release | None = None
     # The lease under the views since..last, frozen while releasing.
     send_until: float = float('-inf')
@@ -67,6 +70,8 @@
         self.announced: dict[TargetId, Announcement] = {}
         self.started: list[Start] = []
         self.keys: dict[TargetId, OwnedTargetKey] = {}
+        # Least version under which leases may be extended, at the last tick.
+        self.unsettled: Version | None = None
 
     def on_view(
         self, view: View, targets: Iterable[Target], now: float
@@ -112,8 +117,9 @@
 
         `unsettled` is the least version under which leases may be extended.
         """
+        self.unsettled = unsettled
         for ownership in self.due(now):
-            if unsettled is None or unsettled >= ownership.since:
+            if not self._is_gated(ownership):
                 self._own(ownership, handed_over=False)
 
     def due(self, now: float) -> list[Ownership]:
@@ -142,6 +148,21 @@
             return True
         return now < self.lease.valid_until(ownership.since, ownership.last)
 
+    def starts_at(self, target: TargetId) -> float:
+        """Return before when no request may be written to a target.
+
+        The past where it may start at any moment, by a hand-over for one;
+        infinity while the end of an outage's leases is not known.
+        """
+        ownership = self.owned.get(target)
+        if ownership is None or ownership.handed_over:
+            return float('-inf')
+        if ownership.state is not OwnershipState.WAITING:
+            return float('-inf')
+        if self._is_gated(ownership):
+            return float('inf')
+        return ownership.wait_until
+
     def unconfirmed(self, now: float) -> bool:
         """Whether a target is kept from service just by a missing lease."""
         return any(
@@ -174,6 +195,10 @@
             return release.to is not None
         return False
 
+    def _is_gated(self, ownership: Ownership) -> bool:
+        """Whether leases under an earlier view may still be extended."""
+        return self.unsettled is not None and self.unsettled < ownership.since
+
     def _index(self, targets: Iterable[Target]) -> None:
         """Follow the configured targets."""
         self.keys = {
@@ -220,6 +245,7 @@
             since=since,
             last=Version(view.version),
             wait_until=now + self.times.lease_wait_s,
+            handed_over=may_hand_over(view, key),
         )
         self.owned[key.target] = ownership
         self._start_announced(ownership)
