--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -66,8 +66,6 @@
         self.instances: dict[str, InstanceProcess] = {}
         # A check and its pause fit into an instance's grace.
         self.caller = Caller(addresses=[], check_interval_s=0.2)
-        # Whether each target is behind a proxy.
-        self.proxied = False
         # Port of the object API as an instance sees it; a proxy's if any.
         self.objects_port_of: Callable[[str], int] = self._direct_port
         # Changes a spec before its process starts.
