--- a/bitternturn/configuration/check_indexes.py
+++ b/bitternturn/configuration/check_indexes.py
@@ -128,3 +128,27 @@
         if name not in known:
             message = f'"{name}" is no target of the index'
             yield Problem(path=f'{path}.targets[{number}]', message=message)
+
+
+def find_moved_targets(
+    standing: Indexes,
+    offered: Indexes,
+) -> Iterator[Problem]:
+    """Yield targets whose failure domain differs from the standing one.
+
+    Owners are ranked by the domain: while instances hold different ones, a
+    target would have two owners.
+    """
+    domains = {
+        target.id: target.failure_domain
+        for index in standing.indexes
+        for target in index.targets
+    }
+    for number, index in enumerate(offered.indexes):
+        for place, target in enumerate(index.targets):
+            was = domains.get(target.id, target.failure_domain)
+            if was != target.failure_domain:
+                yield Problem(
+                    path=f'indexes[{number}].targets[{place}].failure_domain',
+                    message=f'is {was}; a moved target needs a new id',
+                )
--- a/bitternturn/configuration/store.py
+++ b/bitternturn/configuration/store.py
@@ -7,6 +7,7 @@
 
 from bitternturn.configuration import const
 from bitternturn.configuration.check import check_content
+from bitternturn.configuration.check_indexes import find_moved_targets
 from bitternturn.configuration.history import ConfigurationHistory
 from bitternturn.configuration.models import (
     CONTENT_TYPES,
@@ -73,6 +74,9 @@
         standing = await self._async_standing(kind)
         if standing.version != if_version:
             raise ConfigurationConflict(kind=kind, mine=mine, theirs=standing)
+        moved = list(find_moved_targets(standing.indexes, mine.indexes))
+        if moved:
+            raise InvalidConfiguration(kind=kind, problems=moved)
         version = await self._async_put(kind, mine)
         accepted = wrap_content(content, version)
         self.state.offer(accepted)
