Hedge also when a common cause lasts some hedge delays

Cause: when connections between instances went silent, more than a tenth of the shards was open and no hedge went out until the link was given up after 0.75 s. Change: after three hedge delays all open shards may be hedged, within the budget.

--- a/bitternturn/callers/fanout.py
+++ b/bitternturn/callers/fanout.py
@@ -72,6 +72,7 @@
         self.open = len(self.shards)
         self.failed_share: float = 0
         self.hedges = 0
+        self.sent_at: float = 0
         self.retries = 0
         self.sub_requests = 0
         self.snapshot_gone = False
@@ -88,6 +89,7 @@
     async def async_run(self) -> Decision:
         """Run until the query is to be answered or refused."""
         now = self.services.now()
+        self.sent_at = now
         self._send_all(now)
         self._arm_hedge(now)
         try:
@@ -427,6 +429,8 @@
         stragglers = are_stragglers(
             still_open=self.open,
             fan_out=len(self.shards),
+            waited_s=now - self.sent_at,
+            delay_s=delay_s,
         )
         for shard in self.shards if stragglers else ():
             if shard.state is not ShardState.OPEN or len(shard.live) != 1:
--- a/bitternturn/policy/const.py
+++ b/bitternturn/policy/const.py
@@ -19,6 +19,8 @@
 DEFAULT_HEDGE_QUANTILE: Final = 0.95
 # Share of a fan-out that may be open for its shards to count as stragglers.
 STRAGGLER_SHARE: Final = 0.1
+# Multiple of the hedge delay after which a common cause lasts too long.
+COMMON_CAUSE_DELAYS: Final = 3.0
 DEFAULT_HEDGE_FLOOR_S: Final = 0.002
 # Share of the remaining time that passes before a hedge without samples.
 LATE_HEDGE_SHARE: Final = 0.5
--- a/bitternturn/policy/hedging.py
+++ b/bitternturn/policy/hedging.py
@@ -112,12 +112,21 @@
     return not (view.cold or view.full or view.out or view.ejected)
 
 
-def are_stragglers(*, still_open: int, fan_out: int) -> bool:
-    """Return whether the open shards of a query are slow by themselves.
+def are_stragglers(
+    *,
+    still_open: int,
+    fan_out: int,
+    waited_s: float,
+    delay_s: float,
+) -> bool:
+    """Return whether the open shards of a query are worth a hedge.
 
     While many are open the cause is a common one, such as a busy entry, and
-    hedges would use up the budget for answers that are on their way.
+    hedges would use up the budget for answers that are on their way; but one
+    that lasts some hedge delays may be a lost connection to a peer.
     """
+    if waited_s >= delay_s * const.COMMON_CAUSE_DELAYS:
+        return True
     return still_open <= max(1, math.ceil(fan_out * const.STRAGGLER_SHARE))
 
 
