--- a/bitternturn/callers/fanout.py
+++ b/bitternturn/callers/fanout.py
@@ -4,9 +4,8 @@
 from collections.abc import Iterable
 from functools import partial
 
-import msgspec
-
 from bitternturn.callers import const
+from bitternturn.callers.hedges import Hedging
 from bitternturn.callers.knowledge import EntryKnowledge
 from bitternturn.callers.models import (
     EntryServices,
@@ -14,19 +13,18 @@
     QueryRequest,
 )
 from bitternturn.callers.progress import Attempt, ShardProgress, ShardState
+from bitternturn.callers.results import (
+    ERROR_CODES,
+    decode_hits,
+    result_of,
+)
 from bitternturn.callers.timers import Timers
-from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import ShardId, TargetId
 from bitternturn.policy.const import DEFAULT_ATTEMPTS
 from bitternturn.policy.coverage import CoverageCount
 from bitternturn.policy.early_answer import Decision, decide
-from bitternturn.policy.hedging import (
-    are_stragglers,
-    hedge_delay_s,
-    may_hedge_to,
-)
-from bitternturn.policy.merge import ShardHits, merge_hits, well_formed
+from bitternturn.policy.merge import ShardHits, merge_hits
 from bitternturn.policy.replicas import order_replicas
 from bitternturn.policy.retries import may_retry, retry_delay_s
 from bitternturn.policy.snapshot import SnapshotChoice
@@ -40,11 +38,6 @@
 )
 from bitternturn.timeline.models import EventKind
 
-# Share of the hedge delay after which open shards are looked at again.
-HEDGE_AGAIN_SHARE = 0.5
-
-ERROR_CODES = {code.value: code for code in ErrorCode}
-
 
 class FanOut:
     """Sends the sub-requests of one query and takes in their results."""
@@ -79,7 +72,7 @@
         self.arrived: list[Attempt] = []
         self._loop = asyncio.get_running_loop()
         self._wake: asyncio.Future[None] | None = None
-        self._timers = Timers()
+        self.timers = Timers()
 
     @property
     def ran(self) -> bool:
@@ -91,7 +84,7 @@
         now = self.services.now()
         self.sent_at = now
         self._send_all(now)
-        self._arm_hedge(now)
+        Hedging(fan_out=self).arm(now)
         try:
             return await self._follow()
         finally:
@@ -130,7 +123,7 @@
         while True:
             now = self.services.now()
             self._take_arrived(now)
-            self._timers.fire(now)
+            self.timers.fire(now)
             remaining_s = self.request.deadline - const.ANSWER_MARGIN_S - now
             decision = decide(
                 profile=self.request.profile,
@@ -162,8 +155,8 @@
         if self.arrived:
             return
         until = now + remaining_s
-        if self._timers.next is not None:
-            until = min(until, self._timers.next)
+        if self.timers.next is not None:
+            until = min(until, self.timers.next)
         self._wake = self._loop.create_future()
         handle = self._loop.call_later(max(0, until - now), self._rouse)
         try:
@@ -183,10 +176,10 @@
         for shard in self.shards:
             self.budgets.hedges.note_request()
             self.budgets.retries.note_request()
-            attempt = self._attempt(shard, self._order(shard, now), now)
+            attempt = self.attempt(shard, self._order(shard, now), now)
             if attempt is not None:
                 attempts.append(attempt)
-        self._submit(attempts, now)
+        self.submit(attempts, now)
 
     def _order(self, shard: ShardProgress, now: float) -> list[TargetId]:
         """Return the untried replicas of a shard, best first."""
@@ -199,7 +192,7 @@
         views = self.knowledge.views(self.known, usable, now)
         return order_replicas(targets=views, rng=self.services.rng)
 
-    def _attempt(
+    def attempt(
         self,
         shard: ShardProgress,
         targets: Iterable[TargetId],
@@ -228,7 +221,7 @@
             self._fail(shard, shard.code or ErrorCode.NOT_OWNER.value)
         return None
 
-    def _submit(self, attempts: list[Attempt], now: float) -> None:
+    def submit(self, attempts: list[Attempt], now: float) -> None:
         """Send sub-requests, one group for each link."""
         by_link: dict[QueryLink, list[Attempt]] = {}
         for attempt in attempts:
@@ -291,8 +284,8 @@
         for attempt in arrived:
             attempt.settled = True
             attempt.shard.live.remove(attempt)
-            self._take(attempt, _result_of(attempt), now, again)
-        self._submit(again, now)
+            self._take(attempt, result_of(attempt), now, again)
+        self.submit(again, now)
 
     def _take(
         self,
@@ -305,7 +298,7 @@
         shard = attempt.shard
         hits = None
         if result.outcome == OUTCOME_ANSWERED:
-            hits = _decode_hits(result.body)
+            hits = decode_hits(result.body)
             if hits is None:
                 result.outcome = OUTCOME_IN_DOUBT
                 result.code = ErrorCode.BAD_ANSWER.value
@@ -390,17 +383,17 @@
                 attempts=shard.attempts,
                 rng=self.services.rng,
             )
-            self._timers.at(now + delay_s, partial(self._send_again, shard))
+            self.timers.at(now + delay_s, partial(self._send_again, shard))
             return
-        attempt = self._attempt(shard, order, now)
+        attempt = self.attempt(shard, order, now)
         if attempt is not None:
             again.append(attempt)
 
     def _send_again(self, shard: ShardProgress, now: float) -> None:
         """Send a delayed retry."""
-        attempt = self._attempt(shard, self._order(shard, now), now)
+        attempt = self.attempt(shard, self._order(shard, now), now)
         if attempt is not None:
-            self._submit([attempt], now)
+            self.submit([attempt], now)
 
     def _fail(self, shard: ShardProgress, code: str) -> None:
         """Give a shard up."""
@@ -411,83 +404,9 @@
         self.open -= 1
         self.failed_share += self.coverage.share_of([shard.shard])
 
-    def _arm_hedge(self, now: float) -> None:
-        """Set the time at which slow shards are asked a second time."""
-        if not self.request.profile.repeatable:
-            return
-        delay_s = hedge_delay_s(
-            track=self.known.latency,
-            now=now,
-            remaining_s=self.request.deadline - const.ANSWER_MARGIN_S - now,
-        )
-        if delay_s is not None:
-            self._timers.at(now + delay_s, partial(self._hedge, delay_s))
-
-    def _hedge(self, delay_s: float, now: float) -> None:
-        """Ask a second replica of each shard that lags behind the others."""
-        attempts: list[Attempt] = []
-        stragglers = are_stragglers(
-            still_open=self.open,
-            fan_out=len(self.shards),
-            waited_s=now - self.sent_at,
-            delay_s=delay_s,
-        )
-        for shard in self.shards if stragglers else ():
-            if shard.state is not ShardState.OPEN or len(shard.live) != 1:
-                continue
-            targets = self._hedge_targets(shard, now)
-            if not targets or not self.budgets.hedges.try_spend():
-                continue
-            attempt = self._attempt(shard, targets, now, hedge=True)
-            if attempt is not None:
-                attempts.append(attempt)
-        self.hedges += len(attempts)
-        self._submit(attempts, now)
-        again = now + delay_s * HEDGE_AGAIN_SHARE
-        self._timers.at(again, partial(self._hedge, delay_s))
-
-    def _hedge_targets(
-        self,
-        shard: ShardProgress,
-        now: float,
-    ) -> list[TargetId]:
-        """Return the untried replicas that are fit for a hedge."""
-        usable = [
-            target
-            for target in shard.targets
-            if target not in shard.tried
-            and self.knowledge.usable(self.known, target, self.choice.snapshot)
-        ]
-        return [
-            view.target
-            for view in self.knowledge.views(self.known, usable, now)
-            if may_hedge_to(view)
-        ]
-
     def _cancel_live(self, shards: Iterable[ShardProgress]) -> None:
         """Cancel what is still in flight."""
         for shard in shards:
             for attempt in shard.live:
                 if not attempt.settled and attempt.future is not None:
                     attempt.link.cancel(attempt.item.id)
-
-
-def _result_of(attempt: Attempt) -> SubResult:
-    """Return the result of a sub-request that has ended."""
-    assert attempt.future is not None
-    if attempt.future.cancelled() or attempt.future.exception() is not None:
-        return SubResult(
-            outcome=OUTCOME_IN_DOUBT,
-            code=ErrorCode.CANCELLED.value,
-        )
-    return attempt.future.result()
-
-
-def _decode_hits(body: bytes) -> list[dict[str, object]] | None:
-    """Return the hits of a target's answer; None when it has none."""
-    try:
-        answer = msgspec.json.decode(body)
-    except DECODE_ERRORS:
-        return None
-    hits = answer.get('hits') if isinstance(answer, dict) else None
-    return hits if well_formed(hits) else None
--- a/bitternturn/callers/query.py
+++ b/bitternturn/callers/query.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from bitternturn.callers import const
-from bitternturn.callers.fanout import ERROR_CODES, FanOut
+from bitternturn.callers.fanout import FanOut
 from bitternturn.callers.knowledge import EntryKnowledge, IndexKnowledge
 from bitternturn.callers.models import (
     EntryServices,
@@ -13,6 +13,7 @@
     QueryRequest,
 )
 from bitternturn.callers.progress import ShardState
+from bitternturn.callers.results import ERROR_CODES
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import Snapshot, TargetId
 from bitternturn.policy.coverage import covers
