--- a/bitternturn/callers/const.py
+++ b/bitternturn/callers/const.py
@@ -28,3 +28,6 @@
 HEDGE_QUANTILE: Final = 0.95
 
 US_PER_SECOND: Final = 1_000_000
+
+# Why an instance that shuts down takes no new callers.
+REASON_DRAINING: Final = 'draining'
--- a/bitternturn/callers/handler.py
+++ b/bitternturn/callers/handler.py
@@ -97,7 +97,8 @@
 ) -> Response:
     """Check, admit and run one query."""
     entry = services.entry
-    if services.unready() and services.unready() != 'draining':
+    # A draining instance still answers what its balancer has sent.
+    if services.unready() not in {'', const.REASON_DRAINING}:
         return _refuse(ErrorCode.NOT_READY, STEP_ADMIT, request)
     try:
         query = parse_query(
--- a/bitternturn/daemon/node.py
+++ b/bitternturn/daemon/node.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from bitternturn.callers.const import REASON_DRAINING
 from bitternturn.callers.handler import CallersServices, create_handler
 from bitternturn.callers.knowledge import EntryKnowledge
 from bitternturn.callers.models import EntryServices
@@ -65,7 +66,6 @@
 
 LOGGER = logbook.Logger('daemon')
 
-REASON_DRAINING = 'draining'
 REASON_NO_VIEW = 'no view of the members from store or peers'
 
 
