Leave a target alone once another one answers at its address

Each request went on being sent to the entries that had stayed and was refused with 421.

Change: a 421 displaces the target until its entry changes; a service with no other target is refused at once.

--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -240,6 +240,8 @@
     FAILED = 'failed'
     # The target says that it has not run the request and won't.
     NOT_RUN = 'not_run'
+    # Another target listens at the address and has not run the request.
+    MISDIRECTED = 'misdirected'
     # Nothing of the request has left this instance.
     NOT_SENT = 'not_sent'
     # The request was sent and no valid answer came.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -4,7 +4,6 @@
 import time
 import zlib
 from collections.abc import Callable, Sequence
-from functools import partial
 
 from bitternturn.core.ids import ServiceName, TargetId
 from bitternturn.core.tasks import TaskSet
@@ -12,7 +11,12 @@
 from bitternturn.gateway.decisions import Decisions
 from bitternturn.gateway.knowledge import Knowledge
 from bitternturn.gateway.metrics import GatewayMetrics
-from bitternturn.gateway.models import InstanceSettings, Service, TargetEntry
+from bitternturn.gateway.models import (
+    InstanceSettings,
+    Outcome,
+    Service,
+    TargetEntry,
+)
 from bitternturn.gateway.reporting import note_send
 from bitternturn.gateway.target import Send, Target, start_directly
 from bitternturn.gateway.wire import Wire
@@ -94,7 +98,10 @@
         self.ready = {}
         self.standby = {}
         for service, ready in self.knowledge.ready_by_service().items():
-            self._share_out(service, ready)
+            reachable = [
+                entry for entry in ready if not self.targets[entry.id].displaced
+            ]
+            self._share_out(service, reachable)
 
     def _refresh_target(self, entry: TargetEntry) -> None:
         """Make or update one target."""
@@ -105,16 +112,29 @@
                 wire=self.wire,
                 tasks=self.tasks,
                 now=self.now,
-                note=partial(note_send, self),
+                note=self._note_end,
                 near=False,
             )
             self.targets[entry.id] = target
             target.cold_until = self.now() + entry.cold_left_s
         elif entry.cold_left_s > target.entry.cold_left_s:
             target.cold_until = self.now() + entry.cold_left_s
+        if entry != target.entry:
+            target.displaced = False
         target.entry = entry
         target.near = entry.failure_domain == self.near_domain
 
+    def _note_end(
+        self,
+        target: Target,
+        outcome: Outcome,
+        latency_s: float,
+    ) -> None:
+        """Count the end of a send; leave a target alone that has ended."""
+        note_send(self, target, outcome, latency_s)
+        if outcome is Outcome.MISDIRECTED:
+            self.refresh_targets()
+
     def _choose_near(self) -> None:
         """Prefer the own failure domain, or one by turns if it has no targets.
 
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -48,6 +48,13 @@
     pool.metrics.count('sends', outcome=outcome.value)
     if outcome is Outcome.ANSWERED:
         pool.metrics.record('send_latency', latency_s, target=name)
+    elif outcome is Outcome.MISDIRECTED:
+        pool.decisions.note(
+            'target_displaced',
+            target=name,
+            service=target.entry.service,
+            address=f'{target.entry.host}:{target.entry.port}',
+        )
     elif target.record.failures == EJECT_AFTER:
         pool.decisions.note(
             'target_ejected',
--- a/bitternturn/gateway/run.py
+++ b/bitternturn/gateway/run.py
@@ -23,7 +23,9 @@
 # Unusual sends of one request that are told in its log line.
 MAX_REMEMBERED = 12
 # Ends after which the target has not run the request.
-HARMLESS = frozenset((Outcome.NOT_SENT, Outcome.NOT_RUN))
+HARMLESS = frozenset(
+    (Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.MISDIRECTED),
+)
 
 
 class Surroundings(Protocol):
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -132,6 +132,9 @@
         # Those of them that go through peers.
         self.delegated: set[Send] = set()
         self.closed = False
+        # Whether another target listens at the address: this one has ended,
+        # though its entry is still there.
+        self.displaced = False
 
     def describe(self, usual_s: float, now: float) -> Candidate:
         """Return the target as a candidate for a send."""
@@ -308,6 +311,8 @@
             send.linger.cancel()
         if send.connection is None and send in self.waiting:
             self.waiting.remove(send)
+        if outcome is Outcome.MISDIRECTED:
+            self.displaced = True
         self._note(send, outcome, took_s)
         if send.on_end is not None:
             send.on_end(send, outcome, answer)
@@ -337,6 +342,8 @@
 
 def _classify(answer: TargetAnswer) -> Outcome:
     """Return what an answer says of its request."""
+    if answer.misdirected:
+        return Outcome.MISDIRECTED
     if answer.not_run:
         return Outcome.NOT_RUN
     good = http.STATUS_OK <= answer.status < http.STATUS_MULTIPLE
