Give a restarted process a quarter of its slack of further sends at first

Cause: a process that takes the place of one that was killed starts with an empty window, so that both spend the instance's whole share within one window of the rule.

Ruled out: a ramp over the window (a burst before the kill and one at its end still exceed the slack); no slack at all (the safe share leaves a fifth).

Change: the settings tell whether the system starts for the first time; any other start uses 0.25 of the slack for one window. Replayed in tests/policy/test_second_sends.py with three kills of all instances, failing before.

--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -164,6 +164,9 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
+    # Whether the whole system starts for the first time, so that no process
+    # has been here before this one.
+    first_start: bool = False
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -66,6 +66,8 @@
         # Failure domain whose targets are preferred.
         self.near_domain = settings.failure_domain
         self.budgets: dict[ServiceName, SecondSends] = {}
+        # When this process took the place of one that has ended, if it did.
+        self.restarted_at = None if settings.first_start else self.now()
 
     def now(self) -> float:
         """Return seconds on a clock that also counts suspended time."""
@@ -261,6 +263,7 @@
                 ratio=bounds.retry_ratio,
                 slack=self._slack(),
                 window_s=bounds.retry_window_s,
+                restarted_at=self.restarted_at,
             )
             self.budgets[service] = budget
         return budget
--- a/bitternturn/platform/boot.py
+++ b/bitternturn/platform/boot.py
@@ -1,8 +1,6 @@
 """The settings file that the platform writes for each process."""
 
-from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
@@ -65,6 +63,8 @@
     bounds: WireBounds = WireBounds()
     limits: WireMachine = WireMachine()
     seed_nodes: list[str] = []
+    # True only while the whole system starts for the first time.
+    bootstrap: bool = False
 
 
 def load_settings(path: Path) -> InstanceSettings:
@@ -106,6 +106,7 @@
             cold_slack=fields.bounds.cold_slack,
             grace_s=fields.bounds.grace_s,
         ),
+        first_start=fields.bootstrap,
     )
 
 
@@ -122,11 +123,6 @@
     return milliseconds / MS_PER_SECOND
 
 
-def describe_fields() -> Mapping[str, Any]:
-    """Return the schema of the settings file."""
-    return msgspec.json.schema(WireSettings)
-
-
 def _invalid(message: str) -> BitternturnError:
     """Return the error of a file that can't be used."""
     return BitternturnError(
--- a/bitternturn/policy/second_sends.py
+++ b/bitternturn/policy/second_sends.py
@@ -13,6 +13,10 @@
 SAFE_SHARE: Final = 0.8
 # Part of that which hedges may use; the rest is kept for retries.
 HEDGE_SHARE: Final = 0.75
+# Part of its slack that an instance uses in the first window after a restart:
+# what the process before it has sent is unknown, and with the whole of that
+# share this makes up the slack.
+RESTARTED_SHARE: Final = 0.25
 # Steps into which a window is cut.
 STEPS: Final = 20
 
@@ -28,10 +32,29 @@
 class SecondSends:
     """Counts the requests and the further sends of one service."""
 
-    __slots__ = ('further', 'ratio', 'requests', 'slack', 'steps', 'window_s')
+    __slots__ = (
+        'further',
+        'ratio',
+        'requests',
+        'restarted_at',
+        'slack',
+        'steps',
+        'window_s',
+    )
 
-    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
-        """Start empty; `slack` is the share of this instance alone."""
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        restarted_at: float | None = None,
+    ) -> None:
+        """Start empty; `slack` is the share of this instance alone.
+
+        `restarted_at` is when the process took the place of one that ended.
+        """
+        self.restarted_at = restarted_at
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
@@ -47,7 +70,7 @@
     def try_spend(self, reason: SendReason, now: float) -> bool:
         """Count a further send if the budget has room for it."""
         self._forget(now)
-        limit = (self.ratio * self.requests + self.slack) * SAFE_SHARE
+        limit = (self.ratio * self.requests + self._slack(now)) * SAFE_SHARE
         if reason is SendReason.HEDGE:
             limit *= HEDGE_SHARE
         if self.further + 1 > limit:
@@ -55,6 +78,13 @@
         self._add(now, 0, 1)
         return True
 
+    def _slack(self, now: float) -> float:
+        """Return the part of the budget that does not depend on requests."""
+        restarted_at = self.restarted_at
+        if restarted_at is None or now - restarted_at >= self.window_s:
+            return self.slack
+        return self.slack * RESTARTED_SHARE
+
     def _add(self, now: float, requests: int, further: int) -> None:
         """Add to the present step."""
         self._forget(now)
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -53,6 +53,7 @@
     seeds=(),
     store=NOWHERE,
     bounds=BOUNDS,
+    first_start=True,
 )
 
 
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -17,6 +17,11 @@
         assert found.failure_domains == ('north', 'south')
         assert [seed.port for seed in found.seeds] == [8106]
 
+    @pytest.mark.parametrize('first', [True, False])
+    def test_restarted_process_knows_that_it_is_one(self, first):
+        text = msgspec.json.encode(settings_document(bootstrap=first))
+        assert decode_settings(text).first_start is first
+
     @pytest.mark.parametrize(
         ('changes', 'named'),
         [
--- a/tests/policy/test_second_sends.py
+++ b/tests/policy/test_second_sends.py
@@ -42,6 +42,55 @@
         assert budget.further == 6
         assert budget.try_spend(SendReason.RETRY, 1)
 
+    def test_instances_that_restart_keep_every_window(self):
+        """Replays kills of all instances while every request is sent again.
+
+        A restarted process does not know what the one before it has sent.
+        """
+        rng = random.Random(5)
+        requests, further = [], []
+        now = 0.0
+        budgets = []
+        kills = [0.0, 18.0, 40.0]
+        while now < 60:
+            now += rng.expovariate(45)
+            if kills and now >= kills[0]:
+                restarted = bool(budgets)
+                since = kills.pop(0)
+                budgets = [
+                    SecondSends(
+                        ratio=RATIO,
+                        slack=SLACK / INSTANCES,
+                        window_s=WINDOW_S,
+                        restarted_at=since if restarted else None,
+                    )
+                    for _ in range(INSTANCES)
+                ]
+            budget = budgets[rng.randrange(INSTANCES)]
+            budget.note_request(now)
+            requests.append(now)
+            for _ in range(2):
+                if budget.try_spend(SendReason.RETRY, now):
+                    further.append(now)
+        for start in range(100):
+            begin = start / 2
+            end = begin + WINDOW_S
+            asked = sum(begin <= at < end for at in requests)
+            repeated = sum(begin <= at < end for at in further)
+            assert repeated <= RATIO * asked + SLACK
+
+    def test_restarted_instance_has_the_whole_slack_after_a_window(self):
+        budget = SecondSends(
+            ratio=0.0, slack=10, window_s=WINDOW_S, restarted_at=5.0
+        )
+        spent = 0
+        while budget.try_spend(SendReason.RETRY, 6.0):
+            spent += 1
+        assert spent == 2
+        while budget.try_spend(SendReason.RETRY, 15.1):
+            spent += 1
+        assert spent == 8
+
     def test_room_comes_back_after_the_window(self):
         budget = SecondSends(ratio=0.0, slack=2, window_s=WINDOW_S)
         assert budget.try_spend(SendReason.RETRY, 0)
