Probe a store that fails with one call at a time

Cause: each of the four kinds that an instance follows called a failing store for itself.

Change: the followers of all kinds pass one gate; while the store fails, a single probe at a time is made, with pauses that grow. A watch after a failure returns at once, so that it is known that the store answers again.

--- a/bitternturn/platform/follower.py
+++ b/bitternturn/platform/follower.py
@@ -28,10 +28,6 @@
 GATHER_INSTANCES_S = 1.0
 # Pause before an instance tries again to register, in seconds.
 REGISTER_PAUSE_S = 1.0
-# Pause between looks at the readers, in seconds.
-PEER_CHECK_S = 0.2
-# Time without a fresh reader after which an instance reads the store itself.
-READ_AFTER_S = 0.8
 
 
 class StoreFollower:
--- a/bitternturn/platform/mirror.py
+++ b/bitternturn/platform/mirror.py
@@ -2,28 +2,21 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-
-import logbook
+from typing import Final
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.platform.outage import FIRST_PAUSE_S, OutageGate
 from bitternturn.platform.store import Event, PlatformObject, PlatformStore
 
-LOGGER = logbook.Logger('platform.mirror')
-
-# Pauses between calls while the store fails, in seconds.
-FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 1.0
+# How long a watch waits that only finds out whether the store answers, in
+# seconds.
+PROBE_WATCH_S: Final = 0.05
 
 # Take what was read and the revision of the store that it shows.
 OnAll = Callable[[Sequence[PlatformObject], int], None]
 OnEvents = Callable[[Sequence[Event], int], None]
 
 
-def _usual_pause_s() -> float:
-    """Return the longest pause while the store fails."""
-    return LONGEST_PAUSE_S
-
-
 async def async_mirror(
     store: PlatformStore,
     kind: str,
@@ -33,31 +26,43 @@
     on_failure: Callable[[str, BitternturnError], None],
     since: int = 0,
     gather_s: float = 0,
-    longest_pause_s: Callable[[], float] = _usual_pause_s,
+    gate: OutageGate,
 ) -> None:
     """List a kind and follow its changes, without an end.
 
     `since` is the revision of a copy that is known already, 0 without one.
     Changes within `gather_s` seconds after one are read together, since each
-    answer costs a call.
+    answer costs a call. The `gate` is shared by the mirrors of one store.
     """
     revision: int | None = since or None
-    pause_s = FIRST_PAUSE_S
+    # Whether the last call failed, so that it is not known until the next one
+    # ends whether the store answers again.
+    failed = False
     while True:
+        probing = await gate.async_pass()
         try:
             if revision is None:
                 found, revision = await store.async_list(kind)
+                gate.note_success()
                 on_all(found, revision)
             else:
-                changes = await store.async_watch(kind, revision)
+                changes = await store.async_watch(
+                    kind,
+                    revision,
+                    wait_s=PROBE_WATCH_S if failed else store.watch_s,
+                )
+                gate.note_success()
                 revision = changes.at_rev or revision
                 on_events(changes.events, revision)
                 if changes.events:
                     await asyncio.sleep(gather_s)
-            pause_s = FIRST_PAUSE_S
+            failed = False
         except BitternturnError as error:
             if error.code in {ErrorCode.WATCH_GONE, ErrorCode.BAD_ANSWER}:
                 revision = None
+            failed = error.code is not ErrorCode.WATCH_GONE
             on_failure(kind, error)
-            await asyncio.sleep(pause_s)
-            pause_s = min(longest_pause_s(), pause_s * 2)
+            if error.code is ErrorCode.WATCH_GONE:
+                await asyncio.sleep(FIRST_PAUSE_S)
+            else:
+                gate.note_failure(probe=probing)
--- /dev/null
+++ b/bitternturn/platform/outage.py
@@ -0,0 +1,63 @@
+"""Spares a store that fails: one call at a time finds out when it is back."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Final
+
+# Pauses between probes while the store fails, in seconds.
+FIRST_PAUSE_S: Final = 0.1
+LONGEST_PAUSE_S: Final = 1.0
+# First pause as a share of the longest, where that is longer.
+FIRST_PAUSE_SHARE: Final = 0.1
+PAUSE_GROWTH: Final = 2.0
+
+
+def usual_pause_s() -> float:
+    """Return the longest pause of an instance that the others rely on."""
+    return LONGEST_PAUSE_S
+
+
+class OutageGate:
+    """Lets calls pass while the store answers, and single probes otherwise.
+
+    Every call is priced, also one that is turned away, so the followers of
+    all kinds share the probes. Their turns rotate, in case the store fails for
+    one kind alone.
+    """
+
+    def __init__(
+        self,
+        *,
+        longest_pause_s: Callable[[], float] = usual_pause_s,
+    ) -> None:
+        """Start open."""
+        self.longest_pause_s = longest_pause_s
+        self.pause_s: float = 0
+        # Makes those who wait for a probe take turns.
+        self.turns = asyncio.Lock()
+        self.answering = asyncio.Event()
+        self.answering.set()
+
+    async def async_pass(self) -> bool:
+        """Wait until a call may be made; return whether it is a probe."""
+        async with self.turns:
+            if self.answering.is_set():
+                return False
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.pause_s):
+                    await self.answering.wait()
+        return not self.answering.is_set()
+
+    def note_success(self) -> None:
+        """Let calls pass."""
+        self.answering.set()
+
+    def note_failure(self, *, probe: bool) -> None:
+        """Hold calls back; the pause grows with each probe that fails."""
+        longest_s = self.longest_pause_s()
+        if self.answering.is_set():
+            self.answering.clear()
+            self.pause_s = max(FIRST_PAUSE_S, longest_s * FIRST_PAUSE_SHARE)
+        elif probe:
+            self.pause_s = min(longest_s, self.pause_s * PAUSE_GROWTH)
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -13,7 +13,8 @@
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.models import Address, InstanceSettings
 from bitternturn.platform import names
-from bitternturn.platform.mirror import LONGEST_PAUSE_S, async_mirror
+from bitternturn.platform.mirror import async_mirror
+from bitternturn.platform.outage import LONGEST_PAUSE_S, OutageGate
 from bitternturn.platform.store import (
     Event,
     Meta,
@@ -125,6 +126,7 @@
         self.store.watch_s = (
             SMALL_FLEET_WATCH_S if self.small_fleet else READER_WATCH_S
         )
+        gate = OutageGate(longest_pause_s=self._longest_pause_s)
         self.mirrors = [
             self.tasks.spawn(
                 async_mirror(
@@ -135,7 +137,7 @@
                     on_failure=self.note_failure,
                     since=self.copies.kinds[kind].revision,
                     gather_s=follows.gather_s,
-                    longest_pause_s=self._longest_pause_s,
+                    gate=gate,
                 ),
             )
             for kind, follows in self.kinds.items()
--- a/bitternturn/platform/store.py
+++ b/bitternturn/platform/store.py
@@ -87,16 +87,24 @@
                 return found, revision
             after = page.items[-1].meta.name
 
-    async def async_watch(self, kind: str, revision: int) -> Changes:
+    async def async_watch(
+        self,
+        kind: str,
+        revision: int,
+        *,
+        wait_s: float,
+    ) -> Changes:
         """Return the changes after a revision, as soon as there is one.
 
+        Returns none after `wait_s` seconds.
+
         Raises BitternturnError WATCH_GONE when the history is gone.
         """
-        wait_ms = int(self.watch_s * names.MS_PER_SECOND)
+        wait_ms = int(wait_s * names.MS_PER_SECOND)
         path = _path(kind, {'watch': revision, 'wait-ms': wait_ms})
         response = await self._async_get(
             path,
-            timeout_s=self.watch_s + self.transport.timeout_s,
+            timeout_s=wait_s + self.transport.timeout_s,
         )
         changes: Changes = self._decode(response, Changes, path)
         return changes
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 
 import pytest
 
@@ -92,3 +93,31 @@
             standin.put(KIND_INSTANCES, 'another', {})
             await async_until(lambda: gateway.instances == 2)
             assert gateway.second_sends('s').slack == slack / 2
+
+
+class TestOutages:
+    async def test_kinds_share_the_calls_to_a_store_that_fails(self, standin):
+        """Replays an outage: every call is priced, also one turned away."""
+        async with following(standin) as gateway:
+            await async_until(lambda: gateway.knowledge.complete)
+            before = len(standin.calls)
+            started = gateway.now()
+            standin.fault = lambda _: StoreFault.BUSY
+            standin.wake_watches()
+            await asyncio.sleep(2)
+            made = len(standin.calls) - before
+            # The watches of four kinds end, and probes follow after pauses.
+            pauses = [0.1, 0.2, 0.4, 0.8, *[1.0] * 100]
+            probes = [
+                due
+                for due in itertools.accumulate(pauses)
+                if due <= gateway.now() - started
+            ]
+            assert made <= 4 + len(probes)
+            standin.fault = lambda _: StoreFault.NONE
+            standin.put('config', 'main', configuration_document(9))
+            standin.put('evacuations', 'north', {})
+            standin.put(KIND_INSTANCES, 'another', {})
+            await async_until(lambda: gateway.version == 9)
+            await async_until(lambda: not gateway.ready.get('s'))
+            await async_until(lambda: gateway.instances == 2)
--- a/tests/platform/test_mirror.py
+++ b/tests/platform/test_mirror.py
@@ -8,6 +8,7 @@
 from bitternturn.core.errors import BitternturnError
 from bitternturn.platform import transport
 from bitternturn.platform.mirror import async_mirror
+from bitternturn.platform.outage import OutageGate
 from bitternturn.standins.platform_store import (
     PlatformStoreStandin,
     StoreFault,
@@ -22,12 +23,14 @@
         self.specs = {}
         self.lists = 0
         self.failures = []
+        self.answers = 0
 
     def take_all(self, found, revision):
         self.lists += 1
         self.specs = {stored.meta.name: stored.spec for stored in found}
 
     def take_events(self, events, revision):
+        self.answers += 1
         for event in events:
             if event.deleted:
                 self.specs.pop(event.object.meta.name, None)
@@ -36,9 +39,9 @@
 
 
 @contextlib.asynccontextmanager
-async def mirroring(standin, copy, timeout_s=0.5):
+async def mirroring(standin, copy, timeout_s=0.5, watch_s=0.5):
     """Follow the kind `servers` of a stand-in."""
-    store = make_store(standin.server.port, timeout_s)
+    store = make_store(standin.server.port, timeout_s, watch_s)
     task = asyncio.create_task(
         async_mirror(
             store,
@@ -46,6 +49,7 @@
             on_all=copy.take_all,
             on_events=copy.take_events,
             on_failure=lambda _, error: copy.failures.append(error),
+            gate=OutageGate(),
         )
     )
     try:
@@ -151,4 +155,19 @@
         store = make_store(9, 0.05)
         async with asyncio.timeout(1):
             with pytest.raises(BitternturnError):
-                await store.async_watch('servers', 1)
+                await store.async_watch('servers', 1, wait_s=0.5)
+
+
+class TestCutWatches:
+    async def test_that_the_store_answers_again_is_known_at_once(self, standin):
+        """Replays watches that are cut off: the next one may wait for long."""
+        copy = Copy()
+        async with mirroring(standin, copy, watch_s=60):
+            await async_until(lambda: len(standin.calls) == 2)
+            standin.fault = lambda count: (
+                StoreFault.BUSY if count == 2 else StoreFault.NONE
+            )
+            standin.put('servers', 'a', 1)
+            await async_until(lambda: copy.failures)
+            answered = copy.answers
+            await async_until(lambda: copy.answers > answered)
