Pass over targets that can't be reached or that a peer knows to be slow

An entry of a fleet of 60 meets each target every few seconds at most, so it can't know which ones are slow; the peer that sends for all can.

Change: an unreachable target has an outcome of its own, is left out for the rest of the part, takes none of its sends, and counts as a failure at the entry too. A peer declines the first send to a target that it finds slow, and the entry takes another one at once instead of after the hedge delay. Failures are told before the report is due, answers with it.

--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -245,7 +245,11 @@
     NOT_RUN = 'not_run'
     # Another target listens at the address and has not run the request.
     MISDIRECTED = 'misdirected'
-    # Nothing of the request has left this instance.
+    # No connection to the target could be opened.
+    UNREACHABLE = 'unreachable'
+    # A peer knows that the target is slow or failing and has sent nothing.
+    DECLINED = 'declined'
+    # Nothing of the request was sent, for a reason other than the target.
     NOT_SENT = 'not_sent'
     # The request was sent and no valid answer came.
     LOST = 'lost'
--- a/bitternturn/gateway/parts.py
+++ b/bitternturn/gateway/parts.py
@@ -51,6 +51,7 @@
     __slots__ = (
         'answer',
         'closed',
+        'declined',
         'failure',
         'maybe_run',
         'reached',
@@ -58,6 +59,9 @@
         'service',
         'started_at',
         'under_way',
+        'unreached',
+        'unsent',
+        'useless',
     )
 
     def __init__(self, *, service: ServiceName) -> None:
@@ -68,12 +72,25 @@
         self.under_way: list[Send] = []
         # Targets that may have run the request.
         self.reached: set[TargetId] = set()
+        # Targets that can't be reached or have ended.
+        self.useless: set[TargetId] = set()
+        # Sends that no target has received, and those of them for which the
+        # target was not the reason.
+        self.unreached = 0
+        self.unsent = 0
+        # Whether a peer has declined to send it; the next one has to.
+        self.declined = False
         self.maybe_run = False
         self.answer: TargetAnswer | None = None
         # Last answer of a target that failed.
         self.failure: TargetAnswer | None = None
         self.closed = False
 
+    @property
+    def received(self) -> int:
+        """Number of sends that a target may have received."""
+        return self.sends - self.unreached
+
 
 def may_pass_on(route: Route, failure: TargetAnswer) -> bool:
     """Return whether a target's failure is the answer to the request.
--- a/bitternturn/gateway/run.py
+++ b/bitternturn/gateway/run.py
@@ -24,8 +24,18 @@
 MAX_REMEMBERED = 12
 # Ends after which the target has not run the request.
 HARMLESS = frozenset(
-    (Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.MISDIRECTED),
+    (
+        Outcome.NOT_SENT,
+        Outcome.UNREACHABLE,
+        Outcome.DECLINED,
+        Outcome.NOT_RUN,
+        Outcome.MISDIRECTED,
+    ),
 )
+# Ends of sends that no target has received.
+UNSENT = frozenset((Outcome.NOT_SENT, Outcome.UNREACHABLE, Outcome.DECLINED))
+# Ends after which the target is not asked again for the same part.
+USELESS = frozenset((Outcome.UNREACHABLE, Outcome.MISDIRECTED))
 
 
 class Surroundings(Protocol):
@@ -117,22 +127,26 @@
             ),
         )
         send.limit = self.route.max_records
+        send.declinable = not part.declined
         part.under_way.append(send)
         self.around.start(send, now)
         return True
 
     def _find_target(self, part: Part) -> Target | None:
         """Return where a part may go next: to a target not tried yet, first."""
-        if part.sends >= self.route.attempts + const.SENDS_BEYOND:
+        if part.received >= self.route.attempts + const.SENDS_BEYOND:
+            return None
+        if part.unsent > const.MAX_UNSENT:
             return None
         usual_s = self.usual.mean_s
         target: Target | None = None
         if len(part.reached) < self.route.attempts:
-            avoided = list(part.reached)
+            avoided = [*part.reached, *part.useless]
             target = self.around.choose(part.service, avoided, usual_s)
         if target is not None:
             return target
         busy = [send.target.entry.id for send in part.under_way]
+        busy.extend(part.useless)
         again = self.around.choose(part.service, busy, usual_s)
         if again is None:
             return None
@@ -161,6 +175,11 @@
             part.failure = answer or part.failure
             if harmless:
                 part.reached.discard(send.target.entry.id)
+            if outcome in USELESS:
+                part.useless.add(send.target.entry.id)
+            part.declined |= outcome is Outcome.DECLINED
+            part.unsent += outcome is Outcome.NOT_SENT
+            part.unreached += outcome in UNSENT
             self._repeat(part, outcome, now)
         self._review(now)
 
@@ -214,7 +233,7 @@
         """Send a part again after a failure, if it may be."""
         if self.repeatable or outcome in HARMLESS:
             budget = self.around.second_sends(part.service)
-            free = outcome is Outcome.NOT_SENT
+            free = outcome in UNSENT
             if free or budget.try_spend(SendReason.RETRY, now):
                 self.retries += 1
                 if self._send(part, now):
@@ -236,7 +255,7 @@
         """Ask another target for a part if the budget has room."""
         other = self.around.choose(
             part.service,
-            list(part.reached),
+            [*part.reached, *part.useless],
             self.usual.mean_s,
         )
         if other is None:
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -23,7 +23,11 @@
 from bitternturn.http.models import Response
 from bitternturn.policy.cold_share import ColdShare
 from bitternturn.policy.patience import UsualTimes
-from bitternturn.policy.target_record import Candidate, TargetRecord
+from bitternturn.policy.target_record import (
+    DECLINE_COST,
+    Candidate,
+    TargetRecord,
+)
 
 # Takes the target, how a send ended, and after how many seconds.
 NoteEnd = Callable[['Target', Outcome, float], None]
@@ -44,6 +48,7 @@
         'caller',
         'connection',
         'deadline',
+        'declinable',
         'ended',
         'fresh',
         'limit',
@@ -79,6 +84,8 @@
         self.travel_s: float = 0
         # Records wanted of a part of a request over shards, 0 for others.
         self.limit = 0
+        # Whether a peer may decline it in favour of another target.
+        self.declinable = False
         self.linger: asyncio.TimerHandle | None = None
         self.ended = False
 
@@ -239,9 +246,10 @@
 
     def _fail_opening(self) -> None:
         """End the first send that waits: the target can't be reached."""
-        self.record.note_failure(self.now())
         if self.waiting:
-            self.finish(self.waiting[0], Outcome.NOT_SENT, None)
+            self.finish(self.waiting[0], Outcome.UNREACHABLE, None)
+        else:
+            self.record.note_failure(self.now())
 
     def _offer(self, connection: ClientConnection) -> None:
         """Use a free connection, or keep it."""
@@ -335,6 +343,8 @@
         elif outcome is Outcome.LOST and send.on_end is None:
             # Cut while lingering: it would have taken at least this long.
             self.record.note_latency(latency_s / send.usual.mean_s, now)
+        elif outcome is Outcome.DECLINED:
+            self.record.note_latency(DECLINE_COST, now)
         elif outcome is not Outcome.NOT_SENT:
             self.record.note_failure(now)
         self.note(self, outcome, latency_s)
--- a/bitternturn/policy/target_record.py
+++ b/bitternturn/policy/target_record.py
@@ -33,6 +33,11 @@
 COLD_COST: Final = 1.0
 
 
+# Cost from which on a peer declines to send to a target, when it is asked to by
+# an instance that has another one: more than one in another failure domain.
+DECLINE_COST: Final = 4.0
+
+
 class TargetRecord:
     """Slowness and failures of one target, by its own answers.
 
@@ -136,6 +141,15 @@
     return cost
 
 
+def declines(view: Candidate, now: float) -> bool:
+    """Return whether a send should go to another target instead.
+
+    Answers the load pattern of a large fleet in which a target turns slow or
+    crashes: each entry meets it seldom, the peer that sends to it all the time.
+    """
+    return expected_cost(view, now) >= DECLINE_COST
+
+
 TargetT = TypeVar('TargetT')
 
 
--- a/bitternturn/relay/delegate.py
+++ b/bitternturn/relay/delegate.py
@@ -1,6 +1,7 @@
 """Makes sends that a peer asked for, and tells how they ended."""
 
 import asyncio
+from collections.abc import Sequence
 from functools import partial
 
 from bitternturn.core.clock import MS_PER_SECOND
@@ -8,12 +9,16 @@
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.merge import split_records
 from bitternturn.gateway.models import CallerRequest, Outcome, TargetAnswer
-from bitternturn.gateway.target import Send, start_directly
+from bitternturn.gateway.target import Send, Target, start_directly
 from bitternturn.policy.patience import UsualTimes
+from bitternturn.policy.target_record import declines
 from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.schema.relay_pb2 import Frame, Part, Parts, Sends
 
+# How one send ended, with its answer if there is one.
+End = tuple[Part, TargetAnswer | None]
+
 
 class Delegate:
     """The sends of one message of a peer."""
@@ -38,8 +43,10 @@
         self.started_at: float = 0
         self.reported = False
         # Ends that are not told yet, with their answers.
-        self.ended: list[tuple[Part, TargetAnswer | None]] = []
+        self.ended: list[End] = []
         self.timer: asyncio.TimerHandle | None = None
+        # Tells failures before the report.
+        self.early: asyncio.TimerHandle | None = None
 
     @property
     def done(self) -> bool:
@@ -63,8 +70,9 @@
         self._arm(self.asked.report_ms / MS_PER_SECOND)
         for index, name in enumerate(self.asked.items):
             target = self.gateway.targets.get(TargetId(name))
-            if target is None:
-                self._note(index, Outcome.NOT_SENT, None, now)
+            unsent = self._reason_against(target, now)
+            if target is None or unsent is not None:
+                self._note(index, unsent or Outcome.NOT_SENT, None, now)
                 continue
             send = Send(
                 caller=caller,
@@ -78,6 +86,21 @@
             self.sends[index] = send
             start_directly(send, now)
 
+    def _reason_against(
+        self,
+        target: Target | None,
+        now: float,
+    ) -> Outcome | None:
+        """Return why nothing is sent to a target, None if it is sent to."""
+        if target is None:
+            return Outcome.NOT_SENT
+        if target.displaced:
+            return Outcome.MISDIRECTED
+        if not self.asked.may_decline:
+            return None
+        view = target.describe(self.usual.mean_s, now)
+        return Outcome.DECLINED if declines(view, now) else None
+
     def cancel(self, index: int) -> None:
         """Stop one send."""
         send = self.sends.get(index)
@@ -92,9 +115,10 @@
 
     def stop(self) -> None:
         """Stop all sends: the peer is gone."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        for timer in (self.timer, self.early):
+            if timer is not None:
+                timer.cancel()
+        self.timer = self.early = None
         for index in self.sends:
             self.cancel(index)
 
@@ -126,8 +150,14 @@
         self.ended.append((part, answer))
         if not self.open:
             self._tell()
-        elif self.reported or outcome is not Outcome.ANSWERED:
+        elif self.reported:
             self._arm(const.LATE_REPORT_S)
+        elif outcome is not Outcome.ANSWERED and self.early is None:
+            loop = asyncio.get_running_loop()
+            self.early = loop.call_later(
+                const.LATE_REPORT_S,
+                self._tell_failures,
+            )
 
     def _arm(self, delay_s: float) -> None:
         """Tell what has ended after a while, or sooner if that was planned."""
@@ -144,6 +174,14 @@
         self.timer = None
         self._tell()
 
+    def _tell_failures(self) -> None:
+        """Tell the failures before the report, so that others are asked."""
+        self.early = None
+        failed = [end for end in self.ended if not _is_answer(end)]
+        if failed:
+            self.ended = [end for end in self.ended if _is_answer(end)]
+            self._send(failed)
+
     def _tell(self) -> None:
         """Tell the ends that are not told yet."""
         if self.timer is not None:
@@ -152,10 +190,14 @@
         self.reported = True
         ended = self.ended
         self.ended = []
+        self._send(ended)
+
+    def _send(self, ended: Sequence[End]) -> None:
+        """Send the message about some ends."""
         record_bytes = self.gateway.wire.record_bytes
         records: list[tuple[bytes, int]] = []
         for place, (part, answer) in enumerate(ended):
-            if answer is not None and part.outcome == Outcome.ANSWERED.value:
+            if answer is not None and _is_answer((part, answer)):
                 records.extend(
                     (record, place)
                     for record in split_records(answer.body, record_bytes)
@@ -173,3 +215,9 @@
                 ),
             ),
         )
+
+
+def _is_answer(end: End) -> bool:
+    """Return whether a send ended with a valid answer."""
+    part, answer = end
+    return answer is not None and part.outcome == Outcome.ANSWERED.value
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -249,6 +249,11 @@
             self.ranks[key] = ranked
         return ranked
 
+    def _has_alternative(self, send: Send) -> bool:
+        """Return whether a send may be declined in favour of another target."""
+        ready = self.gateway.ready.get(send.target.entry.service, ())
+        return send.declinable and len(ready) > 1
+
     def _flush(self, key: tuple[str, str]) -> None:
         """Ask a peer for the sends that have come together."""
         waiting = self.outbox.pop(key)
@@ -280,6 +285,7 @@
                     limit=first.limit,
                     items=[send.target.entry.id for send in sends],
                     usual_ms=first.usual.mean_s * MS_PER_SECOND,
+                    may_decline=all(map(self._has_alternative, sends)),
                 ),
             ),
             report_s,
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -159,6 +159,60 @@
         assert response.headers['x-missing-parts'] == '0'
 
 
+class TestTargetsThatFail:
+    async def test_entry_learns_that_a_target_is_unreachable(self):
+        """Replays crashed targets, which every query tried again first."""
+        targets = plain_targets()
+        spares = [
+            PlatformTarget(id=f'u{number}', body=record(1))
+            for number in range(4)
+        ]
+        async with fleet_over([*targets, *spares]) as fleet:
+            await targets[3].async_stop()
+            fleet.entry.targets['u3'].record.note_latency(
+                500, fleet.entry.now()
+            )
+            response = await fleet.entry.async_handle(patient())
+            assert fleet.entry.targets['t3'].record.failures
+        assert response.headers['x-missing-parts'] == '0'
+
+    async def test_peer_that_knows_a_slow_target_sends_to_another(self):
+        """Replays targets that turn slow: entries meet each of them seldom."""
+        targets = plain_targets()
+        targets[3] = scripted('t3', *[Behaviour.HANG] * 9)
+        spares = [
+            PlatformTarget(id=f'u{number}', body=record(1))
+            for number in range(SHARDS)
+        ]
+        async with fleet_over([*targets, *spares], least_coverage=1) as fleet:
+            now = fleet.entry.now()
+            for gateway in fleet.gateways[1:]:
+                gateway.targets['t3'].record.note_latency(9, now)
+            fleet.entry.targets['u3'].record.note_latency(3, now)
+            response = await fleet.entry.async_handle(patient())
+            assert fleet.entry.targets['t3'].record.cost(now) > 3
+        assert response.headers['x-missing-parts'] == '0'
+        assert not targets[3].seen
+
+    async def test_slow_target_without_another_is_sent_to(self):
+        targets = plain_targets()
+        async with fleet_over(targets) as fleet:
+            for gateway in fleet.gateways[1:]:
+                for target in gateway.targets.values():
+                    target.record.note_latency(9, gateway.now())
+            response = await fleet.entry.async_handle(patient())
+        assert response.headers['x-missing-parts'] == '0'
+
+    async def test_peer_sends_nothing_to_an_address_that_was_taken_over(self):
+        targets = plain_targets()
+        async with fleet_over(targets, least_coverage=0.5) as fleet:
+            for gateway in fleet.gateways[1:]:
+                gateway.targets['t3'].displaced = True
+            response = await fleet.entry.async_handle(patient())
+        assert response.headers['x-missing-parts'] == '1'
+        assert not targets[3].seen
+
+
 class TestPeersThatFail:
     async def test_unreachable_peer_is_replaced_at_once(self):
         async with fleet_over(plain_targets()) as fleet:
