Let followers call the store rarely while it fails or instances still start

Cause: at the first start, the number of instances passes through the size of a small fleet, so that each of 60 instances listed every kind (394 calls in two seconds). In an outage each follower began with four watches of its own (57 x 4 calls) and probed as often as if alone.

Ruled out: readers that take long to start (all 60 read within 0.5 s).

Change: for 3 s of the first start the number tells nothing and readers are waited for; a follower whose readers are failing begins with a single probe, and all followers together probe as often as 8 instances.

Tests in tests/platform/test_source.py; the one of the first start fails before, the one of outages passes before too, as its fleet is small.

--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -4,6 +4,7 @@
 import zlib
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from enum import Enum, unique
 from functools import partial
 
 import msgspec
@@ -38,11 +39,18 @@
 # itself, in seconds: longer than readers take that start at the same time,
 # shorter than a reader that is silent is waited for.
 READ_AFTER_S = 0.8
+# The same while the whole system starts, and how long the number of instances
+# tells nothing then: no callers wait yet, and instances are up seconds after
+# each other.
+FIRST_READ_AFTER_S = 3.0
 # Longest pause of a reader that can't serve yet, in seconds.
 HURRIED_PAUSE_S = 0.3
 # Number of instances up to which each reads the store itself, and may call one
 # that fails once a second.
 SMALL_FLEET = 16
+# Number of instances whose calls to a failing store all followers of a large
+# fleet together do not exceed.
+PROBING_INSTANCES = 8
 # How long the watches of a small fleet wait, in seconds, and those of the
 # readers of a large one: a reader that has gone deaf without knowing it may
 # mislead others no longer than a configuration's bound allows.
@@ -50,6 +58,16 @@
 READER_WATCH_S = 2.5
 
 
+@unique
+class ReaderState(Enum):
+    """What a reader tells of itself when it is asked."""
+
+    FRESH = 'fresh'
+    # The store does not answer it.
+    FAILING = 'failing'
+    SILENT = 'silent'
+
+
 @dataclass(kw_only=True, frozen=True, slots=True)
 class KindFollower:
     """What is done with the objects of one kind."""
@@ -90,6 +108,7 @@
         self.kinds = kinds
         self.copies = Copies(kinds=kinds)
         self.mirrors: list[asyncio.Task[None]] = []
+        self.created_at = gateway.now()
         # Counts the readers that were asked; instances begin at several ones.
         self.reader = zlib.crc32(settings.name.encode())
 
@@ -110,7 +129,14 @@
     def small_fleet(self) -> bool:
         """Whether there are so few instances that each reads the store."""
         known = self.gateway.knowledge.instances_known
-        return known and self.gateway.instances <= SMALL_FLEET
+        if not known or self._is_gathering():
+            return False
+        return self.gateway.instances <= SMALL_FLEET
+
+    def _is_gathering(self) -> bool:
+        """Return whether more instances are likely to start soon."""
+        age_s = self.gateway.now() - self.created_at
+        return self.settings.first_start and age_s < FIRST_READ_AFTER_S
 
     @property
     def readers(self) -> Sequence[Address]:
@@ -118,8 +144,8 @@
         seeds = self.settings.seeds
         return [seed for seed in seeds if seed != self.settings.peers]
 
-    def read_store(self) -> None:
-        """Follow the store itself."""
+    def read_store(self, *, failing: bool = False) -> None:
+        """Follow the store itself, carefully if it is likely to fail."""
         if self.mirrors:
             return
         self.copies.reading = True
@@ -127,6 +153,8 @@
             SMALL_FLEET_WATCH_S if self.small_fleet else READER_WATCH_S
         )
         gate = OutageGate(longest_pause_s=self._longest_pause_s)
+        if failing:
+            gate.note_failure(probe=False)
         self.mirrors = [
             self.tasks.spawn(
                 async_mirror(
@@ -164,20 +192,25 @@
             # A reader may be deaf without knowing it: no two questions in a
             # row go to the same one.
             self.reader += 1
-            if await self._async_ask_reader():
+            state = await self._async_ask_reader()
+            if state is ReaderState.FRESH:
                 stale_since = None
                 if not self.is_reader:
                     self.leave_store()
                 continue
             stale_since = asked_at if stale_since is None else stale_since
-            if self.gateway.now() - stale_since >= READ_AFTER_S:
-                self.read_store()
+            if self.gateway.now() - stale_since >= self._patience_s():
+                self.read_store(failing=state is ReaderState.FAILING)
             await asyncio.sleep(PEER_CHECK_S)
 
-    async def _async_ask_reader(self) -> bool:
-        """Take what a reader tells; return whether it follows the store."""
+    def _patience_s(self) -> float:
+        """Return how long to do without a reader that follows the store."""
+        return FIRST_READ_AFTER_S if self._is_gathering() else READ_AFTER_S
+
+    async def _async_ask_reader(self) -> ReaderState:
+        """Take what a reader tells."""
         if not self.readers:
-            return False
+            return ReaderState.SILENT
         address = self.readers[self.reader % len(self.readers)]
         peer = self.delegation.peer_at(address)
         answer = await async_ask(
@@ -194,12 +227,13 @@
             relay.FOLLOW_WAIT_S + relay.FOLLOW_MARGIN_S,
         )
         if isinstance(answer, PeerEnd):
-            return False
+            return ReaderState.SILENT
         for kind, told in answer.changes.kinds.items():
             self._take_told(kind, told)
-        if not answer.changes.fresh:
-            self.gateway.knowledge.store_failed_at = self.gateway.now()
-        return answer.changes.fresh
+        if answer.changes.fresh:
+            return ReaderState.FRESH
+        self.gateway.knowledge.store_failed_at = self.gateway.now()
+        return ReaderState.FAILING
 
     def _take_told(self, kind: str, told: KindChanges) -> None:
         """Take what a reader tells of a kind, unless it is behind."""
@@ -250,7 +284,7 @@
         instances would.
         """
         if not self.is_reader and self.readers:
-            share = self.gateway.instances / SMALL_FLEET
+            share = self.gateway.instances / PROBING_INSTANCES
             return LONGEST_PAUSE_S * max(1, share)
         if self.gateway.knowledge.complete:
             return LONGEST_PAUSE_S
--- a/tests/platform/helpers.py
+++ b/tests/platform/helpers.py
@@ -1,5 +1,7 @@
 """Clients of a store that listens on loopback."""
 
+import itertools
+
 from bitternturn.core.clock import monotonic
 from bitternturn.platform.budget import CallBudget
 from bitternturn.platform.follower import StoreFollower
@@ -31,3 +33,9 @@
         delegation=Delegation(gateway=gateway, tasks=tasks),
         tasks=tasks,
     )
+
+
+def count_probes(elapsed_s):
+    """Return how many probes of a failing store fit into a time."""
+    pauses = [0.1, 0.2, 0.4, 0.8, *[1.0] * 100]
+    return sum(due <= elapsed_s for due in itertools.accumulate(pauses))
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
 
 import pytest
 
@@ -14,7 +13,7 @@
 )
 from tests.gateway.helpers import SETTINGS, make_gateway
 from tests.platform.documents import configuration_document, target_document
-from tests.platform.helpers import make_follower
+from tests.platform.helpers import count_probes, make_follower
 from tests.platform.test_mirror import async_until
 
 
@@ -107,13 +106,7 @@
             await asyncio.sleep(2)
             made = len(standin.calls) - before
             # The watches of four kinds end, and probes follow after pauses.
-            pauses = [0.1, 0.2, 0.4, 0.8, *[1.0] * 100]
-            probes = [
-                due
-                for due in itertools.accumulate(pauses)
-                if due <= gateway.now() - started
-            ]
-            assert made <= 4 + len(probes)
+            assert made <= 4 + count_probes(gateway.now() - started)
             standin.fault = lambda _: StoreFault.NONE
             standin.put('config', 'main', configuration_document(9))
             standin.put('evacuations', 'north', {})
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -16,7 +16,7 @@
 )
 from tests.gateway.helpers import SETTINGS, make_gateway
 from tests.platform.documents import configuration_document, target_document
-from tests.platform.helpers import make_follower
+from tests.platform.helpers import count_probes, make_follower
 from tests.platform.test_mirror import async_until
 
 
@@ -134,6 +134,39 @@
             assert len(standin.calls) - before <= 2 * 4
 
 
+class TestFirstStart:
+    async def test_readers_that_start_late_are_waited_for(self, standin, ports):
+        """Each instance of a fleet listed every kind in the first second."""
+        reader_address = Address(host='127.0.0.1', port=ports[0])
+        other_address = Address(host='127.0.0.1', port=ports[1])
+        port = standin.server.port
+        seeds = (reader_address,)
+        other = Instance('i1', port, other_address, seeds)
+        reader = Instance('i0', port, reader_address, seeds)
+        await other.async_start()
+        try:
+            await asyncio.sleep(source.READ_AFTER_S + 0.4)
+            reads = [call for call in standin.calls if call.startswith('GET')]
+            assert not reads
+            await reader.async_start()
+            await async_until(lambda: other.gateway.knowledge.complete)
+        finally:
+            await other.async_stop()
+            await reader.async_stop()
+
+    async def test_readers_that_never_start_are_done_without(
+        self, standin, ports
+    ):
+        addresses = [Address(host='127.0.0.1', port=port) for port in ports]
+        port = standin.server.port
+        lone = Instance('i1', port, addresses[1], (addresses[0],))
+        await lone.async_start()
+        try:
+            await async_until(lambda: lone.gateway.knowledge.complete)
+        finally:
+            await lone.async_stop()
+
+
 class TestSmallFleet:
     async def test_each_instance_reads_the_store(
         self, standin, ports, monkeypatch
@@ -198,6 +231,35 @@
             # Whole lists are not read again: they are large.
             assert all('watch=' in call for call in standin.calls[before:])
 
+    async def test_followers_hardly_call_a_store_that_fails(
+        self, standin, ports
+    ):
+        """Replays an outage, in which every follower took to calling."""
+        async with fleet_of(standin, 5, ports, readers=1) as fleet:
+            standin.fault = lambda _: StoreFault.BUSY
+            standin.wake_watches()
+            followers = fleet[1:]
+            before = len(standin.calls)
+            started = fleet[0].gateway.now()
+            await async_until(lambda: all(it.reads_store for it in followers))
+            await asyncio.sleep(0.05)
+            made = len(standin.calls) - before
+            # The four watches of the reader, and single probes of each.
+            elapsed_s = fleet[0].gateway.now() - started
+            probes = count_probes(elapsed_s)
+            probes += len(followers) * count_probes(
+                elapsed_s - source.READ_AFTER_S
+            )
+            assert made <= 4 + probes
+            standin.fault = lambda _: StoreFault.NONE
+            standin.put('config', 'main', configuration_document(9))
+            await async_until(
+                lambda: all(it.gateway.version == 9 for it in fleet)
+            )
+            await async_until(
+                lambda: not any(it.reads_store for it in followers)
+            )
+
     async def test_silent_readers_hold_up_nothing(self, standin, ports):
         """Two readers froze at the same moment."""
 
