--- a/tests/policy/test_second_sends.py
+++ b/tests/policy/test_second_sends.py
@@ -10,6 +10,25 @@
 WINDOW_S = 10.0
 
 
+def fail_all(budget, now, requests, further):
+    """Send a request, and twice again where the budget allows it."""
+    budget.note_request(now)
+    requests.append(now)
+    for _ in range(2):
+        if budget.try_spend(SendReason.RETRY, now):
+            further.append(now)
+
+
+def check_windows(requests, further):
+    """Check the bound in windows over a minute."""
+    for start in range(100):
+        begin = start / 2
+        end = begin + WINDOW_S
+        asked = sum(begin <= at < end for at in requests)
+        repeated = sum(begin <= at < end for at in further)
+        assert repeated <= RATIO * asked + SLACK
+
+
 class TestBudget:
     def test_all_instances_together_keep_every_window(self):
         """Replays an outage in which every request is sent again."""
@@ -23,17 +42,8 @@
         while now < 60:
             now += rng.expovariate(45)
             budget = budgets[min(rng.randrange(12), INSTANCES - 1)]
-            budget.note_request(now)
-            requests.append(now)
-            for _ in range(2):
-                if budget.try_spend(SendReason.RETRY, now):
-                    further.append(now)
-        for start in range(100):
-            begin = start / 2
-            end = begin + WINDOW_S
-            asked = sum(begin <= at < end for at in requests)
-            repeated = sum(begin <= at < end for at in further)
-            assert repeated <= RATIO * asked + SLACK
+            fail_all(budget, now, requests, further)
+        check_windows(requests, further)
 
     def test_hedges_leave_room_for_retries(self):
         budget = SecondSends(ratio=0.0, slack=10, window_s=WINDOW_S)
@@ -67,17 +77,8 @@
                     for _ in range(INSTANCES)
                 ]
             budget = budgets[rng.randrange(INSTANCES)]
-            budget.note_request(now)
-            requests.append(now)
-            for _ in range(2):
-                if budget.try_spend(SendReason.RETRY, now):
-                    further.append(now)
-        for start in range(100):
-            begin = start / 2
-            end = begin + WINDOW_S
-            asked = sum(begin <= at < end for at in requests)
-            repeated = sum(begin <= at < end for at in further)
-            assert repeated <= RATIO * asked + SLACK
+            fail_all(budget, now, requests, further)
+        check_windows(requests, further)
 
     def test_restarted_instance_has_the_whole_slack_after_a_window(self):
         budget = SecondSends(
