--- a/bitternturn/gateway/run.py
+++ b/bitternturn/gateway/run.py
@@ -128,6 +128,7 @@
         )
         send.limit = self.route.max_records
         send.declinable = not part.declined
+        send.hurried = part.sends > 1
         part.under_way.append(send)
         self.around.start(send, now)
         return True
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -24,7 +24,7 @@
 from bitternturn.policy.cold_share import ColdShare
 from bitternturn.policy.patience import UsualTimes
 from bitternturn.policy.target_record import (
-    DECLINE_COST,
+    DECLINED_SLOWNESS,
     Candidate,
     TargetRecord,
 )
@@ -51,6 +51,7 @@
         'declinable',
         'ended',
         'fresh',
+        'hurried',
         'limit',
         'linger',
         'on_end',
@@ -86,6 +87,8 @@
         self.limit = 0
         # Whether a peer may decline it in favour of another target.
         self.declinable = False
+        # Whether it is one more send of a part, whose answer is waited for.
+        self.hurried = False
         self.linger: asyncio.TimerHandle | None = None
         self.ended = False
 
@@ -344,7 +347,7 @@
             # Cut while lingering: it would have taken at least this long.
             self.record.note_latency(latency_s / send.usual.mean_s, now)
         elif outcome is Outcome.DECLINED:
-            self.record.note_latency(DECLINE_COST, now)
+            self.record.note_latency(DECLINED_SLOWNESS, now)
         elif outcome is not Outcome.NOT_SENT:
             self.record.note_failure(now)
         self.note(self, outcome, latency_s)
--- a/bitternturn/policy/target_record.py
+++ b/bitternturn/policy/target_record.py
@@ -33,9 +33,14 @@
 COLD_COST: Final = 1.0
 
 
-# Cost from which on a peer declines to send to a target, when it is asked to by
-# an instance that has another one: more than one in another failure domain.
-DECLINE_COST: Final = 4.0
+# Ratio to the usual time from which on an answer is slow, how many of them in a
+# row are no mere pause, and how long that is held against a target.
+SLOW_RATIO: Final = 3.0
+SLOW_ANSWERS: Final = 3
+SLOW_MEMORY_S: Final = 1.0
+# Slowness that an instance assumes of a target that a peer has declined: more
+# than the cost of one in another failure domain.
+DECLINED_SLOWNESS: Final = 3.0
 
 
 class TargetRecord:
@@ -51,6 +56,7 @@
         'failed_at',
         'failure_share',
         'failures',
+        'slow_answers',
         'slow_at',
         'slowness',
     )
@@ -59,6 +65,8 @@
         """Start as an ordinary target."""
         self.slowness: float = 1
         self.slow_at: float = 0
+        # Slow answers in a row.
+        self.slow_answers = 0
         self.failure_share: float = 0
         self.failed_at: float = 0
         self.failures = 0
@@ -72,6 +80,7 @@
         # A slow answer counts at once, faster ones little by little.
         self.slowness = max(ratio, average + (ratio - average) / 4)
         self.slow_at = now
+        self.slow_answers = self.slow_answers + 1 if ratio > SLOW_RATIO else 0
 
     def note_success(self, now: float) -> None:
         """Take in that the target answered as it should."""
@@ -91,6 +100,11 @@
             self.ejected_until = now + self.ejection_s
             self.ejection_s = min(MAX_EJECTION_S, self.ejection_s * 2)
 
+    def slow(self, now: float) -> bool:
+        """Return whether the last answers were all slow, not only one."""
+        recent = now - self.slow_at < SLOW_MEMORY_S
+        return recent and self.slow_answers >= SLOW_ANSWERS
+
     def ejected(self, now: float) -> bool:
         """Return whether the target is left alone at present."""
         return now < self.ejected_until
@@ -147,7 +161,8 @@
     Answers the load pattern of a large fleet in which a target turns slow or
     crashes: each entry meets it seldom, the peer that sends to it all the time.
     """
-    return expected_cost(view, now) >= DECLINE_COST
+    stuck = view.oldest > STUCK_FACTOR
+    return stuck or view.record.slow(now) or view.record.ejected(now)
 
 
 TargetT = TypeVar('TargetT')
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -269,6 +269,8 @@
         for index, send in enumerate(sends):
             send.connection = Carrier(batch=batch, index=index)
         report_s = first.usual.hedge_delay_s()
+        hurried = any(send.hurried for send in sends)
+        first_report_s = const.LATE_REPORT_S if hurried else report_s
         left_s = first.deadline - self.gateway.now()
         batch.ask(
             Frame(
@@ -281,7 +283,7 @@
                         for name, content in first.caller.headers
                     ],
                     left_ms=max(1, int(left_s * MS_PER_SECOND)),
-                    report_ms=int(report_s * MS_PER_SECOND),
+                    report_ms=int(first_report_s * MS_PER_SECOND),
                     limit=first.limit,
                     items=[send.target.entry.id for send in sends],
                     usual_ms=first.usual.mean_s * MS_PER_SECOND,
--- a/tests/policy/test_target_record.py
+++ b/tests/policy/test_target_record.py
@@ -4,6 +4,7 @@
     Candidate,
     TargetRecord,
     choose_target,
+    declines,
 )
 
 
@@ -91,3 +92,35 @@
             'near': view(TargetRecord(), near=True, full=True),
         }
         assert chosen(views) == 'far'
+
+
+class TestDeclines:
+    """Replays what a peer that sends for a whole fleet sees of a target."""
+
+    def test_pause_is_forgotten_once_it_is_over(self):
+        record = TargetRecord()
+        record.note_latency(7, 0.0)
+        record.note_latency(6, 0.01)
+        assert not declines(view(record), 0.02)
+
+    def test_pause_that_goes_on_is_noticed(self):
+        assert declines(view(TargetRecord(), oldest=4, outstanding=1), 0)
+
+    def test_target_that_turned_slow_is_declined_and_tried_again(self):
+        record = TargetRecord()
+        for number in range(3):
+            record.note_latency(8, number * 0.1)
+        assert declines(view(record), 0.3)
+        assert not declines(view(record), 1.3)
+
+    def test_one_usual_answer_ends_it(self):
+        record = TargetRecord()
+        for ratio in (8, 8, 8, 1):
+            record.note_latency(ratio, 0.0)
+        assert not declines(view(record), 0.1)
+
+    def test_crashed_target_is_declined(self):
+        record = TargetRecord()
+        for _ in range(3):
+            record.note_failure(0.0)
+        assert declines(view(record), 0.1)
