--- a/bitternturn/relay/delegate.py
+++ b/bitternturn/relay/delegate.py
@@ -14,6 +14,8 @@
 from bitternturn.policy.target_record import declines
 from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection
+from bitternturn.relay.outcomes import encode_outcome
+from bitternturn.schema import relay_pb2
 from bitternturn.schema.relay_pb2 import Frame, Part, Parts, Sends
 
 # How one send ended, with its answer if there is one.
@@ -143,9 +145,9 @@
         self.open -= 1
         part = Part(
             index=index,
-            outcome=outcome.value,
+            outcome=encode_outcome(outcome),
             stamp=answer.stamp if answer else '',
-            took_ms=(now - self.started_at) * MS_PER_SECOND,
+            took_ms=round((now - self.started_at) * MS_PER_SECOND),
         )
         self.ended.append((part, answer))
         if not self.open:
@@ -220,4 +222,5 @@
 def _is_answer(end: End) -> bool:
     """Return whether a send ended with a valid answer."""
     part, answer = end
-    return answer is not None and part.outcome == Outcome.ANSWERED.value
+    answered = part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+    return answer is not None and answered
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -23,7 +23,9 @@
     rank_members,
 )
 from bitternturn.relay import const
+from bitternturn.relay.outcomes import decode_outcome
 from bitternturn.relay.peer import Peer, PeerEnd
+from bitternturn.schema import relay_pb2
 from bitternturn.schema.relay_pb2 import (
     Cancel,
     Frame,
@@ -84,7 +86,8 @@
             places=told.owners,
             cut=told.cut,
             answered=sum(
-                part.outcome == Outcome.ANSWERED.value for part in told.parts
+                part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+                for part in told.parts
             ),
         )
         for place, part in enumerate(told.parts):
@@ -103,7 +106,7 @@
     def _end_one(self, part: Part, place: int, merged: MergedRecords) -> None:
         """Take the end of one send."""
         send = self.sends[part.index]
-        outcome = Outcome(part.outcome)
+        outcome = decode_outcome(part.outcome)
         answer = None
         if outcome is Outcome.ANSWERED:
             answer = TargetAnswer(
