Refuse requests that silent shards keep from being served

Every query went to all shards and ended with 504 at its deadline, 1.4 s later, although the instance knew better.

Change: targets that leave a request short of its least coverage at the aim, or can't be reached, count as silent until they answer or for two seconds. A request that can't reach its coverage without them is refused before anything is sent, with the time after which the targets are tried again; one request in half a second is sent to find out.

What is left: some targets of these shards answered now and then, which clears them.

--- a/bitternturn/gateway/const.py
+++ b/bitternturn/gateway/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from bitternturn.policy.silence import PROBE_S
+
 # Longest time for a connection to a target to open, in seconds; a packet that
 # was dropped is sent again after one.
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -31,10 +33,12 @@
 # Least time in which a target can answer; less left is not worth a send.
 MIN_SEND_S: Final = 0.004
 # When to come back after a refusal, in seconds: for load that passes soon,
-# for targets that are gone, and for an instance that knows nothing yet.
+# for targets that are gone, for an instance that knows nothing yet, and for
+# targets that have fallen silent, which are tried as often.
 BUSY_RETRY_S: Final = 0.1
 UNAVAILABLE_RETRY_S: Final = 0.3
 UNREADY_RETRY_S: Final = 0.5
+SILENT_RETRY_S: Final = PROBE_S
 # Time after the return of the store in which entries that lapsed come back.
 LAPSE_GRACE_S: Final = 2.2
 # Time after a failure of the store in which missing entries may have lapsed.
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -126,6 +126,12 @@
                 RefusalReason.NO_TARGET,
                 const.UNAVAILABLE_RETRY_S,
             )
+        if route.shards and not self.may_serve(services, route.least_parts()):
+            return self._refuse(
+                caller,
+                RefusalReason.SILENT_TARGETS,
+                const.SILENT_RETRY_S,
+            )
         self.in_flight += 1
         try:
             return await self._async_run(caller, route, services, arrived_at)
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -263,6 +263,8 @@
     NOT_READY = 'not_ready'
     DRAINING = 'draining'
     NO_TARGET = 'no_target'
+    # Too many services have no target that answers at present.
+    SILENT_TARGETS = 'silent_targets'
     BUSY = 'busy'
     NOT_RUN = 'not_run'
     # The rest may have run.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -21,6 +21,7 @@
 from bitternturn.gateway.target import Send, Target, start_directly
 from bitternturn.gateway.wire import Wire
 from bitternturn.policy.second_sends import SecondSends
+from bitternturn.policy.silence import SilentTargets
 from bitternturn.policy.subsets import (
     connections_each,
     count_usable,
@@ -30,6 +31,8 @@
 
 # Factors by which the costs of targets vary, so that equal ones take turns.
 JITTER = (0.9, 1.1)
+# Ends of sends that show that a target answers.
+REPLIES = frozenset((Outcome.ANSWERED, Outcome.FAILED, Outcome.NOT_RUN))
 
 
 class TargetPool:
@@ -65,6 +68,7 @@
         self.wide_services: frozenset[ServiceName] = frozenset()
         # Failure domain whose targets are preferred.
         self.near_domain = settings.failure_domain
+        self.silent = SilentTargets()
         self.budgets: dict[ServiceName, SecondSends] = {}
         # When this process took the place of one that has ended, if it did.
         self.restarted_at = None if settings.first_start else self.now()
@@ -136,6 +140,10 @@
         note_send(self, target, outcome, latency_s)
         if outcome is Outcome.MISDIRECTED:
             self.refresh_targets()
+        elif outcome is Outcome.UNREACHABLE:
+            self.silent.note_silence([target.entry.id], self.now())
+        elif outcome in REPLIES:
+            self.silent.note_answer(target.entry.id)
 
     def _choose_near(self) -> None:
         """Prefer the own failure domain, or one by turns if it has no targets.
@@ -213,6 +221,23 @@
         """Return this instance's share of the budget that is always there."""
         return self.settings.bounds.retry_slack / self.instances
 
+    def note_silence(self, targets: Sequence[TargetId], now: float) -> None:
+        """Take in that targets leave a request without enough answers."""
+        self.silent.note_silence(targets, now)
+
+    def may_serve(self, services: Sequence[ServiceName], least: int) -> bool:
+        """Return whether enough services have a target that answers."""
+        if not self.silent.since:
+            return True
+        return self.silent.may_serve(
+            [
+                [target.entry.id for target in self.ready.get(service, ())]
+                for service in services
+            ],
+            least=least,
+            now=self.now(),
+        )
+
     def choose(
         self,
         service: ServiceName,
--- a/bitternturn/gateway/run.py
+++ b/bitternturn/gateway/run.py
@@ -22,6 +22,8 @@
 
 # Unusual sends of one request that are told in its log line.
 MAX_REMEMBERED = 12
+# Hedge delays that a request has to last until its targets count as silent.
+SILENT_HEDGES = 2
 # Ends after which the target has not run the request.
 HARMLESS = frozenset(
     (
@@ -58,6 +60,9 @@
     def start(self, send: Send, now: float) -> None:
         """Send to a target, directly or through a peer."""
 
+    def note_silence(self, targets: Sequence[TargetId], now: float) -> None:
+        """Take in that targets leave a request without enough answers."""
+
 
 class Run:
     """Sends a request to its parts until it can be answered or given up."""
@@ -91,10 +96,15 @@
         # Sends that were not the first of a part or ended without an answer.
         self.unusual: list[dict[str, Any]] = []
         self.retries = 0
+        # When targets that have not answered yet count as silent.
+        self.silent_from = math.inf
 
     def start(self) -> None:
         """Send each part once."""
         now = self.around.now()
+        if len(self.parts) > 1:
+            hedged_s = SILENT_HEDGES * self.usual.hedge_delay_s()
+            self.silent_from = max(self.aim_at, now + hedged_s)
         for part in self.parts:
             part.started_at = now
             self._send(part, now)
@@ -281,6 +291,8 @@
             deadline=self.deadline,
         )
         if verdict is Verdict.WAIT:
+            if now >= self.silent_from:
+                self._note_silence(now)
             self._arm(now)
             return
         on_end = self.on_end
@@ -296,6 +308,20 @@
             ),
         )
 
+    def _note_silence(self, now: float) -> None:
+        """Tell once which targets keep the request from being answered."""
+        self.silent_from = math.inf
+        latest = now - self.usual.hedge_delay_s()
+        self.around.note_silence(
+            [
+                send.target.entry.id
+                for part in self.parts
+                for send in part.under_way
+                if send.started_at <= latest
+            ],
+            now,
+        )
+
     def progress(self) -> Progress:
         """Return how many parts have arrived and may arrive."""
         arrived = sum(1 for part in self.parts if part.answer is not None)
@@ -312,8 +338,10 @@
         if self.timer is not None:
             return
         wake = self.deadline
-        if now < self.aim_at and len(self.parts) > 1:
-            wake = min(wake, self.aim_at)
+        if len(self.parts) > 1:
+            wake = min(wake, self.silent_from)
+            if now < self.aim_at:
+                wake = min(wake, self.aim_at)
         if self.repeatable:
             wake = min(wake, self._next_hedge(now))
         self.wake_at = wake
--- a/bitternturn/platform/exchange.py
+++ b/bitternturn/platform/exchange.py
@@ -41,6 +41,7 @@
     RefusalReason.NOT_READY: http.STATUS_UNAVAILABLE,
     RefusalReason.DRAINING: http.STATUS_UNAVAILABLE,
     RefusalReason.NO_TARGET: http.STATUS_UNAVAILABLE,
+    RefusalReason.SILENT_TARGETS: http.STATUS_UNAVAILABLE,
     RefusalReason.BUSY: http.STATUS_UNAVAILABLE,
     RefusalReason.NOT_RUN: http.STATUS_UNAVAILABLE,
     RefusalReason.FAILED: http.STATUS_BAD_GATEWAY,
--- /dev/null
+++ b/tests/gateway/test_silent_targets.py
@@ -0,0 +1,72 @@
+"""Tests of shards whose targets all hang."""
+
+from bitternturn.standins.platform_target import Behaviour, PlatformTarget
+from tests.gateway.helpers import (
+    configure,
+    make_entry,
+    make_gateway,
+    make_request,
+    make_shard_route,
+    register,
+    running,
+    scripted,
+)
+
+SHARDS = 4
+ROUTE = make_shard_route(SHARDS, aim_s=0.2, timeout_s=9.0, least_coverage=0.7)
+
+
+def make_shards(*hanging):
+    """Return two targets a shard; those of some shards hang at first."""
+    return [
+        scripted(f't{shard}{replica}', Behaviour.HANG)
+        if shard in hanging
+        else PlatformTarget(id=f't{shard}{replica}')
+        for shard in range(SHARDS)
+        for replica in 'ab'
+    ]
+
+
+async def async_responses(gateway, targets, count, left_ms):
+    """Return the responses to requests, one after the other."""
+    configure(gateway, ROUTE)
+    register(
+        gateway,
+        *(
+            make_entry(target, f's{index // 2}')
+            for index, target in enumerate(targets)
+        ),
+    )
+    return [
+        await gateway.async_handle(make_request(f'q{number}', left_ms=left_ms))
+        for number in range(count)
+    ]
+
+
+class TestShardsThatHang:
+    async def test_later_requests_are_refused_at_once_and_unsent(self):
+        targets = make_shards(0, 1)
+        async with running(*targets):
+            gateway = make_gateway()
+            gateway.silent.probed_at = gateway.now() + 60
+            first, second = await async_responses(gateway, targets, 2, 800)
+            sent = {seen.id for target in targets for seen in target.seen}
+        assert first.status == 504
+        assert second.status == 503
+        assert float(second.headers['retry-after']) > 0
+        assert sent == {'q0'}
+
+    async def test_probe_finds_targets_that_are_back(self):
+        targets = make_shards(0, 1)
+        async with running(*targets):
+            gateway = make_gateway()
+            responses = await async_responses(gateway, targets, 3, 800)
+        assert responses[-1].status == 200
+
+    async def test_late_shard_within_the_coverage_refuses_nothing(self):
+        targets = make_shards(0)
+        async with running(*targets):
+            gateway = make_gateway()
+            gateway.silent.probed_at = gateway.now() + 60
+            responses = await async_responses(gateway, targets, 3, 2000)
+        assert {response.status for response in responses} == {200}
