Believe no reader that only hears of others; probe every two seconds at least

All three readers were cut off for 12 s. The 53 followers that still reached the store read it themselves, until it cut their watches at 8.2 s; their next calls were 1, 2, 4 and 8 s apart, so that a configuration came at 16.4 s. The pause grew with the fleet since.

The other was found by reading: what a reader hears from another counted as a success of its own calls, so that readers without the store took each other's word for being fresh; and an answer of the store that other readers had overtaken was put over what they had told.

Change: pauses of followers are 1 and then 2 s; only own calls count for being fresh; lists and events that are behind the copy change nothing.

Tests in tests/platform/test_source.py: TestOrder and test_reader_that_only_hears_of_others_is_not_fresh fail before; test_follower_alone_hears_soon_after_the_store_is_back holds the pause.

--- a/bitternturn/platform/outage.py
+++ b/bitternturn/platform/outage.py
@@ -3,19 +3,21 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 # Pauses between probes while the store fails, in seconds.
 FIRST_PAUSE_S: Final = 0.1
 LONGEST_PAUSE_S: Final = 1.0
-# First pause as a share of the longest, where that is longer.
-FIRST_PAUSE_SHARE: Final = 0.1
 PAUSE_GROWTH: Final = 2.0
 
 
-def usual_pause_s() -> float:
-    """Return the longest pause of an instance that the others rely on."""
-    return LONGEST_PAUSE_S
+@dataclass(kw_only=True, frozen=True, slots=True)
+class Pauses:
+    """Pauses between probes, in seconds: the first and the longest."""
+
+    first_s: float = FIRST_PAUSE_S
+    longest_s: float = LONGEST_PAUSE_S
 
 
 class OutageGate:
@@ -29,10 +31,10 @@
     def __init__(
         self,
         *,
-        longest_pause_s: Callable[[], float] = usual_pause_s,
+        pauses: Callable[[], Pauses] = Pauses,
     ) -> None:
-        """Start open."""
-        self.longest_pause_s = longest_pause_s
+        """Start open; `pauses` may change in the course of an outage."""
+        self.pauses = pauses
         self.pause_s: float = 0
         # Makes those who wait for a probe take turns.
         self.turns = asyncio.Lock()
@@ -55,9 +57,10 @@
 
     def note_failure(self, *, probe: bool) -> None:
         """Hold calls back; the pause grows with each probe that fails."""
-        longest_s = self.longest_pause_s()
+        pauses = self.pauses()
         if self.answering.is_set():
             self.answering.clear()
-            self.pause_s = max(FIRST_PAUSE_S, longest_s * FIRST_PAUSE_SHARE)
+            self.pause_s = pauses.first_s
         elif probe:
-            self.pause_s = min(longest_s, self.pause_s * PAUSE_GROWTH)
+            longer_s = self.pause_s * PAUSE_GROWTH
+            self.pause_s = min(pauses.longest_s, longer_s)
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -15,7 +15,7 @@
 from bitternturn.gateway.models import Address, InstanceSettings
 from bitternturn.platform import names
 from bitternturn.platform.mirror import async_mirror
-from bitternturn.platform.outage import LONGEST_PAUSE_S, OutageGate
+from bitternturn.platform.outage import OutageGate, Pauses
 from bitternturn.platform.store import (
     Event,
     Meta,
@@ -23,7 +23,7 @@
     PlatformStore,
 )
 from bitternturn.relay import const as relay
-from bitternturn.relay.copies import CopiedObject, Copies
+from bitternturn.relay.copies import CopiedObject, Copies, KindCopy
 from bitternturn.relay.delegation import Delegation
 from bitternturn.relay.peer import PeerEnd, async_ask
 from bitternturn.schema.relay_pb2 import (
@@ -43,14 +43,19 @@
 # tells nothing then: no callers wait yet, and instances are up seconds after
 # each other.
 FIRST_READ_AFTER_S = 3.0
-# Longest pause of a reader that can't serve yet, in seconds.
+# Pauses between probes of a failing store: of a reader that can't serve yet, and
+# of the many that follow readers, where every call is priced but a
+# configuration has to arrive within seconds of the store's return.
 HURRIED_PAUSE_S = 0.3
+HURRIED_PAUSES = Pauses(longest_s=HURRIED_PAUSE_S)
+FOLLOWER_PAUSE_S = 2.0
+FOLLOWER_PAUSES = Pauses(
+    first_s=FOLLOWER_PAUSE_S / 2,
+    longest_s=FOLLOWER_PAUSE_S,
+)
 # Number of instances up to which each reads the store itself, and may call one
 # that fails once a second.
 SMALL_FLEET = 16
-# Number of instances whose calls to a failing store all followers of a large
-# fleet together do not exceed.
-PROBING_INSTANCES = 8
 # How long the watches of a small fleet wait, in seconds, and those of the
 # readers of a large one: a reader that has gone deaf without knowing it may
 # mislead others no longer than a configuration's bound allows.
@@ -152,7 +157,7 @@
         self.store.watch_s = (
             SMALL_FLEET_WATCH_S if self.small_fleet else READER_WATCH_S
         )
-        gate = OutageGate(longest_pause_s=self._longest_pause_s)
+        gate = OutageGate(pauses=self._pauses)
         if failing:
             gate.note_failure(probe=False)
         self.mirrors = [
@@ -160,8 +165,8 @@
                 async_mirror(
                     self.store,
                     kind,
-                    on_all=partial(self._take_all, kind),
-                    on_events=partial(self._take_events, kind),
+                    on_all=partial(self._read_all, kind),
+                    on_events=partial(self._read_events, kind),
                     on_failure=self.note_failure,
                     since=self.copies.kinds[kind].revision,
                     gather_s=follows.gather_s,
@@ -247,16 +252,40 @@
         else:
             self._take_events(kind, events, told.at_revision)
 
-    def _take_all(
+    def _read_all(
         self,
         kind: str,
         found: Sequence[PlatformObject],
         revision: int,
     ) -> None:
-        """Take all objects of a kind."""
+        """Take all objects of a kind from the store itself."""
+        self._note_success(kind)
+        self._take_all(kind, found, revision)
+
+    def _read_events(
+        self,
+        kind: str,
+        events: Sequence[Event],
+        revision: int,
+    ) -> None:
+        """Take changes of a kind from the store itself."""
         self._note_success(kind)
-        copied = [_copy(stored, deleted=False) for stored in found]
-        self.copies.kinds[kind].replace(copied, revision)
+        self._take_events(kind, events, revision)
+
+    def _take_all(
+        self,
+        kind: str,
+        found: Sequence[PlatformObject],
+        revision: int,
+    ) -> None:
+        """Take all objects of a kind, unless later ones are known."""
+        copy = self.copies.kinds[kind]
+        if revision < copy.revision:
+            return
+        copy.replace(
+            [_copy(stored, deleted=False) for stored in found],
+            revision,
+        )
         self.copies.wake()
         self.kinds[kind].take_all(found)
 
@@ -266,29 +295,31 @@
         events: Sequence[Event],
         revision: int,
     ) -> None:
-        """Take changes of a kind."""
-        self._note_success(kind)
-        self.copies.kinds[kind].apply(
-            [_copy(event.object, deleted=event.deleted) for event in events],
+        """Take changes of a kind that are not known yet.
+
+        The store and the readers tell in an order of their own.
+        """
+        copy = self.copies.kinds[kind]
+        fresh = [
+            event
+            for event in events
+            if revision > copy.revision and not _is_known(event, copy)
+        ]
+        copy.apply(
+            [_copy(event.object, deleted=event.deleted) for event in fresh],
             revision,
         )
-        if events:
+        if fresh:
             self.copies.wake()
-            self.kinds[kind].take_events(events)
-
-    def _longest_pause_s(self) -> float:
-        """Return the longest pause between calls while the store fails.
+            self.kinds[kind].take_events(fresh)
 
-        Every call is priced, also one that is turned away, and the others
-        learn from the readers: together they make no more calls than a few
-        instances would.
-        """
+    def _pauses(self) -> Pauses:
+        """Return the pauses between probes of a store that fails."""
         if not self.is_reader and self.readers:
-            share = self.gateway.instances / PROBING_INSTANCES
-            return LONGEST_PAUSE_S * max(1, share)
+            return FOLLOWER_PAUSES
         if self.gateway.knowledge.complete:
-            return LONGEST_PAUSE_S
-        return HURRIED_PAUSE_S
+            return Pauses()
+        return HURRIED_PAUSES
 
     def note_failure(self, kind: str, error: BitternturnError) -> None:
         """Note that the store does not answer."""
@@ -309,6 +340,15 @@
             self.decisions.note('store_regained', of=kind)
 
 
+def _is_known(event: Event, copy: KindCopy) -> bool:
+    """Return whether a copy shows a change already, or a later one."""
+    meta = event.object.meta
+    if not event.deleted:
+        return meta.revision <= copy.revision
+    present = copy.objects.get(meta.name)
+    return present is None or present.revision > meta.revision
+
+
 def _copy(stored: PlatformObject, *, deleted: bool) -> CopiedObject:
     """Return an object in the form that peers are told."""
     return CopiedObject(
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.models import Address
 from bitternturn.platform import outage, source
+from bitternturn.platform.names import KIND_INSTANCES
+from bitternturn.platform.store import Event, Meta, PlatformObject
 from bitternturn.relay.server import RelayServer
 from bitternturn.standins.platform_store import (
     PlatformStoreStandin,
@@ -54,6 +57,13 @@
         await self.tasks.async_stop()
 
 
+async def refuse_calls(*_, **__):
+    """Fail as a store does that can't be reached."""
+    raise BitternturnError(
+        'refused', code=ErrorCode.PLATFORM_UNREACHABLE, step='call', peer=''
+    )
+
+
 @pytest.fixture(autouse=True)
 def large_fleet(monkeypatch):
     """Take every fleet for a large one."""
@@ -207,6 +217,26 @@
                 lambda: all(it.gateway.version == 9 for it in fleet[1:])
             )
 
+    async def test_reader_that_only_hears_of_others_is_not_fresh(
+        self, standin, ports
+    ):
+        """Readers cut off from the store took each other's word for it."""
+        async with fleet_of(standin, 3, ports) as fleet:
+            deaf, other = fleet[:2]
+            store = deaf.follower.source.store
+            store.async_watch = store.async_list = refuse_calls
+            standin.wake_watches()
+            copies = deaf.follower.source.copies
+            await async_until(lambda: not copies.fresh)
+            for version in (9, 10):
+                standin.put('config', 'main', configuration_document(version))
+                standin.put('evacuations', f'd{version}', {})
+                standin.put('servers', f't{version}', target_document())
+                standin.put(KIND_INSTANCES, f'i{version}', {})
+                await async_until(lambda: deaf.gateway.version == version)
+                assert not copies.fresh
+            assert other.follower.source.copies.fresh
+
     async def test_turned_away_reader_follows_another(self, standin, ports):
         async with fleet_of(standin, 3, ports) as fleet:
             transport = fleet[0].follower.source.store.transport
@@ -235,7 +265,8 @@
         self, standin, ports, monkeypatch
     ):
         """Replays an outage, in which every follower took to calling."""
-        monkeypatch.setattr(outage, 'FIRST_PAUSE_S', 60.0)
+        slow = outage.Pauses(first_s=60.0, longest_s=60.0)
+        monkeypatch.setattr(source.StoreSource, '_pauses', lambda _: slow)
         async with fleet_of(standin, 5, ports, readers=1) as fleet:
             standin.fault = lambda _: StoreFault.BUSY
             standin.wake_watches()
@@ -245,6 +276,25 @@
             # The watches of the reader, one a kind, and nothing after them.
             assert len(standin.calls) - before <= 4
 
+    async def test_follower_alone_hears_soon_after_the_store_is_back(
+        self, standin, ports
+    ):
+        """Replays readers that are cut off while the store fails for long."""
+        async with fleet_of(standin, 4, ports, readers=1) as fleet:
+            await fleet[0].async_stop()
+            await async_until(lambda: all(it.reads_store for it in fleet[1:]))
+            standin.fault = lambda _: StoreFault.BUSY
+            standin.wake_watches()
+            await asyncio.sleep(1.5)
+            pauses = [it.follower.source._pauses() for it in fleet[1:]]
+            # A configuration of the small sites is in force within 3 s.
+            assert max(it.longest_s for it in pauses) <= 2
+            standin.fault = lambda _: StoreFault.NONE
+            standin.put('config', 'main', configuration_document(9))
+            await async_until(
+                lambda: all(it.gateway.version == 9 for it in fleet[1:])
+            )
+
     async def test_silent_readers_hold_up_nothing(self, standin, ports):
         """Two readers froze at the same moment."""
 
@@ -277,3 +327,49 @@
                 assert late.gateway.ready['s']
             finally:
                 await late.async_stop()
+
+
+class TestOrder:
+    """The store's answers and the readers' overtake each other."""
+
+    async def async_instance(self, standin, ports):
+        """Return an instance that knows the configuration at revision 100."""
+        address = Address(host='127.0.0.1', port=ports[0])
+        instance = Instance('i0', standin.server.port, address, ())
+        instance.follower.source._take_all('config', [config_at(8, 90)], 100)
+        return instance
+
+    async def test_late_events_change_nothing(self, standin, ports):
+        instance = await self.async_instance(standin, ports)
+        copy = instance.follower.source.copies.kinds['config']
+        take = instance.follower.source._take_events
+        take('config', [Event(object=config_at(7, 80))], 85)
+        take('config', [Event(object=config_at(7, 80))], 105)
+        take('config', [Event(object=config_at(7, 80), deleted=True)], 106)
+        assert copy.objects['main'].revision == 90
+        assert copy.revision == 106
+        assert instance.gateway.version == 8
+
+    async def test_late_list_changes_nothing(self, standin, ports):
+        instance = await self.async_instance(standin, ports)
+        copy = instance.follower.source.copies.kinds['config']
+        instance.follower.source._take_all('config', [config_at(7, 80)], 95)
+        assert copy.objects['main'].revision == 90
+        assert copy.revision == 100
+
+    async def test_later_changes_are_taken(self, standin, ports):
+        instance = await self.async_instance(standin, ports)
+        copy = instance.follower.source.copies.kinds['config']
+        take = instance.follower.source._take_events
+        take('config', [Event(object=config_at(9, 110))], 111)
+        assert instance.gateway.version == 9
+        take('config', [Event(object=config_at(9, 110), deleted=True)], 120)
+        assert not copy.objects
+
+
+def config_at(version, revision):
+    """Return a configuration as the store holds it at a revision."""
+    return PlatformObject(
+        meta=Meta(name='main', revision=revision),
+        spec=configuration_document(version),
+    )
