--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+from functools import partial
 
 import pytest
 
@@ -57,6 +58,11 @@
         await self.tasks.async_stop()
 
 
+def has_version(instance, version):
+    """Return whether a version is in force at an instance."""
+    return instance.gateway.version == version
+
+
 async def refuse_calls(*_, **__):
     """Fail as a store does that can't be reached."""
     raise BitternturnError(
@@ -233,7 +239,7 @@
                 standin.put('evacuations', f'd{version}', {})
                 standin.put('servers', f't{version}', target_document())
                 standin.put(KIND_INSTANCES, f'i{version}', {})
-                await async_until(lambda: deaf.gateway.version == version)
+                await async_until(partial(has_version, deaf, version))
                 assert not copies.fresh
             assert other.follower.source.copies.fresh
 
