Take forgotten history for an answer of the store

The first probe of each kind was answered with 410, which did not open the gate, so that the four kinds took turns of a second or more each before one of them read its list, after 13.3 s.

Change: 410 opens the gate.

--- a/bitternturn/platform/mirror.py
+++ b/bitternturn/platform/mirror.py
@@ -63,6 +63,7 @@
             failed = error.code is not ErrorCode.WATCH_GONE
             on_failure(kind, error)
             if error.code is ErrorCode.WATCH_GONE:
+                gate.note_success()
                 await asyncio.sleep(FIRST_PAUSE_S)
             else:
                 gate.note_failure(probe=probing)
--- a/tests/platform/test_mirror.py
+++ b/tests/platform/test_mirror.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from bitternturn.core.errors import BitternturnError
+from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.platform import transport
 from bitternturn.platform.mirror import async_mirror
-from bitternturn.platform.outage import OutageGate
+from bitternturn.platform.outage import OutageGate, Pauses
 from bitternturn.standins.platform_store import (
     PlatformStoreStandin,
     StoreFault,
@@ -29,6 +29,9 @@
         self.lists += 1
         self.specs = {stored.meta.name: stored.spec for stored in found}
 
+    def take_failure(self, kind, error):
+        self.failures.append(error)
+
     def take_events(self, events, revision):
         self.answers += 1
         for event in events:
@@ -39,7 +42,9 @@
 
 
 @contextlib.asynccontextmanager
-async def mirroring(standin, copy, timeout_s=0.5, watch_s=0.5):
+async def mirroring(
+    standin, copy, timeout_s=0.5, watch_s=0.5, gate=None, on_failure=None
+):
     """Follow the kind `servers` of a stand-in."""
     store = make_store(standin.server.port, timeout_s, watch_s)
     task = asyncio.create_task(
@@ -48,8 +53,8 @@
             'servers',
             on_all=copy.take_all,
             on_events=copy.take_events,
-            on_failure=lambda _, error: copy.failures.append(error),
-            gate=OutageGate(),
+            on_failure=on_failure or copy.take_failure,
+            gate=gate or OutageGate(),
         )
     )
     try:
@@ -171,3 +176,27 @@
             await async_until(lambda: copy.failures)
             answered = copy.answers
             await async_until(lambda: copy.answers > answered)
+
+    async def test_forgotten_history_shows_that_the_store_answers(
+        self, standin
+    ):
+        """Each kind waited for its turn twice before it was read again."""
+        gate = OutageGate(pauses=lambda: Pauses(first_s=0.05))
+        copy = Copy()
+
+        def take_failure(_, error):
+            copy.failures.append(error)
+            if error.code is ErrorCode.WATCH_GONE:
+                gate.pause_s = 60
+
+        async with mirroring(standin, copy, gate=gate, on_failure=take_failure):
+            await async_until(lambda: len(standin.calls) == 2)
+            standin.fault = lambda count: (
+                StoreFault.BUSY if count == 2 else StoreFault.NONE
+            )
+            standin.put('servers', 'a', 1)
+            await async_until(lambda: copy.failures)
+            standin.put('servers', 'b', 2)
+            standin.forget_history()
+            await async_until(lambda: copy.specs == {'a': 1, 'b': 2})
+        assert copy.failures[-1].code is ErrorCode.WATCH_GONE
