Try the only target of a part again after a connection that failed

Change: such a target is tried again, up to the number of unsent sends, once no other is left. The test fails before.

--- a/bitternturn/gateway/const.py
+++ b/bitternturn/gateway/const.py
@@ -25,7 +25,7 @@
 # Sends to one part beyond the number of targets that its route allows, for
 # targets that say that they did not run the request.
 SENDS_BEYOND: Final = 1
-# Sends to one part that may come to nothing because peers are gone.
+# Sends to one part that may come to nothing before any target has it.
 MAX_UNSENT: Final = 3
 # Time before the deadline at which a request ends without an answer, so that
 # the caller still learns of it.
--- a/bitternturn/gateway/run.py
+++ b/bitternturn/gateway/run.py
@@ -36,7 +36,7 @@
 )
 # Ends of sends that no target has received.
 UNSENT = frozenset((Outcome.NOT_SENT, Outcome.UNREACHABLE, Outcome.DECLINED))
-# Ends after which the target is not asked again for the same part.
+# Ends after which every other target is tried first for the same part.
 USELESS = frozenset((Outcome.UNREACHABLE, Outcome.MISDIRECTED))
 
 
@@ -156,12 +156,13 @@
             target = self.around.choose(part.service, avoided, usual_s)
         if target is not None:
             return target
+        if part.unreached > const.MAX_UNSENT:
+            return None
         busy = [send.target.entry.id for send in part.under_way]
-        busy.extend(part.useless)
         again = self.around.choose(part.service, busy, usual_s)
         if again is None:
             return None
-        known = again.entry.id in part.reached
+        known = again.entry.id in part.reached | part.useless
         return again if known else None
 
     def _take_end(
--- a/tests/gateway/test_unreachable.py
+++ b/tests/gateway/test_unreachable.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bitternturn.gateway import target as target_module
 from bitternturn.standins.platform_target import PlatformTarget
 from tests.gateway.helpers import (
     configure,
@@ -45,6 +46,27 @@
                 response = await gateway.async_handle(request)
                 assert response.status == 200
 
+    async def test_only_target_is_tried_again(self):
+        """Replays a busy target that drops the first opening packet."""
+        target = PlatformTarget(id='a')
+        async with running(target):
+            gateway = make_gateway()
+            configure(gateway, make_shard_route(1))
+            register(gateway, make_entry(target, 's0'))
+            opened = []
+            connect = target_module.async_connect
+
+            async def async_fail_once(**address):
+                opened.append(address)
+                if len(opened) == 1:
+                    raise TimeoutError
+                return await connect(**address)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(target_module, 'async_connect', async_fail_once)
+                response = await gateway.async_handle(make_request())
+        assert response.status == 200
+
     async def test_none_left_is_a_true_refusal_at_once(self):
         gone = [await async_crashed(f'gone{it}') for it in range(3)]
         gateway = make_gateway()
