--- a/bitternturn/platform/mirror.py
+++ b/bitternturn/platform/mirror.py
@@ -39,7 +39,7 @@
     # ends whether the store answers again.
     failed = False
     while True:
-        probing = await gate.async_pass()
+        await gate.async_pass()
         try:
             if revision is None:
                 found, revision = await store.async_list(kind)
@@ -66,4 +66,4 @@
                 gate.note_success()
                 await asyncio.sleep(FIRST_PAUSE_S)
             else:
-                gate.note_failure(probe=probing)
+                gate.note_failure()
--- a/bitternturn/platform/outage.py
+++ b/bitternturn/platform/outage.py
@@ -41,26 +41,29 @@
         self.answering = asyncio.Event()
         self.answering.set()
 
-    async def async_pass(self) -> bool:
-        """Wait until a call may be made; return whether it is a probe."""
+    async def async_pass(self) -> None:
+        """Wait until a call may be made.
+
+        A probe lengthens the pause before the next one as it goes, since it
+        may take longer to fail than that pause.
+        """
         async with self.turns:
             if self.answering.is_set():
-                return False
+                return
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self.pause_s):
                     await self.answering.wait()
-        return not self.answering.is_set()
+            if not self.answering.is_set():
+                self.pause_s = min(
+                    self.pauses().longest_s, self.pause_s * PAUSE_GROWTH
+                )
 
     def note_success(self) -> None:
         """Let calls pass."""
         self.answering.set()
 
-    def note_failure(self, *, probe: bool) -> None:
-        """Hold calls back; the pause grows with each probe that fails."""
-        pauses = self.pauses()
+    def note_failure(self) -> None:
+        """Hold calls back, from the first pause on if they could pass."""
         if self.answering.is_set():
             self.answering.clear()
-            self.pause_s = pauses.first_s
-        elif probe:
-            longer_s = self.pause_s * PAUSE_GROWTH
-            self.pause_s = min(pauses.longest_s, longer_s)
+            self.pause_s = self.pauses().first_s
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -159,7 +159,7 @@
         )
         gate = OutageGate(pauses=self._pauses)
         if failing:
-            gate.note_failure(probe=False)
+            gate.note_failure()
         self.mirrors = [
             self.tasks.spawn(
                 async_mirror(
