Let settings name the address of metrics; tell an address in use

The instance that came second could not listen and ended with a traceback. Shown by pairs of soaks started 0 to 8 s apart: in 7 of 8 pairs processes ended so, and their logs end with this error.

Ruled out: the ports of callers and peers (differ by process), load.

Change: an optional `listen.metrics`; the soak names it. An address that can't be listened on is one line and exit code 2. The soak prints the last line of a process that has ended, and no longer calls the time since its start its age.

Tests: test_boot.py and test_process.py, both failing before.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -103,6 +103,7 @@
                 'front': f'{self.host}:{self.port}',
                 'ready': f'{self.host}:{self.port + 1}',
                 'control': f'{self.host}:{self.port + 2}',
+                'metrics': f'{self.host}:{self.port + 3}',
             },
             'seed-nodes': self.seeds,
             'bounds': {
@@ -147,11 +148,11 @@
         """Return how a process ended that nobody ended."""
         code = self.process.returncode if self.process else None
         log = self.folder / f'i{self.number}.log'
+        lines = log.read_text(encoding='utf-8').splitlines()
         return (
-            f'i{self.number} ended by itself with {code} after '
-            f'{time.monotonic() - self.started_at:.2f} s, '
-            f'{log.stat().st_size} bytes logged, last signal '
-            f'{self.last_signal}'
+            f'i{self.number} ended by itself with {code}, seen '
+            f'{time.monotonic() - self.started_at:.2f} s after its start, '
+            f'last signal {self.last_signal}, last line {lines[-1:]}'
         )
 
     def send(self, number: signal.Signals) -> None:
--- a/bitternturn/platform/boot.py
+++ b/bitternturn/platform/boot.py
@@ -11,7 +11,7 @@
 from bitternturn.platform.names import MS_PER_SECOND
 
 STEP_LOAD = 'load settings'
-# The port that deploy/system.toml names.
+# The port that deploy/system.toml names; used when the file names none.
 METRICS_PORT = 9464
 
 
@@ -44,11 +44,13 @@
 
 
 class WireListen(msgspec.Struct, rename='kebab'):
-    """Where the process listens: callers, the balancer's probes, peers."""
+    """Where the process listens: callers, probes, peers, metrics."""
 
     front: str
     ready: str
     control: str | None = None
+    # Not written by the platform; for processes that share a host.
+    metrics: str | None = None
 
 
 class WireSettings(msgspec.Struct, rename='kebab'):
@@ -85,13 +87,18 @@
     except DECODE_ERRORS as error:
         raise _invalid(str(error)) from error
     control = fields.listen.control
+    metrics = fields.listen.metrics
     callers = read_address(fields.listen.front)
     return InstanceSettings(
         name=fields.node_name,
         failure_domain=FailureDomain(fields.zone),
         failure_domains=tuple(FailureDomain(name) for name in fields.zones),
         callers=callers,
-        metrics=Address(host=callers.host, port=METRICS_PORT),
+        metrics=(
+            read_address(metrics)
+            if metrics
+            else Address(host=callers.host, port=METRICS_PORT)
+        ),
         readiness=read_address(fields.listen.ready),
         peers=read_address(control) if control else None,
         cores=fields.limits.cpu_share * fields.limits.cores,
--- a/bitternturn/platform/daemon.py
+++ b/bitternturn/platform/daemon.py
@@ -5,7 +5,7 @@
 import signal
 from pathlib import Path
 
-from bitternturn.core.errors import BitternturnError
+from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway import const
 from bitternturn.gateway.decisions import Decisions
@@ -29,6 +29,7 @@
 CALL_TIMEOUT_S = 1.5
 CALLS_PER_S = 20.0
 CALL_BURST = 40.0
+STEP_LISTEN = 'listen'
 PATH_METRICS = '/metrics'
 CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
@@ -94,13 +95,20 @@
         self.decisions.note('stop')
 
     async def _async_listen(self) -> None:
-        """Open the listeners."""
+        """Open the listeners; raises BitternturnError."""
         for server, address in (
             (self.callers, self.settings.callers),
             (self.probes, self.settings.readiness),
             (self.readers, self.settings.metrics),
         ):
-            await server.async_start(host=address.host, port=address.port)
+            try:
+                await server.async_start(host=address.host, port=address.port)
+            except OSError as error:
+                raise BitternturnError(
+                    f'cannot listen on {address.host}:{address.port}: {error}',
+                    code=ErrorCode.INVALID_SETTINGS,
+                    step=STEP_LISTEN,
+                ) from error
         if self.settings.peers is not None:
             await self.relay.async_start(self.settings.peers)
 
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -17,6 +17,19 @@
         assert found.failure_domains == ('north', 'south')
         assert [seed.port for seed in found.seeds] == [8106]
 
+    @pytest.mark.parametrize(
+        ('named', 'expected'),
+        [
+            ({}, ('127.0.0.1', 9464)),
+            ({'metrics': '127.0.0.2:9000'}, ('127.0.0.2', 9000)),
+        ],
+    )
+    def test_metrics_may_have_an_address_of_their_own(self, named, expected):
+        listen = settings_document()['listen'] | named
+        text = msgspec.json.encode(settings_document(listen=listen))
+        metrics = decode_settings(text).metrics
+        assert (metrics.host, metrics.port) == expected
+
     @pytest.mark.parametrize('first', [True, False])
     def test_restarted_process_knows_that_it_is_one(self, first):
         text = msgspec.json.encode(settings_document(bootstrap=first))
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -1,10 +1,16 @@
 """Tests of the start of the process."""
 
+import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 
+from tests.platform.documents import settings_document
+
+# Longest wait for the end of a process that can't start, in seconds.
+START_LIMIT_S = 30
 CHECK = """
 import signal, sys
 signal.signal(signal.SIGHUP, signal.SIG_DFL)
@@ -42,3 +48,26 @@
         )
         assert found.returncode == 2
         assert 'load settings' in found.stderr
+
+    def test_address_in_use_is_told(self, tmp_path):
+        """Two processes of a soak had the same address for metrics."""
+        path = tmp_path / 'boot.json'
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            listen = {
+                'front': '127.0.0.1:0',
+                'ready': '127.0.0.1:0',
+                'metrics': f'127.0.0.1:{taken.getsockname()[1]}',
+            }
+            path.write_text(json.dumps(settings_document(listen=listen)))
+            environment = dict(os.environ)
+            environment['BITTERNTURN_NODE_FILE'] = str(path)
+            found = subprocess.run(
+                [sys.executable, '-m', 'bitternturn.platform'],
+                capture_output=True,
+                text=True,
+                env=environment,
+                timeout=START_LIMIT_S,
+            )
+        assert found.returncode == 2
+        assert f'cannot listen on {listen["metrics"]}' in found.stderr
+        assert 'Traceback' not in found.stderr
