Try a target that answered 421 again after one window of the retry budget

With time all replicas of a service were displaced and every request was refused with no_target.

Ruled out: the shared port of metrics (the instances that refused were alive and knew a fresh configuration); the outage of the store (regained).

Change: displacement ends after `retry-window-s`, so that an address that was really taken over is refused at most once per instance and window. A peer that leaves a target alone calls it unreachable: as `misdirected` two instances would displace it for each other without an end.

Tests: two in test_misdirected.py, failing before.

--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -1,5 +1,6 @@
 """The targets of an instance, its shares of their limits, and its choice."""
 
+import asyncio
 import random
 import time
 import zlib
@@ -126,7 +127,7 @@
         elif entry.cold_left_s > target.entry.cold_left_s:
             target.cold_until = self.now() + entry.cold_left_s
         if entry != target.entry:
-            target.displaced = False
+            target.readmit()
         target.entry = entry
         target.near = entry.failure_domain == self.near_domain
 
@@ -139,12 +140,32 @@
         """Count the end of a send; leave a target alone that has ended."""
         note_send(self, target, outcome, latency_s)
         if outcome is Outcome.MISDIRECTED:
-            self.refresh_targets()
+            self.displace(target)
         elif outcome is Outcome.UNREACHABLE:
             self.silent.note_silence([target.entry.id], self.now())
         elif outcome in REPLIES:
             self.silent.note_answer(target.entry.id)
 
+    def displace(self, target: Target) -> None:
+        """Leave a target alone for one window of the budget of repeats.
+
+        Each refusal counts as a repeat at the target that has the address. An
+        answer of 421 may also be a fault, so that the target is tried again.
+        """
+        if target.displaced:
+            return
+        target.displacement = asyncio.get_running_loop().call_later(
+            self.settings.bounds.retry_window_s,
+            self._readmit,
+            target,
+        )
+        self.refresh_targets()
+
+    def _readmit(self, target: Target) -> None:
+        """Let a target be tried again."""
+        target.readmit()
+        self.refresh_targets()
+
     def _choose_near(self) -> None:
         """Prefer the own failure domain, or one by turns if it has no targets.
 
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -142,9 +142,20 @@
         # Those of them that go through peers.
         self.delegated: set[Send] = set()
         self.closed = False
-        # Whether another target listens at the address: this one has ended,
-        # though its entry is still there.
-        self.displaced = False
+        # Ends the time in which this target is left alone because another one
+        # has answered at its address.
+        self.displacement: asyncio.TimerHandle | None = None
+
+    @property
+    def displaced(self) -> bool:
+        """Whether another target has answered at the address lately."""
+        return self.displacement is not None
+
+    def readmit(self) -> None:
+        """Let the target be sent to again."""
+        if self.displacement is not None:
+            self.displacement.cancel()
+            self.displacement = None
 
     def describe(self, usual_s: float, now: float) -> Candidate:
         """Return the target as a candidate for a send."""
@@ -189,6 +200,7 @@
     def close(self) -> None:
         """Take no sends any more and close what is idle."""
         self.closed = True
+        self.readmit()
         self.close_idle()
 
     def close_idle(self) -> None:
@@ -322,8 +334,6 @@
             send.linger.cancel()
         if send.connection is None and send in self.waiting:
             self.waiting.remove(send)
-        if outcome is Outcome.MISDIRECTED:
-            self.displaced = True
         self._note(send, outcome, took_s)
         if send.on_end is not None:
             send.on_end(send, outcome, answer)
--- a/bitternturn/relay/delegate.py
+++ b/bitternturn/relay/delegate.py
@@ -97,7 +97,9 @@
         if target is None:
             return Outcome.NOT_SENT
         if target.displaced:
-            return Outcome.MISDIRECTED
+            # Not misdirected: the other instance would displace the target
+            # anew with each question.
+            return Outcome.UNREACHABLE
         if not self.asked.may_decline:
             return None
         view = target.describe(self.usual.mean_s, now)
--- a/tests/gateway/test_misdirected.py
+++ b/tests/gateway/test_misdirected.py
@@ -1,5 +1,8 @@
 """Tests of addresses that another target has taken over."""
 
+import asyncio
+import dataclasses
+
 import pytest
 
 from bitternturn.standins.platform_target import Behaviour, PlatformTarget
@@ -25,6 +28,14 @@
     ]
 
 
+def set_window(gateway, seconds):
+    """Set the window of the budget of repeats."""
+    bounds = dataclasses.replace(
+        gateway.settings.bounds, retry_window_s=seconds
+    )
+    gateway.settings = dataclasses.replace(gateway.settings, bounds=bounds)
+
+
 class TestReusedAddress:
     async def test_target_that_took_over_is_left_alone(self):
         """Replays a crashed replica whose entry stays while the store is away.
@@ -53,6 +64,36 @@
         assert {response.status for response in responses} == {503}
         assert len(gone.seen) == 1
 
+    async def test_target_is_tried_again_after_one_window_of_repeats(self):
+        """Replays targets that answered 421 by a fault of their own."""
+        target = scripted('a', Behaviour.MISDIRECTED)
+        async with running(target):
+            gateway = make_gateway()
+            set_window(gateway, 0.2)
+            configure(gateway, make_shard_route(1))
+            register(gateway, make_entry(target, 's0'))
+            await async_query(gateway, 2)
+            assert len(target.seen) == 1
+            await asyncio.sleep(0.25)
+            responses = await async_query(gateway, 1, first=2)
+        assert responses[0].status == 200
+
+    async def test_new_entry_does_not_shorten_a_later_displacement(self):
+        """A timer of the old entry let the target be tried too early."""
+        target = scripted('a', *[Behaviour.MISDIRECTED] * 2)
+        async with running(target):
+            gateway = make_gateway()
+            set_window(gateway, 0.4)
+            configure(gateway, make_shard_route(1))
+            register(gateway, make_entry(target, 's0'))
+            await async_query(gateway, 1)
+            await asyncio.sleep(0.2)
+            register(gateway, make_entry(target, 's0', born_ms=2))
+            await async_query(gateway, 1, first=1)
+            await asyncio.sleep(0.25)
+            await async_query(gateway, 1, first=2)
+        assert len(target.seen) == 2
+
     @pytest.mark.parametrize('changes', [{'born_ms': 2}, {'cold_left_s': 1.0}])
     async def test_new_entry_of_the_target_is_used(self, changes):
         target = scripted('a', Behaviour.MISDIRECTED)
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -242,7 +242,7 @@
         targets = plain_targets()
         async with fleet_over(targets, least_coverage=0.5) as fleet:
             for gateway in fleet.gateways[1:]:
-                gateway.targets['t3'].displaced = True
+                gateway.displace(gateway.targets['t3'])
             response = await fleet.entry.async_handle(patient())
         assert response.headers['x-missing-parts'] == '1'
         assert not targets[3].seen
