Hold late timers against the queries only for the processor time they used

Ruled out: queues of targets and the limit by goodput (their refusals came in one other test and in the passing runs as well); readiness.

Change: a timer's lateness counts up to the processor time that the process has used since it was set. Queries can't have delayed it by more.

Test: test_lag_by_other_processes_sheds_nothing, failing before.

--- a/bitternturn/policy/load.py
+++ b/bitternturn/policy/load.py
@@ -88,9 +88,14 @@
             self.profiles.pop(profile)
         self.service.record(duration_s, now)
 
-    def on_lag(self, lag_s: float) -> None:
-        """Take in by how much a timer of the loop was late, in seconds."""
-        late = lag_s > MAX_LOOP_LAG_S
+    def on_lag(self, lag_s: float, used_s: float) -> None:
+        """Take in by how much a timer of the loop was late, in seconds.
+
+        `used_s` is the processor time of this process since the timer was
+        set: its queries have delayed the timer by no more than that. The rest
+        is due to other processes, and fewer queries would not shorten it.
+        """
+        late = min(lag_s, used_s) > MAX_LOOP_LAG_S
         factor = LAG_SHRINK_FACTOR if late else LAG_GROWTH_FACTOR
         least = max(1, self.capacity * MIN_CAPACITY_SHARE)
         self.usable = min(self.capacity, max(least, self.usable * factor))
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -217,8 +217,15 @@
         admission = EntryAdmission(capacity=100)
         rng = random.Random(1)
         for _ in range(100):
-            admission.on_lag(rng.uniform(0.03, 1))
+            admission.on_lag(rng.uniform(0.03, 1), used_s=0.03)
         assert admission.usable == 10
         for _ in range(100):
-            admission.on_lag(0.001)
+            admission.on_lag(0.001, used_s=0.03)
+        assert admission.usable == 100
+
+    def test_lag_by_other_processes_sheds_nothing(self):
+        """Replays a host whose processors are busy with something else."""
+        admission = EntryAdmission(capacity=100)
+        for _ in range(100):
+            admission.on_lag(0.3, used_s=0.01)
         assert admission.usable == 100
