--- a/bitternturn/callers/fanout.py
+++ b/bitternturn/callers/fanout.py
@@ -32,7 +32,6 @@
     OUTCOME_ANSWERED,
     OUTCOME_IN_DOUBT,
     OUTCOME_NOT_RUN,
-    QueryGroup,
     SubQuery,
     SubResult,
 )
@@ -89,7 +88,8 @@
             return await self._follow()
         finally:
             if self.request.profile.repeatable:
-                self._cancel_live(self.shards)
+                for shard in self.shards:
+                    shard.cancel_live()
 
     def merged(self) -> list[dict[str, object]]:
         """Return the merged hits of the answered shards."""
@@ -228,26 +228,12 @@
             by_link.setdefault(attempt.link, []).append(attempt)
         for link, group in by_link.items():
             futures = link.submit(
-                self._head(now),
+                self.request.to_group(self.choice.snapshot, now),
                 [attempt.item for attempt in group],
             )
             for attempt, future in zip(group, futures, strict=True):
                 self._track(attempt, future)
 
-    def _head(self, now: float) -> QueryGroup:
-        """Return what the sub-requests of one group share."""
-        remaining_s = self.request.deadline - const.ANSWER_MARGIN_S - now
-        return QueryGroup(
-            query_id=self.request.request_id,
-            index=self.request.index.name,
-            snapshot=self.choice.snapshot,
-            body=self.request.body,
-            remaining_ms=max(0, int(remaining_s * const.MS_PER_SECOND)),
-            priority=self.request.profile.priority,
-            repeatable=self.request.profile.repeatable,
-            idempotency_key=self.request.key,
-        )
-
     def _track(
         self,
         attempt: Attempt,
@@ -331,7 +317,7 @@
         shard.hits = hits
         self.open -= 1
         self.coverage.add(shard.shard)
-        self._cancel_live([shard])
+        shard.cancel_live()
         self.services.event(
             EventKind.SUB_REQUEST_ANSWERED,
             request_id=self.request.request_id,
@@ -403,10 +389,3 @@
         shard.code = code
         self.open -= 1
         self.failed_share += self.coverage.share_of([shard.shard])
-
-    def _cancel_live(self, shards: Iterable[ShardProgress]) -> None:
-        """Cancel what is still in flight."""
-        for shard in shards:
-            for attempt in shard.live:
-                if not attempt.settled and attempt.future is not None:
-                    attempt.link.cancel(attempt.item.id)
--- a/bitternturn/callers/models.py
+++ b/bitternturn/callers/models.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bitternturn.callers import const
 from bitternturn.core.clock import Clock
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.ids import IndexName, RequestId, ShardId, TargetId
@@ -50,6 +51,20 @@
     deadline: float
     key: str = ''
 
+    def to_group(self, snapshot: int, now: float) -> QueryGroup:
+        """Return what the sub-requests of one group share."""
+        remaining_s = self.deadline - const.ANSWER_MARGIN_S - now
+        return QueryGroup(
+            query_id=self.request_id,
+            index=self.index.name,
+            snapshot=snapshot,
+            body=self.body,
+            remaining_ms=max(0, int(remaining_s * const.MS_PER_SECOND)),
+            priority=self.profile.priority,
+            repeatable=self.profile.repeatable,
+            idempotency_key=self.key,
+        )
+
 
 @dataclass(kw_only=True, slots=True)
 class QueryAnswer:
--- a/bitternturn/callers/progress.py
+++ b/bitternturn/callers/progress.py
@@ -48,3 +48,9 @@
     retry_after_ms: int = 0
     # Whether some target may have run it.
     ran: bool = False
+
+    def cancel_live(self) -> None:
+        """Cancel what is still in flight."""
+        for attempt in self.live:
+            if not attempt.settled and attempt.future is not None:
+                attempt.link.cancel(attempt.item.id)
