--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -12,6 +12,7 @@
 
 from bench.processes import Ports
 from bitternturn.platform.names import SETTINGS_VARIABLE
+from bitternturn.standins.platform_documents import make_entry, make_settings
 from bitternturn.standins.platform_store import PlatformStoreStandin
 from bitternturn.standins.platform_target import Behaviour, PlatformTarget
 from bitternturn.standins.proxy import FaultProxy
@@ -56,17 +57,12 @@
 
     def document(self) -> dict[str, object]:
         """Return its entry."""
-        return {
-            'service': self.service,
-            'address': f'127.0.0.1:{self.proxy.port}',
-            'zone': self.domain,
-            'version': 'v1',
-            'max-concurrency': 4,
-            'state': self.state,
-            'cold-left-ms': 0,
-            'seq': 1,
-            'born': 1,
-        }
+        return make_entry(
+            service=self.service,
+            address=f'127.0.0.1:{self.proxy.port}',
+            domain=self.domain,
+            state=self.state,
+        )
 
 
 @dataclass(kw_only=True)
@@ -95,25 +91,25 @@
 
     def settings(self) -> dict[str, object]:
         """Return the settings file."""
-        return {
-            'node-name': f'i{self.number}',
-            'zone': DOMAINS[self.number % len(DOMAINS)],
-            'zones': dict.fromkeys(DOMAINS, 'here'),
-            'listen': {
+        return make_settings(
+            name=f'i{self.number}',
+            domain=DOMAINS[self.number % len(DOMAINS)],
+            domains=dict.fromkeys(DOMAINS, 'here'),
+            listen={
                 'front': f'{self.host}:{self.port}',
                 'ready': f'{self.host}:{self.port + 1}',
                 'control': f'{self.host}:{self.port + 2}',
                 'metrics': f'{self.host}:{self.port + 3}',
             },
-            'seed-nodes': self.seeds,
-            'bounds': {
+            seeds=self.seeds,
+            bounds={
                 'retry-ratio': 0.5,
                 'retry-window-s': 10,
                 'retry-slack': 200,
                 'grace-s': GRACE_S,
             },
-            'platform': {'address': f'127.0.0.1:{self.store_port}'},
-        }
+            store=f'127.0.0.1:{self.store_port}',
+        )
 
     async def async_start(self) -> None:
         """Start the process."""
--- a/bitternturn/daemon/lifecycle.py
+++ b/bitternturn/daemon/lifecycle.py
@@ -152,7 +152,9 @@
     """Tell admission how late the loop's timers are."""
     while True:
         due = node.now() + const.LAG_INTERVAL_S
-        used_s = time.process_time()
+        used_before_s = time.process_time()
         await asyncio.sleep(const.LAG_INTERVAL_S)
-        used_s = time.process_time() - used_s
-        node.admission.on_lag(node.now() - due, used_s)
+        node.admission.on_lag(
+            node.now() - due,
+            used_s=time.process_time() - used_before_s,
+        )
--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -1,20 +1,19 @@
 """What operators and targets write into the store in tests."""
 
+from bitternturn.standins.platform_documents import make_entry, make_settings
+
 
 def target_document(**changes):
     """Return the entry of a target."""
-    return {
+    fields = {
         'service': 's',
         'address': '127.0.0.1:8080',
-        'zone': 'north',
-        'version': 'v1',
+        'domain': 'north',
         'max-concurrency': 2,
-        'state': 'ready',
-        'cold-left-ms': 0,
         'seq': 4,
         'born': 1700000000000,
-        **changes,
     }
+    return make_entry(**fields) | changes
 
 
 def configuration_document(version=7, **changes):
@@ -84,26 +83,27 @@
 
 def settings_document(**changes):
     """Return the fields of a settings file."""
-    return {
-        'node-name': 'front-north-1',
-        'role': 'gateway',
-        'ip': '127.0.0.1',
-        'zone': 'north',
-        'region': 'r',
-        'zones': {'north': 'r', 'south': 'r'},
-        'listen': {
+    fields = make_settings(
+        name='front-north-1',
+        domain='north',
+        domains={'north': 'r', 'south': 'r'},
+        listen={
             'front': '127.0.0.1:8104',
             'ready': '127.0.0.1:8108',
             'control': '127.0.0.1:8106',
         },
-        'seed-nodes': ['127.0.0.1:8106'],
-        'bounds': {
+        seeds=['127.0.0.1:8106'],
+        bounds={
             'retry-ratio': 0.2,
             'retry-window-s': 10,
             'retry-slack': 56,
             'grace-s': 6,
         },
-        'platform': {'address': '127.0.0.1:8102', 'form': 'objects'},
-        'unknown': {'ignored': True},
-        **changes,
-    }
+        store='127.0.0.1:8102',
+        role='gateway',
+        ip='127.0.0.1',
+        region='r',
+        unknown={'ignored': True},
+    )
+    fields['platform']['form'] = 'objects'
+    return fields | changes
