Keep the platform's forms in its folder; share the fixture of its tests

Change: the module is now platform/forms.py, used by the soak and the tests only; the fixture is in tests/platform/conftest.py, as it was. No behaviour, check or assertion changes.

tests/platform and tests/soak pass (100 passed, 1 xpassed), lint is clean and house-check names no word.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 
 from bench.processes import Ports
+from bitternturn.platform.forms import make_entry, make_settings
 from bitternturn.platform.names import SETTINGS_VARIABLE
-from bitternturn.standins.platform_documents import make_entry, make_settings
 from bitternturn.standins.platform_store import PlatformStoreStandin
 from bitternturn.standins.platform_target import Behaviour, PlatformTarget
 from bitternturn.standins.proxy import FaultProxy
--- a/bitternturn/standins/platform_documents.py
+++ b/bitternturn/platform/forms.py
@@ -1,4 +1,4 @@
-"""What operators, targets and the platform write, for stand-ins and tests."""
+"""What operators, targets and the platform write; for stand-ins and tests."""
 
 from collections.abc import Mapping, Sequence
 
--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -1,6 +1,6 @@
 """What operators and targets write into the store in tests."""
 
-from bitternturn.standins.platform_documents import make_entry, make_settings
+from bitternturn.platform.forms import make_entry, make_settings
 
 
 def target_document(**changes):
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -3,12 +3,9 @@
 import asyncio
 import contextlib
 
-import pytest
-
 from bitternturn.core.tasks import TaskSet
 from bitternturn.platform.names import KIND_INSTANCES
 from bitternturn.standins.platform_store import (
-    PlatformStoreStandin,
     StoreFault,
 )
 from tests.gateway.helpers import SETTINGS, make_gateway
@@ -17,17 +14,6 @@
 from tests.platform.test_mirror import async_until
 
 
-@pytest.fixture
-async def standin():
-    """Return a store with a configuration and a target."""
-    store = PlatformStoreStandin()
-    store.put('config', 'main', configuration_document())
-    store.put('servers', 't1', target_document())
-    await store.async_start()
-    yield store
-    await store.async_stop()
-
-
 @contextlib.asynccontextmanager
 async def following(standin):
     """Yield a gateway that follows a store."""
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -15,7 +15,6 @@
 from bitternturn.platform.store import Event, Meta, PlatformObject
 from bitternturn.relay.server import RelayServer
 from bitternturn.standins.platform_store import (
-    PlatformStoreStandin,
     StoreFault,
 )
 from tests.gateway.helpers import SETTINGS, make_gateway
@@ -76,17 +75,6 @@
     monkeypatch.setattr(source, 'SMALL_FLEET', 0)
 
 
-@pytest.fixture
-async def standin():
-    """Return a store with a configuration and a target."""
-    store = PlatformStoreStandin()
-    store.put('config', 'main', configuration_document())
-    store.put('servers', 't1', target_document())
-    await store.async_start()
-    yield store
-    await store.async_stop()
-
-
 @contextlib.asynccontextmanager
 async def fleet_of(standin, count, ports, *, readers=2, ready=True):
     """Start instances of which the first ones are readers."""
