Accept only identified answers and bound what a target may send

Cause: an answer without X-Request-Id was accepted, so that a late second copy on a connection in use again became the answer of the next request. A response could grow to 64 MiB in memory, its framing and its interim responses without any limit. A delegated send counted as possibly run before the request had left this instance, so the caller got 502 instead of a true not run. The loss of a peer counted as a failure of all targets that it was sending to. A report with an inconsistent index ended the connection and all requests on it.

Change: the id is required; limits for the body by the records asked for, framing, interim responses and all bodies together (an eighth of the memory); requests to peers are made when they are written; outcome peer_lost; reports are validated. Log lines of requests name the causes of missing parts.

--- a/bitternturn/gateway/const.py
+++ b/bitternturn/gateway/const.py
@@ -62,5 +62,14 @@
 ABORT_BEFORE_EXIT_S: Final = 0.2
 # Minimum number of shards of a route whose sends are delegated to peers.
 MIN_WIDE_ROUTE_SHARDS: Final = 32
+# Maximum size of an answer without shards, in bytes.
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+# Maximum size of a part: a multiple of the records that the route asks for,
+# since a target may return more than these, and at least the given bytes.
+MAX_PART_RECORDS_FACTOR: Final = 16
+MIN_PART_LIMIT_BYTES: Final = 64 * 1024
+# Share of the memory of the process for answers that are being received.
+ANSWER_MEMORY_SHARE: Final = 0.125
+BYTES_PER_MEGABYTE: Final = 1_000_000
 # Minimum delay of a request's timer, in seconds.
 MIN_TIMER_DELAY_S: Final = 0.001
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -104,6 +104,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.repeatable = route.repeat_policy is RepeatPolicy.IDEMPOTENT
         self.hedges = 0
+        # Hedges that the budget did not allow.
+        self.denied_hedges = 0
         # When the timer is due, on the clock of `Dispatcher.now`.
         self.timer_due_at: float = 0
         # Log entries of failed, unanswered and further sends.
@@ -208,6 +210,7 @@
         if outcome is SendOutcome.ANSWERED:
             self._close_part(part, answer)
         else:
+            part.send_ends.append(outcome.value)
             part.failure = answer or part.failure
             if not_run:
                 part.tried_targets.discard(send.target.entry.id)
@@ -300,6 +303,8 @@
         if budget.try_spend(SendReason.HEDGE, now):
             self.hedges += 1
             self._send_part(part, now)
+        else:
+            self.denied_hedges += 1
 
     def _evaluate(self, now: float, *, due: float | None = None) -> None:
         """End the request if it is decided, else schedule the timer.
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, unique
+from typing import Final
 
 from bitternturn.core.ids import (
     FailureDomain,
@@ -14,6 +15,9 @@
 )
 from bitternturn.policy.const import COVERAGE_TOLERANCE
 
+# Memory of an instance whose settings state none, in megabytes.
+DEFAULT_MEMORY_MB: Final = 200.0
+
 
 @unique
 class RepeatPolicy(Enum):
@@ -167,6 +171,8 @@
     # Whether the cluster starts for the first time, so that this process does
     # not replace an earlier one.
     first_start: bool = False
+    # Memory that the process may use, in megabytes.
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -257,6 +263,8 @@
     NOT_SENT = 'not_sent'
     # The request was sent, but no valid answer was received.
     LOST = 'lost'
+    # The peer that sends the request was lost; the target may have run it.
+    PEER_LOST = 'peer_lost'
 
 
 @unique
--- a/bitternturn/gateway/parts.py
+++ b/bitternturn/gateway/parts.py
@@ -61,6 +61,7 @@
         'maybe_run',
         'not_sent_count',
         'send_count',
+        'send_ends',
         'service',
         'started_at',
         'tried_targets',
@@ -74,6 +75,8 @@
         self.send_count = 0
         self.started_at: float = 0
         self.in_flight: list[Send] = []
+        # How sends without an answer ended, as values of `SendOutcome`.
+        self.send_ends: list[str] = []
         # Targets that may have run the request.
         self.tried_targets: set[TargetId] = set()
         # Targets that are unreachable or whose address another target has.
@@ -97,6 +100,11 @@
         """Number of sends that may have reached a target."""
         return self.send_count - self.undelivered_count
 
+    def missing_cause(self) -> str:
+        """Return how the sends of a part without an answer ended."""
+        ends = [*self.send_ends, *('unanswered' for _ in self.in_flight)]
+        return '+'.join(ends) or 'no_target'
+
 
 def may_forward_failure(route: Route, failure: TargetAnswer) -> bool:
     """Return whether a failed answer may be forwarded to the caller.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -21,6 +21,7 @@
 from bitternturn.gateway.reporting import record_send_end
 from bitternturn.gateway.target import Send, Target, start_directly
 from bitternturn.gateway.wire import Wire
+from bitternturn.http.response_size import BodyBuffers
 from bitternturn.policy.further_send_budget import FurtherSendBudget
 from bitternturn.policy.subsets import (
     connections_per_target,
@@ -58,6 +59,13 @@
         self.decisions = decisions
         self.metrics = GatewayMetrics()
         self.fleet_state = FleetState()
+        self.answer_buffers = BodyBuffers(
+            max_bytes=int(
+                settings.memory_mb
+                * const.BYTES_PER_MEGABYTE
+                * const.ANSWER_MEMORY_SHARE
+            ),
+        )
         self.dispatch: Callable[[Send, float], None] = start_directly
         # Whether sends of wide routes may be delegated to peers.
         self.delegation_enabled = False
@@ -131,6 +139,7 @@
                 tasks=self.tasks,
                 now=self.now,
                 on_send_end=self._record_send_end,
+                buffers=self.answer_buffers,
                 in_preferred_domain=False,
             )
             self.targets[entry.id] = target
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -1,5 +1,6 @@
 """Decision log lines and metrics of the gateway."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -93,6 +94,7 @@
         limit_ms=_to_ms(execution.deadline - arrived_at),
         ms=_to_ms(latency_s),
         hedges=execution.hedges,
+        denied_hedges=execution.denied_hedges,
         retries=execution.retries,
         sends=[
             {**line, 'at_ms': _to_ms(line['at_ms'] - arrived_at)}
@@ -101,6 +103,11 @@
         missing=[
             part.service for part in execution.parts if part.answer is None
         ],
+        missing_causes=Counter(
+            part.missing_cause()
+            for part in execution.parts
+            if part.answer is None
+        ),
     )
 
 
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -21,6 +21,7 @@
 from bitternturn.http import const as http
 from bitternturn.http.client import ClientConnection, async_connect
 from bitternturn.http.models import Response
+from bitternturn.http.response_size import BodyBuffers
 from bitternturn.policy.answer_timing import LatencyEstimate
 from bitternturn.policy.cold_send_limit import ColdSendLimit
 from bitternturn.policy.target_selection import (
@@ -45,6 +46,7 @@
     """One send of a request to one target."""
 
     __slots__ = (
+        'aborted',
         'caller',
         'connection',
         'deadline',
@@ -93,6 +95,8 @@
         # Whether this is a hedge or retry, whose outcome a peer reports early.
         self.is_further = False
         self.detach_timer: asyncio.TimerHandle | None = None
+        # Whether this instance or the requesting peer has aborted the send.
+        self.aborted = False
         self.ended = False
 
     def detach(self) -> None:
@@ -105,12 +109,18 @@
             return
         loop = asyncio.get_running_loop()
         self.detach_timer = loop.call_later(
-            const.DETACHED_SEND_TIMEOUT_S, self._abort
+            const.DETACHED_SEND_TIMEOUT_S, self.abort
         )
 
-    def _abort(self) -> None:
-        """Close the connection of a detached send that has not ended."""
-        if self.connection is not None and not self.ended:
+    def abort(self) -> None:
+        """End a detached send without an answer."""
+        if self.ended:
+            return
+        self.on_end = None
+        self.aborted = True
+        if self.connection is None:
+            self.target.cancel_queued(self)
+        else:
             self.connection.close()
 
 
@@ -125,6 +135,7 @@
         tasks: TaskSet,
         now: Callable[[], float],
         on_send_end: 'SendRecorder',
+        buffers: BodyBuffers,
         in_preferred_domain: bool,
     ) -> None:
         """Initialise without connections; they are opened on demand."""
@@ -133,6 +144,7 @@
         self.tasks = tasks
         self.now = now
         self.on_send_end = on_send_end
+        self.buffers = buffers
         self.in_preferred_domain = in_preferred_domain
         self.record = TargetStatistics()
         self.max_connections = 1
@@ -191,13 +203,10 @@
         self.queued.append(send)
         self._open_connections()
 
-    def register_delegated(
-        self, send: Send, carrier: SendCarrier, relay_delay_s: float
-    ) -> None:
+    def register_delegated(self, send: Send, relay_delay_s: float) -> None:
         """Register a send that a peer makes."""
         self.sends.add(send)
         self.delegated.add(send)
-        send.connection = carrier
         send.relay_delay_s = relay_delay_s
 
     def cancel_queued(self, send: Send) -> None:
@@ -289,6 +298,10 @@
     def _write_request(self, send: Send, connection: ClientConnection) -> None:
         """Write the request of a send to its connection."""
         send.connection = connection
+        connection.buffers = self.buffers
+        connection.size.max_body_bytes = _max_answer_bytes(
+            send.max_records, self.wire.record_bytes
+        )
         remaining_s = max(const.MIN_SEND_TIME_S, send.deadline - self.now())
         try:
             connection.start_exchange(
@@ -316,7 +329,7 @@
         answer = self.wire.read_answer(end)
         connection = send.connection
         assert isinstance(connection, ClientConnection)
-        if answer.request_id not in {'', send.caller.id}:
+        if answer.request_id != send.caller.id:
             # The response belongs to an earlier request, so responses can no
             # longer be matched to requests on this connection.
             connection.close()
@@ -369,18 +382,28 @@
                 latency_s / send.latency_estimate.mean_s, now
             )
             send.latency_estimate.record(latency_s)
-        elif outcome is SendOutcome.LOST and send.on_end is None:
-            # Aborted after it was detached: its latency is at least this long.
+        elif outcome is SendOutcome.LOST and send.aborted:
+            # The latency would have been at least this long.
             self.record.record_latency_ratio(
                 latency_s / send.latency_estimate.mean_s, now
             )
         elif outcome is SendOutcome.DECLINED:
             self.record.record_latency_ratio(DECLINED_SLOWNESS, now)
-        elif outcome is not SendOutcome.NOT_SENT:
+        elif outcome not in {SendOutcome.NOT_SENT, SendOutcome.PEER_LOST}:
             self.record.record_failure(now)
         self.on_send_end(self, outcome, latency_s)
 
 
+def _max_answer_bytes(max_records: int, record_bytes: int) -> int:
+    """Return the limit of an answer's body; 0 records for other routes."""
+    if not max_records:
+        return const.MAX_ANSWER_BYTES
+    return max(
+        const.MIN_PART_LIMIT_BYTES,
+        max_records * record_bytes * const.MAX_PART_RECORDS_FACTOR,
+    )
+
+
 def _classify(answer: TargetAnswer) -> SendOutcome:
     """Return the outcome of a send by the target's answer."""
     if answer.misdirected:
--- a/bitternturn/http/client.py
+++ b/bitternturn/http/client.py
@@ -13,6 +13,7 @@
 from bitternturn.http.const import MAX_RESPONSE_BYTES
 from bitternturn.http.headers import encode_headers
 from bitternturn.http.models import Response
+from bitternturn.http.response_size import BodyBuffers, ResponseSize
 
 # Called with the complete response, or with the error of the exchange.
 OnExchangeEnd = Callable[[Response | BitternturnError], None]
@@ -26,6 +27,9 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
 )
 
+# Chunks of a stream that are queued before reading pauses.
+MAX_QUEUED_CHUNKS: Final = 64
+
 STEP_CONNECT = 'connect'
 STEP_EXCHANGE = 'exchange'
 
@@ -47,10 +51,12 @@
         self.response_started = False
         # Called when the connection is lost or closed.
         self.on_closed: Callable[[], None] | None = None
+        self.size = ResponseSize(max_body_bytes=MAX_RESPONSE_BYTES)
+        # Bounds the bodies of several connections together, None if nothing
+        # does.
+        self.buffers: BodyBuffers | None = None
         self._response_head: h11.Response | None = None
-        self.max_body_bytes = MAX_RESPONSE_BYTES
         self._body_parts: list[bytes] = []
-        self._body_size = 0
         self._on_end: OnExchangeEnd | None = None
         self._chunks: asyncio.Queue[bytes | None] | None = None
 
@@ -79,11 +85,15 @@
             self.close()
             return
         self.response_started = True
+        self.size.received_bytes += len(data)
         try:
             self.h11.receive_data(data)
             self._process_events()
         except h11.RemoteProtocolError as error:
             self._fail(ErrorCode.BAD_ANSWER, str(error))
+            return
+        if self._on_end is not None:
+            self._check_size()
 
     def eof_received(self) -> bool:
         """End a response that is delimited by end of file, and close."""
@@ -185,6 +195,8 @@
                 chunk = await self._chunks.get()
                 if chunk is None:
                     return
+                if self._chunks.qsize() < MAX_QUEUED_CHUNKS:
+                    self._resume_reading()
                 yield chunk
         finally:
             self.close()
@@ -248,18 +260,46 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._on_response_end()
                 return
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                self.size.interim_count += 1
+                self._check_size()
+                if self._on_end is None:
+                    return
+            else:
                 return
 
     def _on_body_data(self, data: bytes) -> None:
         """Append received data to the body, or enqueue it as a chunk."""
-        if self._chunks is None:
-            self._body_parts.append(data)
-            self._body_size += len(data)
-            if self._body_size > self.max_body_bytes:
-                self._fail(ErrorCode.BAD_ANSWER, 'response body too large')
-        else:
+        if self._chunks is not None:
             self._chunks.put_nowait(data)
+            if self._chunks.qsize() >= MAX_QUEUED_CHUNKS:
+                self._pause_reading()
+            return
+        self._body_parts.append(data)
+        self.size.body_bytes += len(data)
+        self._check_size()
+        if self.buffers is not None and self._on_end is not None:
+            self.buffers.update(self._abort_oversized, self.size.body_bytes)
+
+    def _check_size(self) -> None:
+        """Fail the exchange if its response exceeds a limit."""
+        excess = self.size.excess()
+        if excess:
+            self._fail(ErrorCode.BAD_ANSWER, excess)
+
+    def _abort_oversized(self) -> None:
+        """Fail the exchange to free the memory of its body."""
+        self._fail(ErrorCode.BAD_ANSWER, 'too many large response bodies')
+
+    def _pause_reading(self) -> None:
+        """Stop reading until the consumer of the chunks catches up."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        """Read again after a pause."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def _on_response_end(self) -> None:
         """Deliver the response and prepare for the next exchange, or close."""
@@ -276,8 +316,7 @@
             self.h11.start_next_cycle()
         else:
             self.close()
-        self._body_parts = []
-        self._body_size = 0
+        self._clear_body()
         self._deliver(response)
 
     def _make_response(self) -> Response:
@@ -292,6 +331,13 @@
             body=b''.join(self._body_parts),
         )
 
+    def _clear_body(self) -> None:
+        """Release the body that was received."""
+        self._body_parts = []
+        self.size.reset()
+        if self.buffers is not None:
+            self.buffers.discard(self._abort_oversized)
+
     def _deliver(self, response: Response) -> None:
         """Call the callback of the exchange with the response."""
         on_end = self._on_end
@@ -302,6 +348,7 @@
     def _fail(self, code: ErrorCode, message: str) -> None:
         """Close the connection and fail the exchange in flight."""
         self.close()
+        self._clear_body()
         if self._chunks is not None:
             self._chunks.put_nowait(None)
         on_end = self._on_end
--- a/bitternturn/http/const.py
+++ b/bitternturn/http/const.py
@@ -4,6 +4,17 @@
 
 DEFAULT_BODY_BYTES: Final = 1024 * 1024
 MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
+# Limits of responses while they arrive.
+# Interim responses (1xx) that are accepted ahead of the final one.
+MAX_INTERIM_RESPONSES: Final = 16
+# Bytes beyond the body (head, chunk sizes, chunk extensions, trailers) that are
+# accepted in any response, and in addition for each byte of the body: a chunk
+# of one byte has a framing of five.
+MAX_FRAMING_BYTES: Final = 64 * 1024
+MAX_FRAMING_PER_BODY_BYTE: Final = 8
+# Bodies up to this size are not counted by `BodyBuffers`.
+SMALL_BODY_BYTES: Final = 8 * 1024
+
 DEFAULT_HEADER_BYTES: Final = 16 * 1024
 DEFAULT_HEADER_TIMEOUT_S: Final = 5.0
 DEFAULT_IDLE_TIMEOUT_S: Final = 75.0
--- a/bitternturn/owners/pool.py
+++ b/bitternturn/owners/pool.py
@@ -200,7 +200,7 @@
             last_returned_at=now,
             expires_at=now + self.settings.max_age_s * spread,
         )
-        http.max_body_bytes = const.MAX_BODY_BYTES
+        http.size.max_body_bytes = const.MAX_BODY_BYTES
         http.on_closed = lambda: self._on_idle_closed(connection)
         self.idle.append(connection)
 
--- a/bitternturn/platform/settings_file.py
+++ b/bitternturn/platform/settings_file.py
@@ -7,7 +7,12 @@
 from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import FailureDomain
-from bitternturn.gateway.models import Address, GlobalLimits, InstanceSettings
+from bitternturn.gateway.models import (
+    DEFAULT_MEMORY_MB,
+    Address,
+    GlobalLimits,
+    InstanceSettings,
+)
 from bitternturn.platform.wire_names import MS_PER_SECOND
 
 STEP_LOAD = 'load settings'
@@ -41,6 +46,7 @@
     cpu_share: float = 1
     cores: float = 1
     link_mbps: float = 1000
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 class WireListeners(msgspec.Struct, rename='kebab'):
@@ -105,6 +111,7 @@
         peers=read_address(control) if control else None,
         cores=fields.limits.cpu_share * fields.limits.cores,
         link_mbps=fields.limits.link_mbps,
+        memory_mb=fields.limits.memory_mb,
         seeds=tuple(read_address(seed) for seed in fields.seed_nodes),
         store=read_address(fields.platform.address),
         global_limits=GlobalLimits(
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -31,6 +31,7 @@
     Frame,
     Header,
     Part,
+    Parts,
     Sends,
 )
 
@@ -48,39 +49,87 @@
 
 
 class OutgoingBatch:
-    """Sends of one request that are delegated to one peer."""
+    """Sends of one request that are delegated to one peer.
+
+    The sends are started when the request is written to the peer. Until then,
+    none of them can have run.
+    """
 
     def __init__(
         self,
         *,
         peer: Peer,
         sends: Sequence[Send],
-        record_bytes: int,
+        gateway: Gateway,
     ) -> None:
         """Initialise; a send's position is its index on the wire."""
-        self.record_bytes = record_bytes
+        self.gateway = gateway
+        self.record_bytes = gateway.wire.record_bytes
         self.peer = peer
         self.sends = sends
         self.number = 0
         self.reported = False
         self.watchdog: asyncio.TimerHandle | None = None
 
-    def start(self, frame: Frame, report_delay_s: float) -> None:
+    def start(self) -> None:
         """Send the request and start the timeout for the first report."""
-        self.number = self.peer.send_request(frame, self.handle_reply)
+        report_delay_s = self.sends[0].latency_estimate.hedge_delay_s()
         loop = asyncio.get_running_loop()
         self.watchdog = loop.call_later(
             report_delay_s + const.REPORT_GRACE_S,
             self._on_report_timeout,
         )
+        self.number = self.peer.send_request(self.make_frame, self.handle_reply)
+
+    def make_frame(self) -> Frame | None:
+        """Return the request with all sends that have not ended."""
+        self.sends = [send for send in self.sends if not send.ended]
+        if not self.sends:
+            self._close()
+            return None
+        for index, send in enumerate(self.sends):
+            send.connection = SendHandle(batch=self, index=index)
+        first = self.sends[0]
+        urgent = any(send.is_further for send in self.sends)
+        report_delay_s = (
+            const.REPORT_BATCH_DELAY_S
+            if urgent
+            else first.latency_estimate.hedge_delay_s()
+        )
+        left_s = first.deadline - self.gateway.now()
+        return Frame(
+            sends=Sends(
+                request_id=first.caller.id,
+                method=first.caller.method,
+                target=first.caller.request_target,
+                headers=[
+                    Header(name=name, value=content)
+                    for name, content in first.caller.headers
+                ],
+                left_ms=max(1, int(left_s * MS_PER_SECOND)),
+                report_ms=int(report_delay_s * MS_PER_SECOND),
+                limit=first.max_records,
+                items=[send.target.entry.id for send in self.sends],
+                usual_ms=first.latency_estimate.mean_s * MS_PER_SECOND,
+                may_decline=all(map(self._has_alternative, self.sends)),
+            ),
+        )
+
+    def _has_alternative(self, send: Send) -> bool:
+        """Return whether a peer may decline a send: another target exists."""
+        ready = self.gateway.ready.get(send.target.entry.service, ())
+        return send.declinable and len(ready) > 1
 
     def handle_reply(self, reply: Frame | PeerFailure) -> None:
         """Handle a report, or the failure of the peer."""
         if isinstance(reply, PeerFailure):
             self._finish_all(reply)
             return
-        self.reported = True
         report = reply.parts
+        if not _is_valid_report(report, len(self.sends), self.record_bytes):
+            self._finish_all(PeerFailure.LOST)
+            return
+        self.reported = True
         merged = MergedRecords(
             records=split_records(report.records, self.record_bytes),
             answer_indexes=report.owners,
@@ -135,7 +184,7 @@
 
     def _finish_all(self, failure: PeerFailure) -> None:
         """Finish every pending send after a failure of the peer."""
-        outcome = SendOutcome.LOST
+        outcome = SendOutcome.PEER_LOST
         if failure is PeerFailure.NOT_SENT:
             outcome = SendOutcome.NOT_SENT
         self._close()
@@ -156,6 +205,22 @@
             self.watchdog = None
 
 
+def _is_valid_report(report: Parts, send_count: int, record_bytes: int) -> bool:
+    """Return whether the indexes and records of a report are consistent."""
+    records = len(report.records) // record_bytes
+    part_count = len(report.parts)
+    return (
+        records == len(report.owners)
+        and all(owner < part_count for owner in report.owners)
+        and all(part.index < send_count for part in report.parts)
+        and all(
+            part.stamp
+            for part in report.parts
+            if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+        )
+    )
+
+
 class SendHandle:
     """Handle of a delegated send; `close` cancels it at the peer."""
 
@@ -235,9 +300,7 @@
             self.outbox[key] = queued
             asyncio.get_running_loop().call_soon(self._flush, key)
         queued.append(send)
-        send.target.register_delegated(
-            send, _QueuedSendHandle(), const.REPORT_LATENCY_S
-        )
+        send.target.register_delegated(send, const.REPORT_LATENCY_S)
 
     def _choose_peer(self, send: Send, now: float) -> Peer | None:
         """Return the peer to delegate a send to, None to send directly."""
@@ -268,55 +331,13 @@
             self.rankings[key] = ranked
         return ranked
 
-    def _has_alternative(self, send: Send) -> bool:
-        """Whether a send may be declined in favour of another target."""
-        ready = self.gateway.ready.get(send.target.entry.service, ())
-        return send.declinable and len(ready) > 1
-
     def _flush(self, key: tuple[str, str]) -> None:
         """Send the queued sends of one request to a peer."""
         queued = self.outbox.pop(key)
         sends = [send for send in queued if not send.ended]
-        if not sends:
-            return
-        first = sends[0]
-        batch = OutgoingBatch(
-            peer=self.peers[key[0]],
-            sends=sends,
-            record_bytes=self.gateway.wire.record_bytes,
-        )
-        for index, send in enumerate(sends):
-            send.connection = SendHandle(batch=batch, index=index)
-        report_delay_s = first.latency_estimate.hedge_delay_s()
-        urgent = any(send.is_further for send in sends)
-        first_report_delay_s = (
-            const.REPORT_BATCH_DELAY_S if urgent else report_delay_s
-        )
-        left_s = first.deadline - self.gateway.now()
-        batch.start(
-            Frame(
-                sends=Sends(
-                    request_id=first.caller.id,
-                    method=first.caller.method,
-                    target=first.caller.request_target,
-                    headers=[
-                        Header(name=name, value=content)
-                        for name, content in first.caller.headers
-                    ],
-                    left_ms=max(1, int(left_s * MS_PER_SECOND)),
-                    report_ms=int(first_report_delay_s * MS_PER_SECOND),
-                    limit=first.max_records,
-                    items=[send.target.entry.id for send in sends],
-                    usual_ms=first.latency_estimate.mean_s * MS_PER_SECOND,
-                    may_decline=all(map(self._has_alternative, sends)),
-                ),
-            ),
-            report_delay_s,
-        )
-
-
-class _QueuedSendHandle:
-    """Handle of a send that is queued and not yet requested from a peer."""
-
-    def close(self) -> None:
-        """Do nothing: `_flush` leaves out sends that have ended."""
+        if sends:
+            OutgoingBatch(
+                peer=self.peers[key[0]],
+                sends=sends,
+                gateway=self.gateway,
+            ).start()
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -90,6 +90,7 @@
                 now=now,
                 on_end=partial(self._on_send_end, index),
             )
+            send.max_records = self.request.limit
             self.sends[index] = send
             start_directly(send, now)
 
@@ -116,11 +117,7 @@
         if send is None or send.ended:
             return
         self.pending_count -= 1
-        send.on_end = None
-        if send.connection is None:
-            send.target.cancel_queued(send)
-        else:
-            send.connection.close()
+        send.abort()
 
     def stop(self) -> None:
         """Cancel all sends: the connection to the peer is lost."""
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -25,6 +25,8 @@
 
 # Called with a reply, or with the reason why there is none.
 ReplyHandler = Callable[[Frame | PeerFailure], None]
+# Returns a request when it is written, None if it is no longer wanted.
+FrameMaker = Callable[[], Frame | None]
 
 
 class Peer:
@@ -45,7 +47,7 @@
         self.now = now
         self.connection: RelayConnection | None = None
         self.connecting = False
-        self.send_queue: deque[Frame] = deque()
+        self.send_queue: deque[tuple[int, FrameMaker]] = deque()
         self.handlers: dict[int, ReplyHandler] = {}
         self.last_number = 0
         self.backoff_s = const.INITIAL_BACKOFF_S
@@ -55,13 +57,26 @@
         """Whether the backoff has elapsed."""
         return now >= self.backoff_until
 
-    def send_request(self, frame: Frame, on_reply: ReplyHandler) -> int:
-        """Send a request, return its number; the callback gets each reply."""
+    def send_request(
+        self,
+        make_frame: FrameMaker,
+        on_reply: ReplyHandler,
+    ) -> int:
+        """Send a request, return its number; the callback gets each reply.
+
+        Without a connection the request is made once there is one.
+        """
         self.last_number += 1
-        frame.number = self.last_number
-        self.handlers[frame.number] = on_reply
-        self._send_or_queue(frame)
-        return frame.number
+        number = self.last_number
+        self.handlers[number] = on_reply
+        if self.connection is not None and self.connection.usable:
+            _write_request(self.connection, number, make_frame)
+            return number
+        self.send_queue.append((number, make_frame))
+        if not self.connecting:
+            self.connecting = True
+            self.tasks.spawn(self._async_connect())
+        return number
 
     def send_followup(self, number: int, frame: Frame) -> None:
         """Send a message that refers to an earlier request."""
@@ -90,16 +105,6 @@
         if self.connection is not None:
             self.connection.close()
 
-    def _send_or_queue(self, frame: Frame) -> None:
-        """Send a message, or queue it and open a connection."""
-        if self.connection is not None and self.connection.usable:
-            self.connection.send(frame)
-            return
-        self.send_queue.append(frame)
-        if not self.connecting:
-            self.connecting = True
-            self.tasks.spawn(self._async_connect())
-
     async def _async_connect(self) -> None:
         """Open a connection and send the queued messages."""
         try:
@@ -115,7 +120,7 @@
             self.connecting = False
         connection = self.connection
         while connection is not None and self.send_queue:
-            connection.send(self.send_queue.popleft())
+            _write_request(connection, *self.send_queue.popleft())
 
     def _on_frame(self, connection: RelayConnection, frame: Frame) -> None:
         """Pass a reply to its handler; apply a leaving notice."""
@@ -144,6 +149,18 @@
             on_reply(failure)
 
 
+def _write_request(
+    connection: RelayConnection,
+    number: int,
+    make_frame: FrameMaker,
+) -> None:
+    """Write a request unless it is no longer wanted."""
+    frame = make_frame()
+    if frame is not None:
+        frame.number = number
+        connection.send(frame)
+
+
 async def async_request(
     peer: Peer,
     frame: Frame,
@@ -159,7 +176,7 @@
         if not reply_future.done():
             reply_future.set_result(reply)
 
-    number = peer.send_request(frame, resolve)
+    number = peer.send_request(lambda: frame, resolve)
     try:
         async with asyncio.timeout(timeout_s):
             return await reply_future
--- a/bitternturn/standins/platform_target.py
+++ b/bitternturn/standins/platform_target.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, unique
+from typing import Final
 
 import h11
 
@@ -16,6 +17,8 @@
 from bitternturn.standins.proxy import LINGER_RESET
 
 STAMP_FORMAT = '{target}.{request}.{count}'
+# Size of what an endless answer writes at once.
+ENDLESS_WRITE_BYTES = 32 * 1024
 
 
 @unique
@@ -51,8 +54,43 @@
     ENCODED = 'encoded'
     # Answers with the id of another request.
     WRONG_REQUEST = 'wrong_request'
+    # Answers without the id of the request.
+    MISSING_ID = 'missing_id'
+    # Sends another copy of the answer, without an id, once the connection
+    # carries the next request.
+    LATE_COPY = 'late_copy'
     # Runs the request but does not answer before the caller closes.
     HANG = 'hang'
+    # Sends bytes until the caller closes: in the head, as interim responses, in
+    # a body without and with a length, around tiny chunks, or as trailers.
+    ENDLESS_HEAD = 'endless_head'
+    ENDLESS_INTERIM = 'endless_interim'
+    ENDLESS_BODY = 'endless_body'
+    ENDLESS_LENGTH = 'endless_length'
+    ENDLESS_CHUNKS = 'endless_chunks'
+    ENDLESS_TRAILERS = 'endless_trailers'
+
+
+_HEAD = b'HTTP/1.1 200 OK\r\n'
+_CHUNKED_HEAD = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
+# What an endless answer starts with, and what it repeats.
+ENDLESS_ANSWERS: Final = {
+    ScriptedBehaviour.ENDLESS_HEAD: (_HEAD, b'x-more: and more\r\n'),
+    ScriptedBehaviour.ENDLESS_INTERIM: (b'', b'HTTP/1.1 102 Wait\r\n\r\n'),
+    ScriptedBehaviour.ENDLESS_BODY: (_HEAD + b'\r\n', b'a record of text'),
+    ScriptedBehaviour.ENDLESS_LENGTH: (
+        _HEAD + b'content-length: 99999999999\r\n\r\n',
+        b'a record of text',
+    ),
+    ScriptedBehaviour.ENDLESS_CHUNKS: (
+        _CHUNKED_HEAD,
+        b'1;%b\r\na\r\n' % (b'x' * 4096),
+    ),
+    ScriptedBehaviour.ENDLESS_TRAILERS: (
+        _CHUNKED_HEAD + b'0\r\n',
+        b'x-more: and more\r\n',
+    ),
+}
 
 
 @dataclass(kw_only=True, slots=True)
@@ -84,6 +122,8 @@
     port: int = 0
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    # Copies of answers that precede the next answer on a connection.
+    late_copies: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
 
     @property
     def run_request_ids(self) -> list[str]:
@@ -162,7 +202,22 @@
         behaviour: ScriptedBehaviour,
     ) -> bool:
         """Send an answer; return whether the connection stays open."""
+        if behaviour in ENDLESS_ANSWERS:
+            await _async_write_endless(writer, *ENDLESS_ANSWERS[behaviour])
+            return False
         data = self._encode(connection, received, behaviour)
+        late_copy = self.late_copies.pop(writer, b'')
+        if behaviour is ScriptedBehaviour.LATE_COPY:
+            status, headers, body = self._make_content(
+                received, ScriptedBehaviour.MISSING_ID
+            )
+            lines = ''.join(f'{name}: {value}\r\n' for name, value in headers)
+            self.late_copies[writer] = (
+                f'HTTP/1.1 {status} OK\r\n{lines}'
+                f'content-length: {len(body)}\r\n\r\n'
+            ).encode() + body
+        if late_copy:
+            data = late_copy
         if behaviour is ScriptedBehaviour.GARBAGE:
             data = b'\x00\x01 no answer\r\n\r\n'
         elif behaviour is ScriptedBehaviour.TRUNCATE:
@@ -216,10 +271,9 @@
         echoed = received.id
         if behaviour is ScriptedBehaviour.WRONG_REQUEST:
             echoed = 'another'
-        headers = [
-            (wire_names.HEADER_REQUEST_ID, echoed),
-            (wire_names.HEADER_KEEP_ALIVE, 'timeout=5'),
-        ]
+        headers = [(wire_names.HEADER_KEEP_ALIVE, 'timeout=5')]
+        if behaviour is not ScriptedBehaviour.MISSING_ID:
+            headers.append((wire_names.HEADER_REQUEST_ID, echoed))
         if behaviour is ScriptedBehaviour.NOT_RUN:
             return (
                 http.STATUS_UNAVAILABLE,
@@ -244,6 +298,21 @@
         return http.STATUS_OK, headers, self.body
 
 
+async def _async_write_endless(
+    writer: asyncio.StreamWriter,
+    start: bytes,
+    repeated: bytes,
+) -> None:
+    """Write an answer without end until the caller closes the connection."""
+    block = repeated * (ENDLESS_WRITE_BYTES // len(repeated) + 1)
+    writer.write(start)
+    while not writer.transport.is_closing():
+        writer.write(block)
+        await writer.drain()
+        # A drain without a full buffer does not yield to the event loop.
+        await asyncio.sleep(0)
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Abort a connection with a TCP reset instead of an end of stream."""
     sock = writer.get_extra_info('socket')
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -33,6 +33,7 @@
     ScriptedBehaviour.MISSING_STAMP,
     ScriptedBehaviour.ENCODED,
     ScriptedBehaviour.WRONG_REQUEST,
+    ScriptedBehaviour.MISSING_ID,
 ]
 
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -58,7 +58,7 @@
         server = HttpServer(handler=async_answer)
         await server.async_start(host='127.0.0.1', port=0)
         client = await async_connect(host=server.host, port=server.port)
-        client.max_body_bytes = 999
+        client.size.max_body_bytes = 999
         with pytest.raises(BitternturnError) as caught:
             await client.async_exchange(method='GET', path='/', headers={})
         assert caught.value.code is ErrorCode.BAD_ANSWER
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -1,5 +1,6 @@
 """Tests of wide requests whose sends are delegated to peers."""
 
+import asyncio
 import contextlib
 import time
 
@@ -9,10 +10,12 @@
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.models import Address
 from bitternturn.policy.target_selection import MIN_SLOW_ANSWERS
-from bitternturn.relay import const
+from bitternturn.relay import const, peer
+from bitternturn.relay.connection import async_open_connection
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.delegation import Delegation, MemberEntry
 from bitternturn.relay.server import RelayServer
+from bitternturn.schema.relay_pb2 import Frame, Part, Parts
 from bitternturn.standins.platform_target import (
     PlatformTarget,
     ScriptedBehaviour,
@@ -99,6 +102,11 @@
             await fleet.async_stop()
 
 
+def peers_of(fleet):
+    """Return the clients of the peers at the entry instance."""
+    return list(fleet.delegation.peers.values())
+
+
 def make_targets(**changes):
     """Return one target per shard, each with two records."""
     return [
@@ -114,9 +122,13 @@
 def spy_on(send_request, requested):
     """Wrap `Peer.send_request` to record the requested sends."""
 
-    def send_and_record(frame, on_reply):
-        requested.append(frame.sends)
-        return send_request(frame, on_reply)
+    def send_and_record(make_frame, on_reply):
+        def make_and_record():
+            frame = make_frame()
+            requested.append(frame.sends)
+            return frame
+
+        return send_request(make_and_record, on_reply)
 
     return send_and_record
 
@@ -146,8 +158,8 @@
         targets = make_targets(delay_s=0.9)
         async with fleet_over(targets, latency_objective_s=2.0) as fleet:
             response = await fleet.entry.async_handle(make_patient_request())
-            for peer in fleet.delegation.peers.values():
-                assert peer.is_available(fleet.entry.now())
+            for it in peers_of(fleet):
+                assert it.is_available(fleet.entry.now())
         assert response.headers['x-missing-parts'] == '0'
 
     async def test_late_part_does_not_delay_the_others(self):
@@ -189,8 +201,8 @@
             fleet.entry.targets['u3'].record.record_latency_ratio(
                 3, fleet.entry.now()
             )
-            for peer in fleet.delegation.peers.values():
-                peer.send_request = spy_on(peer.send_request, requested)
+            for it in peers_of(fleet):
+                it.send_request = spy_on(it.send_request, requested)
             await fleet.entry.async_handle(make_patient_request())
         first = [it.report_ms for it in requested if 't3' in it.items]
         hedged = [it.report_ms for it in requested if 'u3' in it.items]
@@ -281,8 +293,8 @@
             make_targets(), latency_objective_s=1.5, min_coverage=0.1
         ) as fleet:
             fleet.servers[1].handle_frame = lambda connection, frame: None
-            for peer in fleet.delegation.peers.values():
-                peer.backoff_s = LONG_S
+            for it in peers_of(fleet):
+                it.backoff_s = LONG_S
             first = await fleet.entry.async_handle(make_patient_request('q1'))
             second = await fleet.entry.async_handle(make_patient_request('q2'))
         assert int(first.headers['x-missing-parts']) > 0
@@ -300,3 +312,73 @@
             ]
         assert len(answering_targets(third)) == SHARDS
         assert direct_targets
+
+    async def test_request_that_no_peer_received_has_not_run(self, monkeypatch):
+        """Guards against an error for a request that may be repeated safely."""
+        connected = asyncio.Event()
+
+        async def async_connect_late(*args, **handlers):
+            await connected.wait()
+            return await async_open_connection(*args, **handlers)
+
+        monkeypatch.setattr(peer, 'async_open_connection', async_connect_late)
+        targets = make_targets()
+        async with fleet_over(targets, min_coverage=1, timeout_s=0.4) as fleet:
+            response = await fleet.entry.async_handle(make_patient_request())
+            connected.set()
+            async with asyncio.timeout(LONG_S):
+                while any(it.send_queue for it in peers_of(fleet)):
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+        assert response.status == 503
+        assert float(response.headers['retry-after']) > 0
+        assert not any(target.requests for target in targets)
+
+    async def test_loss_of_a_peer_is_no_failure_of_its_targets(self):
+        """Guards against ejections by the loss of one peer after another."""
+        targets = make_targets(delay_s=0.2)
+        async with fleet_over(targets, min_coverage=0.1) as fleet:
+            request = asyncio.ensure_future(
+                fleet.entry.async_handle(make_patient_request())
+            )
+            await asyncio.sleep(0.1)
+            for server in fleet.servers[1:]:
+                for connection in list(server.connections):
+                    connection.close()
+            response = await request
+            records = [it.record for it in fleet.entry.targets.values()]
+        assert response.status == 200
+        assert not any(record.failure_share for record in records)
+
+
+class TestMalformedReports:
+    @pytest.mark.parametrize(
+        'report',
+        [
+            Parts(parts=[Part(index=99, stamp='a')]),
+            Parts(parts=[Part(index=0)]),
+            Parts(parts=[Part(stamp='a')], records=b'x' * 16),
+            Parts(parts=[Part(stamp='a')], records=b'x' * 16, owners=[7]),
+        ],
+    )
+    async def test_report_costs_only_its_own_sends(self, report):
+        """Guards against a report that ends the requests of a connection."""
+        async with fleet_over(make_targets()) as fleet:
+            server = fleet.servers[1]
+            handle_frame = server.handle_frame
+            replied = []
+
+            def reply_malformed(connection, frame):
+                if replied:
+                    handle_frame(connection, frame)
+                    return
+                replied.append(frame.number)
+                connection.send(Frame(number=frame.number, parts=report))
+
+            server.handle_frame = reply_malformed
+            response = await fleet.entry.async_handle(make_patient_request())
+            connections = len(server.connections)
+        assert replied
+        assert response.status == 200
+        assert len(answering_targets(response)) == SHARDS
+        assert connections == 1
