Send parts that leave the failure domain through an instance there

A third of the shards has no target in the entry instance's domain.

Change: an entry instance hands three or more such parts of a request to one instance of the other domain, which merges them; hedges and retries stay direct. An instance prefers one of the other domains (by its name, so that the load spreads), so that the parts share a message.

--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -28,7 +28,11 @@
     count_subset_replicas,
     split_replicas,
 )
-from bitternturn.policy.target_selection import choose_target
+from bitternturn.policy.target_selection import (
+    choose_next_domain,
+    choose_target,
+    rank_domain,
+)
 from bitternturn.policy.unresponsive_targets import UnresponsiveTargets
 
 # Range of random factors on the cost of targets, which spreads the sends over
@@ -121,6 +125,7 @@
         for entry in entries.values():
             self._update_target(entry)
         self._choose_preferred_domain()
+        self._rank_domains()
         self.ready = {}
         self.standby = {}
         for service, ready in self.fleet_state.ready_by_service().items():
@@ -140,7 +145,6 @@
                 now=self.now,
                 on_send_end=self._record_send_end,
                 buffers=self.answer_buffers,
-                in_preferred_domain=False,
             )
             self.targets[entry.id] = target
             target.cold_until = self.now() + entry.cold_remaining_s
@@ -149,9 +153,6 @@
         if entry != target.entry:
             target.readmit()
         target.entry = entry
-        target.in_preferred_domain = (
-            entry.failure_domain == self.preferred_domain
-        )
 
     def _record_send_end(
         self,
@@ -211,6 +212,23 @@
                 self.instance_index % len(domains)
             ]
 
+    def _rank_domains(self) -> None:
+        """Rank the failure domains of all targets."""
+        next_domain = choose_next_domain(
+            {
+                entry.failure_domain
+                for entry in self.fleet_state.entries.values()
+            },
+            preferred=self.preferred_domain,
+            instance=self.settings.name,
+        )
+        for target in self.targets.values():
+            target.domain_rank = rank_domain(
+                target.entry.failure_domain,
+                preferred=self.preferred_domain,
+                next_preferred=next_domain,
+            )
+
     def _assign_targets(
         self,
         name: ServiceName,
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -136,7 +136,6 @@
         now: Callable[[], float],
         on_send_end: 'SendRecorder',
         buffers: BodyBuffers,
-        in_preferred_domain: bool,
     ) -> None:
         """Initialise without connections; they are opened on demand."""
         self.entry = entry
@@ -145,7 +144,8 @@
         self.now = now
         self.on_send_end = on_send_end
         self.buffers = buffers
-        self.in_preferred_domain = in_preferred_domain
+        # Rank of the failure domain, see `Candidate`.
+        self.domain_rank = 0
         self.record = TargetStatistics()
         self.max_connections = 1
         self.cold_until: float = 0
@@ -184,7 +184,7 @@
             in_flight=len(self.sends),
             slots=self.entry.slots,
             oldest_ratio=oldest_s / typical_latency_s,
-            same_domain=self.in_preferred_domain,
+            domain_rank=self.domain_rank,
             cold=now < self.cold_until,
             full=bool(self.queued) and not self.opening_count,
         )
@@ -209,6 +209,12 @@
         self.delegated.add(send)
         send.relay_delay_s = relay_delay_s
 
+    def start_undelegated(self, send: Send, now: float) -> None:
+        """Start a send that was registered as delegated over a connection."""
+        self.delegated.discard(send)
+        send.relay_delay_s = 0
+        self.start(send, now)
+
     def cancel_queued(self, send: Send) -> None:
         """End a send that is queued for a connection."""
         self.end_send(send, SendOutcome.NOT_SENT, None)
--- a/bitternturn/policy/delegate_selection.py
+++ b/bitternturn/policy/delegate_selection.py
@@ -3,6 +3,10 @@
 Guards against overload by requests over many shards: a single instance would
 need tens of milliseconds of processor time for all sends, and the bytes of all
 parts would pass through its network link and cross failure domains.
+
+Requests over fewer shards are sent by their entry instance, except to targets
+in another failure domain: an instance there merges their parts, so that only
+the records of the answer cross.
 """
 
 import math
@@ -35,24 +39,25 @@
     return zlib.crc32(service.encode()) % groups
 
 
-def rank_delegates(
-    group: int, members: Sequence[DelegateCandidate]
-) -> list[str]:
-    """Return the names of the members, the preferred one of a group first.
+def rank_delegates(key: str, members: Sequence[DelegateCandidate]) -> list[str]:
+    """Return the names of the members, the preferred one for a key first.
+
+    The key is a group of shards, for which one member then knows the targets
+    well, or an entry instance, which spreads the load over the members.
 
     Weighted rendezvous hashing: all instances that know the same members
-    compute the same order, and only the groups of a leaving member move.
+    compute the same order, and only the keys of a leaving member move.
     """
     scored = sorted(
-        ((_score(group, member), member.name) for member in members),
+        ((_score(key, member), member.name) for member in members),
         reverse=True,
     )
     return [name for _, name in scored]
 
 
-def _score(group: int, member: DelegateCandidate) -> float:
-    """Return the rendezvous score of a member for a group."""
-    digest = zlib.crc32(f'{group}/{member.name}'.encode())
+def _score(key: str, member: DelegateCandidate) -> float:
+    """Return the rendezvous score of a member for a key."""
+    digest = zlib.crc32(f'{key}/{member.name}'.encode())
     # CRC is linear; the multiplication separates similar names.
     mixed_hash = (digest * HASH_MULTIPLIER) % HASH_RANGE
     share = (mixed_hash + 1) / (HASH_RANGE + 1)
--- a/bitternturn/policy/target_selection.py
+++ b/bitternturn/policy/target_selection.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final, TypeVar
@@ -22,9 +23,10 @@
 MAX_EJECTION_S: Final = 4.0
 # Lower bound of the slowness in the cost of a target.
 MIN_SLOWNESS: Final = 0.2
-# Cost of sending to another failure domain, in typical latencies: a round trip
-# of a few milliseconds and its price.
-CROSS_DOMAIN_COST: Final = 1.0
+# Cost of sending to a failure domain by its rank, in typical latencies: a round
+# trip of a few milliseconds and its price. The parts of a request that leave the
+# preferred domain go to the next one together, in one message.
+DOMAIN_COSTS: Final = (0.0, 1.0, 1.5)
 # Cost of a target that has not answered a request for unusually long.
 STUCK_COST: Final = 5.0
 # Multiple of the typical latency after which an unanswered request is stuck.
@@ -136,9 +138,9 @@
     # Age of the oldest unanswered request as a multiple of the typical latency,
     # zero if there is none.
     oldest_ratio: float
-    # Whether the target is in the failure domain that the instance prefers,
-    # which is its own if that has targets.
-    same_domain: bool
+    # Rank of the target's failure domain: 0 for the one that the instance
+    # prefers, which is its own if that has targets, 1 for the next, 2 for others.
+    domain_rank: int
     cold: bool
     # Whether sends wait for a connection and none is being opened.
     full: bool
@@ -148,8 +150,7 @@
     """Return the expected cost of a send, in typical latencies."""
     cost = candidate.record.cost(now)
     cost *= 1 + candidate.in_flight / max(1, candidate.slots)
-    if not candidate.same_domain:
-        cost += CROSS_DOMAIN_COST
+    cost += DOMAIN_COSTS[candidate.domain_rank]
     if candidate.cold:
         cost += COLD_COST
     if candidate.oldest_ratio > STUCK_FACTOR:
@@ -176,6 +177,30 @@
     )
 
 
+def rank_domain(
+    domain: str, *, preferred: str, next_preferred: str | None
+) -> int:
+    """Return the rank of a failure domain for `Candidate`."""
+    if domain == preferred:
+        return 0
+    return 1 if domain == next_preferred else 2
+
+
+def choose_next_domain(
+    domains: Iterable[str], *, preferred: str, instance: str
+) -> str | None:
+    """Return the failure domain to use beside the preferred one, if any.
+
+    It depends on the instance, so that the load is spread over the domains.
+    """
+    others = [domain for domain in domains if domain != preferred]
+    return min(
+        others,
+        key=lambda domain: zlib.crc32(f'{instance}/{domain}'.encode()),
+        default=None,
+    )
+
+
 TargetT = TypeVar('TargetT')
 
 
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -26,6 +26,9 @@
 # Shards per request to a peer: enough to amortise its cost, few enough for
 # several peers to share a wide request.
 SHARDS_PER_PEER: Final = 16
+# Minimum number of parts of a request with few shards that are worth a message
+# to a peer in their failure domain.
+MIN_DELEGATED_PARTS: Final = 3
 # Delay that batches ends of sends into one report, after the first report or
 # for failures and hedges, which are reported early.
 REPORT_BATCH_DELAY_S: Final = 0.002
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -245,7 +245,7 @@
         self.tasks = tasks
         self.peers: dict[str, Peer] = {}
         self.members: Mapping[FailureDomain, Sequence[DelegateCandidate]] = {}
-        self.rankings: dict[tuple[FailureDomain, int], list[str]] = {}
+        self.rankings: dict[tuple[FailureDomain, str], list[str]] = {}
         # Sends queued until the next event loop iteration, by peer and request.
         self.outbox: dict[tuple[str, str], list[Send]] = {}
         gateway.dispatch = self.dispatch
@@ -304,13 +304,11 @@
 
     def _choose_peer(self, send: Send, now: float) -> Peer | None:
         """Return the peer to delegate a send to, None to send directly."""
-        wide = self.gateway.wide_services
-        entry = send.target.entry
-        if not send.max_records or entry.service not in wide:
+        domain = send.target.entry.failure_domain
+        key = self._delegate_key(send)
+        if key is None:
             return None
-        groups = count_groups(len(wide), const.SHARDS_PER_PEER)
-        group = assign_group(entry.service, groups)
-        for name in self._ranked_members(entry.failure_domain, group):
+        for name in self._ranked_members(domain, key):
             if name == self.gateway.settings.name:
                 return None
             peer = self.peers[name]
@@ -318,26 +316,46 @@
                 return peer
         return None
 
+    def _delegate_key(self, send: Send) -> str | None:
+        """Return the key that ranks the delegates, None to send directly."""
+        entry = send.target.entry
+        if not send.max_records:
+            return None
+        wide = self.gateway.wide_services
+        if entry.service in wide:
+            groups = count_groups(len(wide), const.SHARDS_PER_PEER)
+            return str(assign_group(entry.service, groups))
+        settings = self.gateway.settings
+        if send.is_further or entry.failure_domain == settings.failure_domain:
+            return None
+        return settings.name
+
     def _ranked_members(
         self,
         domain: FailureDomain,
-        group: int,
+        key: str,
     ) -> Sequence[str]:
-        """Return the instances of a domain, ranked for a shard group."""
-        key = (domain, group)
-        ranked = self.rankings.get(key)
+        """Return the instances of a domain, ranked for a key."""
+        ranked = self.rankings.get((domain, key))
         if ranked is None:
-            ranked = rank_delegates(group, self.members.get(domain, ()))
-            self.rankings[key] = ranked
+            ranked = rank_delegates(key, self.members.get(domain, ()))
+            self.rankings[(domain, key)] = ranked
         return ranked
 
     def _flush(self, key: tuple[str, str]) -> None:
-        """Send the queued sends of one request to a peer."""
+        """Send the queued sends of one request to a peer, or directly."""
         queued = self.outbox.pop(key)
         sends = [send for send in queued if not send.ended]
-        if sends:
-            OutgoingBatch(
-                peer=self.peers[key[0]],
-                sends=sends,
-                gateway=self.gateway,
-            ).start()
+        if not sends:
+            return
+        wide = sends[0].target.entry.service in self.gateway.wide_services
+        if not wide and len(sends) < const.MIN_DELEGATED_PARTS:
+            now = self.gateway.now()
+            for send in sends:
+                send.target.start_undelegated(send, now)
+            return
+        OutgoingBatch(
+            peer=self.peers[key[0]],
+            sends=sends,
+            gateway=self.gateway,
+        ).start()
--- a/tests/policy/test_target_selection.py
+++ b/tests/policy/test_target_selection.py
@@ -3,7 +3,9 @@
 from bitternturn.policy.target_selection import (
     Candidate,
     TargetStatistics,
+    choose_next_domain,
     choose_target,
+    rank_domain,
     should_decline,
 )
 
@@ -15,7 +17,7 @@
         'in_flight': 0,
         'slots': 2,
         'oldest_ratio': 0,
-        'same_domain': False,
+        'domain_rank': 1,
         'cold': False,
         'full': False,
         **overrides,
@@ -38,7 +40,7 @@
         slow, other = TargetStatistics(), TargetStatistics()
         slow.record_latency_ratio(10, 0)
         candidates = {
-            'slow': candidate(slow, same_domain=True),
+            'slow': candidate(slow, domain_rank=0),
             'other': candidate(other),
         }
         assert chosen_name(candidates, 0.1) == 'other'
@@ -50,7 +52,7 @@
                 TargetStatistics(),
                 oldest_ratio=6,
                 in_flight=1,
-                same_domain=True,
+                domain_rank=0,
             ),
             'other': candidate(TargetStatistics()),
         }
@@ -62,7 +64,7 @@
         """Guard against sending to a target that fails half of its requests."""
         failing, good = TargetStatistics(), TargetStatistics()
         candidates = {
-            'failing': candidate(failing, same_domain=True),
+            'failing': candidate(failing, domain_rank=0),
             'good': candidate(good),
         }
         names = []
@@ -86,7 +88,7 @@
         slow = TargetStatistics()
         slow.record_latency_ratio(20, 1)
         candidates = {
-            'dead': candidate(dead, same_domain=True),
+            'dead': candidate(dead, domain_rank=0),
             'slow': candidate(slow),
         }
         assert chosen_name(candidates, 1.2) == 'slow'
@@ -96,14 +98,14 @@
     def test_own_failure_domain_is_preferred(self):
         candidates = {
             'far': candidate(TargetStatistics()),
-            'near': candidate(TargetStatistics(), same_domain=True),
+            'near': candidate(TargetStatistics(), domain_rank=0),
         }
         assert chosen_name(candidates) == 'near'
 
     def test_full_target_is_avoided(self):
         candidates = {
             'far': candidate(TargetStatistics()),
-            'near': candidate(TargetStatistics(), same_domain=True, full=True),
+            'near': candidate(TargetStatistics(), domain_rank=0, full=True),
         }
         assert chosen_name(candidates) == 'far'
 
@@ -140,3 +142,38 @@
         for _ in range(3):
             record.record_failure(0.0)
         assert should_decline(candidate(record), 0.1)
+
+
+class TestDomains:
+    DOMAINS = ('east', 'north', 'south', 'west')
+
+    def test_next_domain_is_preferred_to_the_others(self):
+        candidates = {
+            f'rank{rank}': candidate(TargetStatistics(), domain_rank=rank)
+            for rank in (2, 1)
+        }
+        assert chosen_name(candidates) == 'rank1'
+
+    def test_rank(self):
+        ranks = [
+            rank_domain(domain, preferred='north', next_preferred='west')
+            for domain in self.DOMAINS
+        ]
+        assert ranks == [2, 0, 2, 1]
+
+    def test_instances_are_spread_over_the_other_domains(self):
+        chosen = [
+            choose_next_domain(
+                self.DOMAINS, preferred='north', instance=f'instance-{number}'
+            )
+            for number in range(300)
+        ]
+        counts = [chosen.count(domain) for domain in ('east', 'south', 'west')]
+        assert sum(counts) == 300
+        assert min(counts) > 50
+
+    def test_there_is_none_with_one_domain(self):
+        assert (
+            choose_next_domain(['north'], preferred='north', instance='a')
+            is None
+        )
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from types import MappingProxyType
 
 import pytest
 
@@ -42,17 +43,19 @@
 class Fleet:
     """An entry gateway and two peers that share the targets of a route."""
 
-    def __init__(self, targets, **route):
+    def __init__(self, targets, *, domains, shards, **route):
         self.targets = targets
+        self.domains = domains
+        self.shards = shards
         fields = {'latency_objective_s': 6.0, 'timeout_s': LONG_S, **route}
-        self.route = make_shard_route(SHARDS, max_records=4, **fields)
+        self.route = make_shard_route(shards, max_records=4, **fields)
         self.tasks = TaskSet()
         self.servers = []
         self.gateways = []
         self.members = []
 
     async def async_start(self):
-        for name in ('entry', 'p1', 'p2'):
+        for name, domain in self.domains.items():
             gateway = make_gateway()
             self.gateways.append(gateway)
             server = RelayServer(
@@ -67,7 +70,7 @@
                     MemberEntry(
                         name=name,
                         address=Address(host='127.0.0.1', port=port),
-                        domain=FailureDomain('north'),
+                        domain=FailureDomain(domain),
                         cores=1,
                     )
                 )
@@ -75,7 +78,13 @@
             register(
                 gateway,
                 *(
-                    make_entry(target, f's{index % SHARDS}')
+                    make_entry(
+                        target,
+                        f's{index % self.shards}',
+                        failure_domain=FailureDomain(
+                            'south' if target.id.startswith('far') else 'north'
+                        ),
+                    )
                     for index, target in enumerate(self.targets)
                 ),
             )
@@ -91,10 +100,19 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet_over(targets, **route):
-    """Provide a running fleet and its targets."""
+async def fleet_over(
+    targets,
+    *,
+    domains=MappingProxyType({'entry': 'north', 'p1': 'north', 'p2': 'north'}),
+    shards=SHARDS,
+    **route,
+):
+    """Provide a running fleet and its targets.
+
+    Targets whose id starts with `far` are in another domain than the entry.
+    """
     async with running_targets(*targets):
-        fleet = Fleet(targets, **route)
+        fleet = Fleet(targets, domains=domains, shards=shards, **route)
         await fleet.async_start()
         try:
             yield fleet
@@ -225,6 +243,81 @@
         assert response.headers['x-missing-parts'] == '0'
 
 
+class TestFewShards:
+    """Requests that the entry instance sends, except across domains."""
+
+    DOMAINS = MappingProxyType({'entry': 'north', 'p1': 'north', 'p2': 'south'})
+
+    @staticmethod
+    def make_targets(near, far):
+        names = [f'near{it}' for it in range(near)]
+        names += [f'far{it}' for it in range(far)]
+        return [
+            PlatformTarget(id=name, body=make_record(number))
+            for number, name in enumerate(names)
+        ]
+
+    async def async_gather(self, targets, **route):
+        """Return the response, the delegated ids and the direct ids."""
+        requested = []
+        async with fleet_over(
+            targets, domains=self.DOMAINS, shards=len(targets), **route
+        ) as fleet:
+            for it in peers_of(fleet):
+                it.send_request = spy_on(it.send_request, requested)
+            response = await fleet.entry.async_handle(make_patient_request())
+            direct = {
+                name
+                for name, target in fleet.entry.targets.items()
+                if target.idle
+            }
+        return response, [sorted(it.items) for it in requested], direct
+
+    async def test_parts_of_another_domain_cross_it_as_one_message(self):
+        """Guards against one message between domains for each part."""
+        targets = self.make_targets(near=2, far=4)
+        response, requested, direct = await self.async_gather(targets)
+        assert requested == [['far0', 'far1', 'far2', 'far3']]
+        assert direct == {'near0', 'near1'}
+        assert len(answering_targets(response)) == 6
+        assert response.body == b''.join(
+            make_record(number) for number in (5, 4, 3, 2)
+        )
+
+    async def test_few_parts_are_sent_directly(self):
+        targets = self.make_targets(near=4, far=const.MIN_DELEGATED_PARTS - 1)
+        response, requested, direct = await self.async_gather(targets)
+        assert not requested
+        assert direct == {target.id for target in targets}
+        assert response.headers['x-missing-parts'] == '0'
+
+    async def test_hedge_is_sent_directly(self):
+        targets = self.make_targets(near=0, far=4)
+        targets[3] = make_scripted_target('far3', *[ScriptedBehaviour.HANG] * 9)
+        spare = PlatformTarget(id='far9', body=make_record(9))
+        async with fleet_over(
+            [*targets, *self.make_targets(near=0, far=3), spare],
+            domains=self.DOMAINS,
+            shards=4,
+            latency_objective_s=2.0,
+        ) as fleet:
+            fleet.entry.targets['far9'].record.record_latency_ratio(
+                3, fleet.entry.now()
+            )
+            response = await fleet.entry.async_handle(make_patient_request())
+            hedged = fleet.entry.targets['far9']
+            assert hedged.idle
+        assert response.headers['x-missing-parts'] == '0'
+
+    async def test_parts_are_sent_directly_without_a_peer(self):
+        targets = self.make_targets(near=0, far=4)
+        async with fleet_over(targets, domains=self.DOMAINS, shards=4) as fleet:
+            for it in peers_of(fleet):
+                it.backoff_until = fleet.entry.now() + LONG_S
+            response = await fleet.entry.async_handle(make_patient_request())
+        assert response.headers['x-missing-parts'] == '0'
+
+
 class TestFailingTargets:
     async def test_entry_records_an_unreachable_target(self):
         """Guards against every query trying a crashed target first."""
