Let relays in each large failure domain follow the readers

Cause: in a large fleet every follower polled three readers, mostly in another domain, so that each change and each poll crossed once for each follower, and all followers read the store when the readers were lost.

Change: two instances of a domain with eight or more, chosen by hash, poll the readers; the others poll these, and alternate with the readers after a failure. A relay vouches only for what a reader told it, so that no cycle of relays can keep itself up to date. While no reader is left the relays read the store. Bytes between instances and to targets are counted by kind, direction and distance, in the metrics and in a log line every 10 s.

--- a/bitternturn/gateway/metrics.py
+++ b/bitternturn/gateway/metrics.py
@@ -36,6 +36,10 @@
         """Increment the counter with a name and labels."""
         self.counts[(name, tuple(labels.items()))] += 1
 
+    def add(self, name: str, amount: int, **labels: str) -> None:
+        """Add to the counter with a name and labels."""
+        self.counts[(name, tuple(labels.items()))] += amount
+
     def record_latency(
         self, name: str, latency_s: float, **labels: str
     ) -> None:
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -159,9 +159,10 @@
         target: Target,
         outcome: SendOutcome,
         latency_s: float,
+        exchange_bytes: int,
     ) -> None:
         """Record the end of a send and displace a misdirected target."""
-        record_send_end(self, target, outcome, latency_s)
+        record_send_end(self, target, outcome, latency_s, exchange_bytes)
         if outcome is SendOutcome.MISDIRECTED:
             self.displace(target)
         elif outcome is SendOutcome.UNREACHABLE:
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from bitternturn.core.clock import MS_PER_SECOND
+from bitternturn.gateway.decision_log import DecisionLog
+from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import CallerRequest, RefusalReason, SendOutcome
 from bitternturn.policy.target_selection import EJECTION_FAILURES
 
@@ -38,15 +40,37 @@
         gateway.metrics.register_gauge(name, read)
 
 
+def log_traffic(metrics: GatewayMetrics, decisions: DecisionLog) -> None:
+    """Log the bytes to and from targets and instances, by their labels."""
+    decisions.write(
+        'traffic',
+        **{
+            '_'.join((name, *(value for _, value in labels))): count
+            for (name, labels), count in metrics.counts.items()
+            if name.endswith('_bytes')
+        },
+    )
+
+
 def record_send_end(
     pool: 'TargetPool',
     target: 'Target',
     outcome: SendOutcome,
     latency_s: float,
+    exchange_bytes: int,
 ) -> None:
     """Count the outcome of a send; log displaced and ejected targets."""
     name = target.entry.id
     pool.metrics.increment('sends', outcome=outcome.value)
+    if exchange_bytes:
+        same_domain = (
+            target.entry.failure_domain == pool.settings.failure_domain
+        )
+        pool.metrics.add(
+            'target_bytes',
+            exchange_bytes,
+            scope='same_domain' if same_domain else 'other_domain',
+        )
     if outcome is SendOutcome.ANSWERED:
         pool.metrics.record_latency('send_latency', latency_s, target=name)
     elif outcome is SendOutcome.MISDIRECTED:
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -30,8 +30,9 @@
     TargetStatistics,
 )
 
-# Called with the target, the outcome of a send and its latency in seconds.
-SendRecorder = Callable[['Target', SendOutcome, float], None]
+# Called with the target, the outcome of a send, its latency in seconds and the
+# bytes of its exchange, 0 if a peer made it.
+SendRecorder = Callable[['Target', SendOutcome, float, int], None]
 SendEndListener = Callable[['Send', SendOutcome, TargetAnswer | None], None]
 
 
@@ -397,7 +398,11 @@
             self.record.record_latency_ratio(DECLINED_SLOWNESS, now)
         elif outcome not in {SendOutcome.NOT_SENT, SendOutcome.PEER_LOST}:
             self.record.record_failure(now)
-        self.on_send_end(self, outcome, latency_s)
+        connection = send.connection
+        exchange_bytes = 0
+        if isinstance(connection, ClientConnection):
+            exchange_bytes = connection.exchange_bytes
+        self.on_send_end(self, outcome, latency_s, exchange_bytes)
 
 
 def _max_answer_bytes(max_records: int, record_bytes: int) -> int:
--- a/bitternturn/http/client.py
+++ b/bitternturn/http/client.py
@@ -55,6 +55,8 @@
         # Bounds the bodies of several connections together, None if nothing
         # does.
         self.buffers: BodyBuffers | None = None
+        # Bytes sent and received in the current or last exchange.
+        self.exchange_bytes = 0
         self._response_head: h11.Response | None = None
         self._body_parts: list[bytes] = []
         self._on_end: OnExchangeEnd | None = None
@@ -86,6 +88,7 @@
             return
         self.response_started = True
         self.size.received_bytes += len(data)
+        self.exchange_bytes += len(data)
         try:
             self.h11.receive_data(data)
             self._process_events()
@@ -229,6 +232,7 @@
         events.append(h11.EndOfMessage())
         wire = b''.join(self.h11.send(event) or b'' for event in events)
         self.request_sent = True
+        self.exchange_bytes = len(wire)
         self.transport.write(wire)
 
     def _complete_headers(
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -11,6 +11,7 @@
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.models import CallerLimits, InstanceSettings
+from bitternturn.gateway.reporting import log_traffic
 from bitternturn.http import const as http
 from bitternturn.http.models import Request, Response
 from bitternturn.http.server import HttpServer, ServerLimits
@@ -28,6 +29,8 @@
 CALL_TIMEOUT_S = 1.5
 CALLS_PER_S = 20.0
 CALL_BURST = 40.0
+# Interval of the log lines with the bytes that were sent and received.
+TRAFFIC_LOG_INTERVAL_S = 10.0
 STEP_LISTEN = 'listen'
 PATH_METRICS = '/metrics'
 METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
@@ -64,11 +67,12 @@
                 budget=CallBudget(rate=CALLS_PER_S, burst=CALL_BURST),
             ),
         )
+        delegation = Delegation(gateway=self.gateway, tasks=self.tasks)
         self.follower = StoreFollower(
             settings=settings,
             gateway=self.gateway,
             store=store,
-            delegation=Delegation(gateway=self.gateway, tasks=self.tasks),
+            delegation=delegation,
             tasks=self.tasks,
         )
         self.caller_server = HttpServer(handler=self.gateway.async_handle)
@@ -78,6 +82,7 @@
             gateway=self.gateway,
             copies=self.follower.source.copies,
             tasks=self.tasks,
+            traffic=delegation.traffic,
         )
         self.shutting_down = False
         self.stopped = asyncio.Event()
@@ -89,6 +94,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self._async_listen()
         self.follower.start()
+        self.tasks.spawn(self._async_log_traffic())
         self.decisions.write('start', domain=self.settings.failure_domain)
         await self.stopped.wait()
         self.decisions.write('stop')
@@ -140,6 +146,12 @@
             max_connections=http.DEFAULT_MAX_CONNECTIONS,
         )
 
+    async def _async_log_traffic(self) -> None:
+        """Log the bytes by kind since the start of the process."""
+        while True:
+            await asyncio.sleep(TRAFFIC_LOG_INTERVAL_S)
+            log_traffic(self.gateway.metrics, self.decisions)
+
     # Signals
 
     def reload(self) -> None:
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -22,10 +22,14 @@
     PlatformObject,
     PlatformStore,
 )
-from bitternturn.relay import const as relay
+from bitternturn.policy.relay_selection import (
+    should_poll_relay,
+    should_read_store,
+)
+from bitternturn.relay import const as relay_const
 from bitternturn.relay.copies import CopiedObject, KindCopy, StoreCopies
 from bitternturn.relay.delegation import Delegation
-from bitternturn.relay.peer import PeerFailure, async_request
+from bitternturn.relay.peer import Peer, PeerFailure, async_request
 from bitternturn.schema.relay_pb2 import (
     Follow,
     Frame,
@@ -34,6 +38,16 @@
 )
 
 READER_POLL_INTERVAL_S = 0.2
+# Timeout of a poll, which the peer answers at the latest after its wait.
+POLL_TIMEOUT_S = (
+    relay_const.FOLLOW_POLL_TIMEOUT_S + relay_const.FOLLOW_REPLY_MARGIN_S
+)
+# Time after a poll for which the copies of an up-to-date reader count as up to
+# date at a relay: until the next poll has ended.
+RELAYED_S = 2 * POLL_TIMEOUT_S
+# Time after a request of a follower for which an instance polls the readers
+# itself, so that it is up to date for its followers.
+RELAY_ROLE_S = 3.0
 # Time without an up-to-date reader after which an instance reads the store
 # itself. Longer than readers need that start at the same time, shorter than
 # the timeout of a request to an unresponsive reader.
@@ -68,6 +82,8 @@
     UP_TO_DATE = 'up_to_date'
     # It can't read the store.
     FAILING = 'failing'
+    # It is a relay and has no up-to-date reader.
+    NOT_RELAYED = 'not_relayed'
     UNRESPONSIVE = 'unresponsive'
 
 
@@ -88,8 +104,9 @@
     readers do, which are the seeds in the settings. The other instances, the
     followers, poll the readers in rotation, so that the number of calls to the
     store does not grow with the fleet. Readers poll each other as well, since
-    one of them may be cut off from the store. An instance that finds no
-    up-to-date reader reads the store itself.
+    one of them may be cut off from the store. In a large failure domain only
+    its relays poll the readers, and the other followers poll the relays. An
+    instance that finds no up-to-date source reads the store itself.
     """
 
     def __init__(
@@ -110,12 +127,14 @@
         self.delegation = delegation
         self.tasks = tasks
         self.handlers = handlers
-        self.copies = StoreCopies(kinds=handlers)
+        self.copies = StoreCopies(kinds=handlers, now=gateway.now)
         self.mirror_tasks: list[asyncio.Task[None]] = []
         self.created_at = gateway.now()
         # Index of the reader to poll next, modulo their number. Derived from
         # the name at first, to spread the instances over the readers.
         self.next_reader = zlib.crc32(settings.name.encode())
+        # Polls since the last one that found an up-to-date source.
+        self.failed_polls = 0
 
     def start(self) -> None:
         """Start to follow all kinds in the background."""
@@ -187,7 +206,7 @@
         self.copies.failing_kinds.clear()
 
     async def _async_follow_readers(self) -> None:
-        """Poll the readers; read the store when none is up to date."""
+        """Poll relays and readers; read the store if none is up to date."""
         not_updated_since: float | None = None
         while True:
             if self.small_fleet:
@@ -196,21 +215,27 @@
                     await asyncio.sleep(READER_POLL_INTERVAL_S)
                     continue
             polled_at = self.gateway.now()
-            # Poll another reader each time: one with a stalled watch reports
-            # that it is up to date.
-            self.next_reader += 1
-            state = await self._async_poll_reader()
+            relay = self._choose_relay(polled_at)
+            state = await self._async_poll(relay)
             if state is ReaderState.UP_TO_DATE:
                 not_updated_since = None
+                self.failed_polls = 0
                 if not self.is_reader:
                     self.stop_reading()
                 continue
+            self.failed_polls += 1
             not_updated_since = (
                 polled_at if not_updated_since is None else not_updated_since
             )
-            if self.gateway.now() - not_updated_since >= self._read_after_s():
+            if should_read_store(
+                failed_polls=self.failed_polls,
+                not_updated_s=self.gateway.now() - not_updated_since,
+                read_after_s=self._read_after_s(),
+                has_relay=state is ReaderState.NOT_RELAYED,
+            ):
                 self.start_reading(failing=state is ReaderState.FAILING)
-            await asyncio.sleep(READER_POLL_INTERVAL_S)
+            if relay is None:
+                await asyncio.sleep(READER_POLL_INTERVAL_S)
 
     def _read_after_s(self) -> float:
         """Return how long to wait for an up-to-date reader."""
@@ -220,12 +245,26 @@
             else READ_AFTER_S
         )
 
-    async def _async_poll_reader(self) -> ReaderState:
-        """Poll the next reader and apply its changes; return its state."""
-        if not self.readers:
+    def _choose_relay(self, now: float) -> Peer | None:
+        """Return the relay to poll next, None to poll a reader."""
+        if self.is_reader or not should_poll_relay(self.failed_polls):
+            return None
+        relays = self.delegation.find_relays(self.settings.failure_domain, now)
+        followed_s = now - self.copies.followed_at
+        is_relay = any(peer.name == self.settings.name for peer in relays)
+        if not relays or is_relay or followed_s < RELAY_ROLE_S:
+            return None
+        return relays[self.next_reader % len(relays)]
+
+    async def _async_poll(self, relay: Peer | None) -> ReaderState:
+        """Poll a relay or the next reader and apply the changes."""
+        # Poll another one each time: a reader with a stalled watch reports that
+        # it is up to date.
+        self.next_reader += 1
+        peer = relay or self._next_reader()
+        if peer is None:
             return ReaderState.UNRESPONSIVE
-        address = self.readers[self.next_reader % len(self.readers)]
-        peer = self.delegation.get_or_add_peer(address)
+        polled_at = self.gateway.now()
         reply = await async_request(
             peer,
             Frame(
@@ -235,21 +274,38 @@
                         for kind, copy in self.copies.kinds.items()
                     },
                     wait_ms=int(
-                        relay.FOLLOW_POLL_TIMEOUT_S * wire_names.MS_PER_SECOND
+                        relay_const.FOLLOW_POLL_TIMEOUT_S
+                        * wire_names.MS_PER_SECOND
                     ),
                 ),
             ),
-            relay.FOLLOW_POLL_TIMEOUT_S + relay.FOLLOW_REPLY_MARGIN_S,
+            POLL_TIMEOUT_S,
         )
         if isinstance(reply, PeerFailure):
             return ReaderState.UNRESPONSIVE
         for kind, changes in reply.changes.kinds.items():
             self._apply_kind_changes(kind, changes)
         if reply.changes.fresh:
+            self.copies.relayed_until = polled_at + RELAYED_S
             return ReaderState.UP_TO_DATE
+        if relay is not None:
+            return (
+                ReaderState.UP_TO_DATE
+                if reply.changes.relayed
+                else ReaderState.NOT_RELAYED
+            )
         self.gateway.fleet_state.store_failed_at = self.gateway.now()
         return ReaderState.FAILING
 
+    def _next_reader(self) -> Peer | None:
+        """Return the client of the next reader, None without readers."""
+        readers = self.readers
+        if not readers:
+            return None
+        return self.delegation.get_or_add_peer(
+            readers[self.next_reader % len(readers)]
+        )
+
     def _apply_kind_changes(self, kind: str, changes: KindChanges) -> None:
         """Apply a reader's changes of a kind, unless they are outdated."""
         copy = self.copies.kinds.get(kind)
--- a/bitternturn/relay/connection.py
+++ b/bitternturn/relay/connection.py
@@ -10,6 +10,7 @@
 from bitternturn.gateway.models import Address
 from bitternturn.http.client import TCP_KEEPALIVE_OPTIONS
 from bitternturn.relay import const
+from bitternturn.relay.traffic import Direction, RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame
 
 
@@ -21,10 +22,13 @@
         *,
         on_frame: Callable[['RelayConnection', Frame], None],
         on_lost: Callable[['RelayConnection'], None],
+        traffic: RelayTraffic,
     ) -> None:
         """Initialise without a transport."""
         self.on_frame = on_frame
         self.on_lost = on_lost
+        self.traffic = traffic
+        self.peer_host = ''
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
 
@@ -37,6 +41,8 @@
         """Store the transport; enable keepalive to detect a dead peer."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        address = transport.get_extra_info('peername') or ('', 0)
+        self.peer_host = address[0]
         sock = transport.get_extra_info('socket')
         for level, option, number in TCP_KEEPALIVE_OPTIONS:
             sock.setsockopt(level, option, number)
@@ -62,6 +68,7 @@
             if frame is None:
                 self.close()
                 return
+            self.traffic.record(self.peer_host, frame, Direction.RECEIVED, end)
             self.on_frame(self, frame)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -78,6 +85,8 @@
             body = zlib.compress(body, level=const.COMPRESS_LEVEL)
             prefix = const.COMPRESSED_FLAG
         prefix |= len(body)
+        size = const.LENGTH_BYTES + len(body)
+        self.traffic.record(self.peer_host, frame, Direction.SENT, size)
         self.transport.write(prefix.to_bytes(const.LENGTH_BYTES) + body)
 
     def close(self) -> None:
@@ -102,13 +111,16 @@
     *,
     on_frame: Callable[[RelayConnection, Frame], None],
     on_lost: Callable[[RelayConnection], None],
+    traffic: RelayTraffic,
 ) -> RelayConnection:
     """Open a connection; raises BitternturnError PEER_UNREACHABLE."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(const.CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
-                lambda: RelayConnection(on_frame=on_frame, on_lost=on_lost),
+                lambda: RelayConnection(
+                    on_frame=on_frame, on_lost=on_lost, traffic=traffic
+                ),
                 address.host,
                 address.port,
             )
--- a/bitternturn/relay/copies.py
+++ b/bitternturn/relay/copies.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import math
+import time
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -101,20 +103,39 @@
 class StoreCopies:
     """Copies of all followed kinds, and whether they are up to date."""
 
-    def __init__(self, *, kinds: Iterable[str]) -> None:
+    def __init__(
+        self,
+        *,
+        kinds: Iterable[str],
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
         """Initialise as not yet loaded."""
+        self.now = now
         self.kinds = {kind: KindCopy() for kind in kinds}
         # Kinds that this instance currently cannot read from the store.
         self.failing_kinds: set[str] = set()
         # Whether this instance reads the store directly.
         self.reads_store = False
+        # Until when the copies of a reader count as up to date.
+        self.relayed_until: float = 0
+        # Last request of a follower.
+        self.followed_at = -math.inf
         self.changed = asyncio.Event()
 
     @property
     def up_to_date(self) -> bool:
         """Whether all kinds are read from the store without failure."""
-        loaded = all(copy.revision for copy in self.kinds.values())
-        return self.reads_store and loaded and not self.failing_kinds
+        return self.reads_store and self._loaded and not self.failing_kinds
+
+    @property
+    def relayed(self) -> bool:
+        """Whether a reader that is up to date has just been followed."""
+        return self._loaded and self.now() < self.relayed_until
+
+    @property
+    def _loaded(self) -> bool:
+        """Whether all kinds have been listed."""
+        return all(copy.revision for copy in self.kinds.values())
 
     def notify_followers(self) -> None:
         """Notify waiting followers of a change."""
@@ -131,8 +152,9 @@
         If there is none, wait for one for up to `wait_s`, unless the copies
         are not up to date.
         """
+        self.followed_at = self.now()
         changes = self._collect_changes(revisions)
-        if changes.fresh and not changes.kinds:
+        if (changes.fresh or changes.relayed) and not changes.kinds:
             changed = self.changed
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
@@ -153,7 +175,7 @@
 
     def _collect_changes(self, revisions: Mapping[str, int]) -> Changes:
         """Return the changes of all kinds since revisions."""
-        changes = Changes(fresh=self.up_to_date)
+        changes = Changes(fresh=self.up_to_date, relayed=self.relayed)
         for kind, copy in self.kinds.items():
             kind_changes = copy.changes_since(revisions.get(kind, 0))
             if kind_changes is not None:
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -22,9 +22,11 @@
     count_groups,
     rank_delegates,
 )
+from bitternturn.policy.relay_selection import RELAYS_PER_DOMAIN, rank_relays
 from bitternturn.relay import const
 from bitternturn.relay.outcomes import decode_outcome
 from bitternturn.relay.peer import Peer, PeerFailure
+from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema import relay_pb2
 from bitternturn.schema.relay_pb2 import (
     Cancel,
@@ -243,6 +245,9 @@
         """Initialise and register as the gateway's dispatcher."""
         self.gateway = gateway
         self.tasks = tasks
+        self.traffic = RelayTraffic(
+            metrics=gateway.metrics, domain=gateway.settings.failure_domain
+        )
         self.peers: dict[str, Peer] = {}
         self.members: Mapping[FailureDomain, Sequence[DelegateCandidate]] = {}
         self.rankings: dict[tuple[FailureDomain, str], list[str]] = {}
@@ -267,10 +272,25 @@
                     address=entry.address,
                     tasks=self.tasks,
                     now=self.gateway.now,
+                    traffic=self.traffic,
                 )
+        self.traffic.domains = {
+            entry.address.host: entry.domain for entry in entries
+        }
         self.members = domains
         self.rankings.clear()
 
+    def find_relays(self, domain: FailureDomain, now: float) -> list[Peer]:
+        """Return the available relays of a failure domain, best first."""
+        names = rank_relays(domain, self.members.get(domain, ()))
+        available = [
+            name
+            for name in names
+            if name == self.gateway.settings.name
+            or self.peers[name].is_available(now)
+        ]
+        return [self.peers[name] for name in available[:RELAYS_PER_DOMAIN]]
+
     def get_or_add_peer(self, address: Address) -> Peer:
         """Return the peer at an address; add it if it is not registered."""
         for peer in self.peers.values():
@@ -284,6 +304,7 @@
                 address=address,
                 tasks=self.tasks,
                 now=self.gateway.now,
+                traffic=self.traffic,
             ),
         )
 
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -10,6 +10,7 @@
 from bitternturn.gateway.models import Address
 from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection, async_open_connection
+from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame
 
 
@@ -39,8 +40,10 @@
         address: Address,
         tasks: TaskSet,
         now: Callable[[], float],
+        traffic: RelayTraffic,
     ) -> None:
         """Initialise without a connection."""
+        self.traffic = traffic
         self.name = name
         self.address = address
         self.tasks = tasks
@@ -112,6 +115,7 @@
                 self.address,
                 on_frame=self._on_frame,
                 on_lost=self._on_lost,
+                traffic=self.traffic,
             )
         except BitternturnError:
             self.record_failure()
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -9,6 +9,7 @@
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.incoming_batch import IncomingBatch
+from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Leaving
 
 
@@ -21,10 +22,12 @@
         gateway: Gateway,
         copies: StoreCopies,
         tasks: TaskSet,
+        traffic: RelayTraffic,
     ) -> None:
         """Initialise; `async_start` listens."""
         self.copies = copies
         self.tasks = tasks
+        self.traffic = traffic
         self.gateway = gateway
         self.connections: dict[RelayConnection, dict[int, IncomingBatch]] = {}
         self.server: asyncio.Server | None = None
@@ -45,6 +48,7 @@
         connection = RelayConnection(
             on_frame=self.handle_frame,
             on_lost=self.handle_lost,
+            traffic=self.traffic,
         )
         self.connections[connection] = {}
         return connection
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -13,6 +13,7 @@
 from bitternturn.platform import outage, source
 from bitternturn.platform.store import ObjectEvent, ObjectMeta, PlatformObject
 from bitternturn.platform.wire_names import KIND_INSTANCES
+from bitternturn.policy import relay_selection
 from bitternturn.relay.server import RelayServer
 from bitternturn.standins.platform_store import (
     StoreFault,
@@ -41,6 +42,7 @@
             gateway=self.gateway,
             copies=self.follower.source.copies,
             tasks=self.tasks,
+            traffic=self.follower.delegation.traffic,
         )
 
     @property
@@ -138,6 +140,131 @@
             assert len(standin.calls) - before <= 2 * 4
 
 
+class TestRelays:
+    """Followers of one failure domain that share the polls of the readers."""
+
+    @pytest.fixture(autouse=True)
+    def small_domains(self, monkeypatch):
+        """Give relays to a domain of any size."""
+        monkeypatch.setattr(relay_selection, 'MIN_RELAYED_DOMAIN_SIZE', 2)
+
+    @staticmethod
+    @contextlib.asynccontextmanager
+    async def running(standin, ports, **changes):
+        """Provide the readers, relays and other followers of a fleet."""
+        async with running_fleet(standin, 6, ports, **changes) as fleet:
+            await async_until(
+                lambda: all(it.gateway.instance_count == 6 for it in fleet)
+            )
+            names = relay_selection.rank_relays(
+                'north',
+                next(iter(fleet[0].follower.delegation.members.values())),
+            )
+            readers = [it for it in fleet if it.follower.source.is_reader]
+            relays = [
+                next(it for it in fleet if it.settings.name == name)
+                for name in names[: relay_selection.RELAYS_PER_DOMAIN]
+            ]
+            others = [it for it in fleet if it not in (*readers, *relays)]
+            yield readers, relays, others
+
+    @staticmethod
+    def record_polls(instance):
+        """Return a set that collects the connections that poll an instance."""
+        handle_frame = instance.server.handle_frame
+        seen = set()
+
+        def record(connection, frame):
+            if frame.HasField('follow'):
+                seen.add(connection)
+            handle_frame(connection, frame)
+
+        instance.server.handle_frame = record
+        for connection in instance.server.connections:
+            connection.on_frame = record
+        return seen
+
+    async def test_only_relays_poll_the_readers(self, standin, ports):
+        async with self.running(standin, ports, readers=1) as (
+            readers,
+            relays,
+            others,
+        ):
+            await async_until(
+                lambda: not any(it.gateway.version != 7 for it in others)
+            )
+            await asyncio.sleep(2 * source.POLL_TIMEOUT_S)
+            pollers = self.record_polls(readers[0])
+            for version in (9, 10, 11):
+                standin.put('config', 'main', configuration_document(version))
+                await async_until(
+                    lambda at=version: all(
+                        it.gateway.version == at for it in others
+                    )
+                )
+            relay_count = sum(it not in readers for it in relays)
+            assert len(pollers) <= relay_count
+
+    async def test_silent_relays_delay_nobody(self, standin, ports):
+        async def async_ignore(connection, frame):
+            """Send no reply, like a frozen process."""
+
+        async with self.running(standin, ports, readers=1) as (
+            readers,
+            relays,
+            others,
+        ):
+            for relay in relays:
+                if relay not in readers:
+                    relay.server._async_follow = async_ignore
+            standin.put('config', 'main', configuration_document(9))
+            await async_until(
+                lambda: all(it.gateway.version == 9 for it in others)
+            )
+
+    async def test_relays_without_a_source_delay_nobody(self, standin, ports):
+        """Relays that are cut off from the readers and from the store."""
+        async with self.running(standin, ports, readers=1) as (
+            readers,
+            relays,
+            others,
+        ):
+            for relay in relays:
+                if relay not in readers:
+                    followed = relay.follower.source
+                    followed.store.async_watch = async_refuse_call
+                    followed.store.async_list = async_refuse_call
+                    followed._next_reader = lambda: None
+            await async_until(
+                lambda: (
+                    not any(
+                        it.follower.source.copies.relayed
+                        for it in relays
+                        if it not in readers
+                    )
+                )
+            )
+            standin.put('config', 'main', configuration_document(9))
+            await async_until(
+                lambda: all(it.gateway.version == 9 for it in others)
+            )
+
+    async def test_relays_read_the_store_without_readers(self, standin, ports):
+        """Guards against reads by every follower while no reader is left."""
+        async with self.running(standin, ports, readers=1) as (
+            readers,
+            relays,
+            others,
+        ):
+            await readers[0].async_stop()
+            standin.put('config', 'main', configuration_document(9))
+            await async_until(
+                lambda: all(it.gateway.version == 9 for it in others)
+            )
+            await async_until(lambda: any(it.reads_store for it in relays))
+            await async_until(lambda: not any(it.reads_store for it in others))
+
+
 class TestFirstStart:
     async def test_late_readers_are_waited_for(self, standin, ports):
         """Without a wait, every instance lists all kinds at the start."""
--- a/tests/relay/test_connection.py
+++ b/tests/relay/test_connection.py
@@ -4,10 +4,15 @@
 
 import pytest
 
+from bitternturn.core.ids import FailureDomain
+from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import Address
 from bitternturn.relay.connection import RelayConnection, async_open_connection
+from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Sends
 
+TRAFFIC = RelayTraffic(metrics=GatewayMetrics(), domain=FailureDomain('a'))
+
 
 class Listener:
     """A listener that records frames and lost connections."""
@@ -19,7 +24,7 @@
     async def async_start(self):
         self.server = await asyncio.get_running_loop().create_server(
             lambda: RelayConnection(
-                on_frame=self.on_frame, on_lost=self.on_lost
+                on_frame=self.on_frame, on_lost=self.on_lost, traffic=TRAFFIC
             ),
             '127.0.0.1',
             0,
@@ -40,7 +45,10 @@
     listener = Listener()
     address = await listener.async_start()
     connection = await async_open_connection(
-        address, on_frame=lambda *_: None, on_lost=lambda *_: None
+        address,
+        on_frame=lambda *_: None,
+        on_lost=lambda *_: None,
+        traffic=TRAFFIC,
     )
     yield listener, connection
     connection.close()
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -16,6 +16,7 @@
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.delegation import Delegation, MemberEntry
 from bitternturn.relay.server import RelayServer
+from bitternturn.relay.traffic import METRIC, RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Part, Parts
 from bitternturn.standins.platform_target import (
     PlatformTarget,
@@ -40,6 +41,11 @@
 SHARDS = 32
 
 
+def make_traffic(gateway):
+    """Return the counters of a gateway's messages."""
+    return RelayTraffic(metrics=gateway.metrics, domain=FailureDomain('north'))
+
+
 class Fleet:
     """An entry gateway and two peers that share the targets of a route."""
 
@@ -62,6 +68,7 @@
                 gateway=gateway,
                 copies=StoreCopies(kinds=()),
                 tasks=self.tasks,
+                traffic=make_traffic(gateway),
             )
             port = await server.async_start(Address(host='127.0.0.1', port=0))
             self.servers.append(server)
@@ -284,6 +291,27 @@
             make_record(number) for number in (5, 4, 3, 2)
         )
 
+    async def test_bytes_are_counted_by_kind_and_distance(self):
+        targets = self.make_targets(near=2, far=4)
+        async with fleet_over(targets, domains=self.DOMAINS, shards=6) as fleet:
+            # All instances of the test share one address.
+            fleet.delegation.traffic.domains = {
+                '127.0.0.1': FailureDomain('south')
+            }
+            await fleet.entry.async_handle(make_patient_request())
+            counts = fleet.entry.metrics.counts
+        relayed = {
+            tuple(value for _, value in labels): count
+            for (name, labels), count in counts.items()
+            if name == METRIC
+        }
+        assert set(relayed) == {
+            ('sends', 'sent', 'other_domain'),
+            ('parts', 'received', 'other_domain'),
+        }
+        assert all(count > 50 for count in relayed.values())
+        assert counts[('target_bytes', (('scope', 'same_domain'),))] > 100
+
     async def test_few_parts_are_sent_directly(self):
         targets = self.make_targets(near=4, far=const.MIN_DELEGATED_PARTS - 1)
         response, requested, direct = await self.async_gather(targets)
