Let delegates allow hedges above the budget of an entry instance

The budget of a service allows about 470 further sends in 10 s there, but the share of one of 195 instances is one hedge per window, an instance sees a wide request every eight seconds, and all hedges of a request are due at once.

Change: a fifth of the slack of each wide service belongs to its delegates, by rank in each domain; an entry instance without budget asks the delegate with the send, which answers over_budget or sends.

Load replayed: tests/relay/test_delegation.py TestSponsoredHedges, one request whose four hedges the own share denies, and tests/policy for the sum of all shares.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -36,13 +36,19 @@
         SendOutcome.NOT_SENT,
         SendOutcome.UNREACHABLE,
         SendOutcome.DECLINED,
+        SendOutcome.OVER_BUDGET,
         SendOutcome.NOT_RUN,
         SendOutcome.MISDIRECTED,
     ),
 )
 # Outcomes of sends that did not reach a target.
 UNDELIVERED_OUTCOMES = frozenset(
-    (SendOutcome.NOT_SENT, SendOutcome.UNREACHABLE, SendOutcome.DECLINED)
+    (
+        SendOutcome.NOT_SENT,
+        SendOutcome.UNREACHABLE,
+        SendOutcome.DECLINED,
+        SendOutcome.OVER_BUDGET,
+    )
 )
 # Outcomes after which the target is used for the same part only if no other
 # target is left.
@@ -68,6 +74,9 @@
     def retry_budget(self, service: ServiceName) -> FurtherSendBudget:
         """Return the retry budget of a service."""
 
+    def may_sponsor(self, target: Target, now: float) -> bool:
+        """Return whether a delegate may allow a send above the own budget."""
+
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
 
@@ -135,12 +144,20 @@
         self.on_end = None
         self._detach_sends()
 
-    def _send_part(self, part: Part, now: float) -> bool:
-        """Send a part to the best target; return whether it was sent."""
+    def _send_part(
+        self, part: Part, now: float, *, sponsored: bool = False
+    ) -> bool:
+        """Send a part to the best target; return whether it was sent.
+
+        `sponsored` is whether a delegate has to allow the send.
+        """
         target = self._find_target(part)
         if target is None or self.deadline - now < const.MIN_SEND_TIME_S:
             part.closed = not part.in_flight
             return False
+        if sponsored and not self.dispatcher.may_sponsor(target, now):
+            part.closed = not part.in_flight
+            return False
         if not part.send_count:
             self.dispatcher.retry_budget(part.service).record_request(now)
         part.send_count += 1
@@ -159,6 +176,7 @@
         send.max_records = self.route.max_records
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
+        send.sponsored = sponsored
         part.in_flight.append(send)
         self.dispatcher.start_send(send, now)
         return True
@@ -219,7 +237,11 @@
             part.declined |= outcome is SendOutcome.DECLINED
             part.not_sent_count += outcome is SendOutcome.NOT_SENT
             part.undelivered_count += outcome in UNDELIVERED_OUTCOMES
-            self._retry_part(part, outcome, now)
+            if outcome is SendOutcome.OVER_BUDGET:
+                self.denied_hedges += 1
+                part.closed = not part.in_flight
+            else:
+                self._retry_part(part, outcome, now)
         self._evaluate(now)
 
     def _log_unusual_send(
@@ -273,10 +295,10 @@
         if self.repeatable or outcome in NOT_RUN_OUTCOMES:
             budget = self.dispatcher.retry_budget(part.service)
             free = outcome in UNDELIVERED_OUTCOMES
-            if free or budget.try_spend(SendReason.RETRY, now):
-                self.retries += 1
-                if self._send_part(part, now):
-                    return
+            paid = free or budget.try_spend(SendReason.RETRY, now)
+            self.retries += paid
+            if self._send_part(part, now, sponsored=not paid):
+                return
         part.closed = not part.in_flight
 
     def _hedge_late_parts(self, now: float) -> None:
@@ -300,9 +322,9 @@
         if target is None:
             return
         budget = self.dispatcher.retry_budget(part.service)
-        if budget.try_spend(SendReason.HEDGE, now):
+        paid = budget.try_spend(SendReason.HEDGE, now)
+        if self._send_part(part, now, sponsored=not paid):
             self.hedges += 1
-            self._send_part(part, now)
         else:
             self.denied_hedges += 1
 
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -259,6 +259,8 @@
     UNREACHABLE = 'unreachable'
     # A peer did not send the request since the target is slow or failing.
     DECLINED = 'declined'
+    # The budget of a peer does not allow a further send.
+    OVER_BUDGET = 'over_budget'
     # The request was not sent, for a reason other than the target.
     NOT_SENT = 'not_sent'
     # The request was sent, but no valid answer was received.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -22,7 +22,10 @@
 from bitternturn.gateway.target import Send, Target, start_directly
 from bitternturn.gateway.wire import Wire
 from bitternturn.http.response_size import BodyBuffers
-from bitternturn.policy.further_send_budget import FurtherSendBudget
+from bitternturn.policy.further_send_budget import (
+    FurtherSendBudget,
+    instance_slack,
+)
 from bitternturn.policy.subsets import (
     connections_per_target,
     count_subset_replicas,
@@ -35,6 +38,8 @@
 )
 from bitternturn.policy.unresponsive_targets import UnresponsiveTargets
 
+SponsorDecision = Callable[[TargetEntry, float], bool]
+
 # Range of random factors on the cost of targets, which spreads the sends over
 # targets of equal cost.
 COST_JITTER = (0.9, 1.1)
@@ -71,6 +76,10 @@
             ),
         )
         self.dispatch: Callable[[Send, float], None] = start_directly
+        # Whether a delegate may allow a further send to a target above the own
+        # budget, and whether this instance allows one as the delegate.
+        self.find_sponsor: SponsorDecision = sponsor_nothing
+        self.sponsor: SponsorDecision = sponsor_nothing
         # Whether sends of wide routes may be delegated to peers.
         self.delegation_enabled = False
         self.targets: dict[TargetId, Target] = {}
@@ -109,8 +118,8 @@
         self.instance_count = len(ordered)
         self.instance_index = instance_index
         self.decisions.write('instances', count=len(ordered))
-        for budget in self.retry_budgets.values():
-            budget.slack = self._retry_slack()
+        for service, budget in self.retry_budgets.items():
+            budget.slack = self._retry_slack(service)
         self.refresh_targets()
 
     def refresh_targets(self) -> None:
@@ -286,9 +295,13 @@
             return None
         return configuration.services.get(name)
 
-    def _retry_slack(self) -> float:
+    def _retry_slack(self, service: ServiceName) -> float:
         """Return this instance's share of the retry budget's fixed part."""
-        return self.settings.global_limits.retry_slack / self.instance_count
+        return instance_slack(
+            self.settings.global_limits.retry_slack,
+            instances=self.instance_count,
+            delegated=self.delegation_enabled and service in self.wide_services,
+        )
 
     def record_unanswered(
         self, targets: Sequence[TargetId], now: float
@@ -356,6 +369,10 @@
         send.target.cold_send_limit.record_send(now)
         self.dispatch(send, now)
 
+    def may_sponsor(self, target: Target, now: float) -> bool:
+        """Return whether a delegate may allow a send above the own budget."""
+        return self.find_sponsor(target.entry, now)
+
     def retry_budget(self, service: ServiceName) -> FurtherSendBudget:
         """Return the retry budget of a service, created at its first use."""
         budget = self.retry_budgets.get(service)
@@ -363,7 +380,7 @@
             global_limits = self.settings.global_limits
             budget = FurtherSendBudget(
                 ratio=global_limits.retry_ratio,
-                slack=self._retry_slack(),
+                slack=self._retry_slack(service),
                 window_s=global_limits.retry_window_s,
                 restarted_at=self.restarted_at,
             )
@@ -371,6 +388,11 @@
         return budget
 
 
+def sponsor_nothing(entry: TargetEntry, now: float) -> bool:
+    """Sponsor no further send: without delegation there is no delegate."""
+    return False
+
+
 def _delegate_connections(
     connections: int,
     targets: Sequence[TargetEntry],
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -30,6 +30,11 @@
     TargetStatistics,
 )
 
+# Outcomes that the target is not the cause of.
+OUTCOMES_OF_OTHERS = frozenset(
+    (SendOutcome.NOT_SENT, SendOutcome.PEER_LOST, SendOutcome.OVER_BUDGET)
+)
+
 # Called with the target, the outcome of a send, its latency in seconds and the
 # bytes of its exchange, 0 if a peer made it.
 SendRecorder = Callable[['Target', SendOutcome, float, int], None]
@@ -59,6 +64,7 @@
         'max_records',
         'on_end',
         'relay_delay_s',
+        'sponsored',
         'started_at',
         'target',
         'latency_estimate',
@@ -95,6 +101,8 @@
         self.declinable = False
         # Whether this is a hedge or retry, whose outcome a peer reports early.
         self.is_further = False
+        # Whether the budget of the delegate has to allow this further send.
+        self.sponsored = False
         self.detach_timer: asyncio.TimerHandle | None = None
         # Whether this instance or the requesting peer has aborted the send.
         self.aborted = False
@@ -396,7 +404,7 @@
             )
         elif outcome is SendOutcome.DECLINED:
             self.record.record_latency_ratio(DECLINED_SLOWNESS, now)
-        elif outcome not in {SendOutcome.NOT_SENT, SendOutcome.PEER_LOST}:
+        elif outcome not in OUTCOMES_OF_OTHERS:
             self.record.record_failure(now)
         connection = send.connection
         exchange_bytes = 0
--- a/bitternturn/policy/further_send_budget.py
+++ b/bitternturn/policy/further_send_budget.py
@@ -18,6 +18,10 @@
 # What the previous process has sent is unknown; if it was all that the safety
 # factor allows, both processes together make up the slack.
 RESTART_SLACK_SHARE: Final = 0.25
+# Share of the slack of a service that its delegates spend on behalf of other
+# instances, and how those of one failure domain divide it by their rank.
+DELEGATE_SLACK_SHARE: Final = 0.2
+DELEGATE_RANK_SHARES: Final = (0.7, 0.3)
 # Steps per sliding window.
 STEPS_PER_WINDOW: Final = 20
 
@@ -30,6 +34,32 @@
     RETRY = 'retry'
 
 
+def instance_slack(slack: float, *, instances: int, delegated: bool) -> float:
+    """Return the share of each instance in the slack of a service.
+
+    `delegated` is whether delegates spend a part of it.
+    """
+    own_share = 1 - DELEGATE_SLACK_SHARE if delegated else 1
+    return slack * own_share / instances
+
+
+def delegate_slack(slack: float, *, domains: int, rank: int) -> float:
+    """Return the share of a delegate in the slack of a service.
+
+    Guards against hedges that are denied in a large fleet although the budget
+    of the service is hardly used: an instance sees few requests, all hedges of
+    one request are due at once, and its share allows one hedge per window. The
+    delegates of the service see the hedges of all instances.
+
+    `domains` is the number of failure domains with targets of the service,
+    `rank` that of the delegate among the instances of its domain.
+    """
+    if rank >= len(DELEGATE_RANK_SHARES):
+        return 0
+    share = DELEGATE_SLACK_SHARE * DELEGATE_RANK_SHARES[rank]
+    return slack * share / max(1, domains)
+
+
 class FurtherSendBudget:
     """Sliding-window budget of the further sends of one service.
 
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from bitternturn.core.clock import MS_PER_SECOND
-from bitternturn.core.ids import FailureDomain
+from bitternturn.core.ids import FailureDomain, ServiceName
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.merge import split_records
@@ -14,6 +14,7 @@
     MergedRecords,
     SendOutcome,
     TargetAnswer,
+    TargetEntry,
 )
 from bitternturn.gateway.target import Send, start_directly
 from bitternturn.policy.delegate_selection import (
@@ -22,6 +23,11 @@
     count_groups,
     rank_delegates,
 )
+from bitternturn.policy.further_send_budget import (
+    FurtherSendBudget,
+    SendReason,
+    delegate_slack,
+)
 from bitternturn.policy.relay_selection import RELAYS_PER_DOMAIN, rank_relays
 from bitternturn.relay import const
 from bitternturn.relay.outcomes import decode_outcome
@@ -38,6 +44,9 @@
 )
 
 STATUS_OK = 200
+# Name of the peer, id of the request, and whether the peer's budget has to allow
+# the sends.
+OutboxKey = tuple[str, str, bool]
 
 
 @dataclass(kw_only=True, frozen=True, slots=True)
@@ -114,6 +123,7 @@
                 items=[send.target.entry.id for send in self.sends],
                 usual_ms=first.latency_estimate.mean_s * MS_PER_SECOND,
                 may_decline=all(map(self._has_alternative, self.sends)),
+                sponsored=first.sponsored,
             ),
         )
 
@@ -251,9 +261,13 @@
         self.peers: dict[str, Peer] = {}
         self.members: Mapping[FailureDomain, Sequence[DelegateCandidate]] = {}
         self.rankings: dict[tuple[FailureDomain, str], list[str]] = {}
-        # Sends queued until the next event loop iteration, by peer and request.
-        self.outbox: dict[tuple[str, str], list[Send]] = {}
+        # Sends queued until the next event loop iteration.
+        self.outbox: dict[OutboxKey, list[Send]] = {}
+        # Budgets of further sends that other instances ask for.
+        self.sponsor_budgets: dict[ServiceName, FurtherSendBudget] = {}
         gateway.dispatch = self.dispatch
+        gateway.find_sponsor = self.find_sponsor
+        gateway.sponsor = self.sponsor
         gateway.delegation_enabled = True
 
     def update_members(self, entries: Sequence[MemberEntry]) -> None:
@@ -314,7 +328,7 @@
         if peer is None:
             start_directly(send, now)
             return
-        key = (peer.name, send.caller.id)
+        key = (peer.name, send.caller.id, send.sponsored)
         queued = self.outbox.get(key)
         if queued is None:
             queued = []
@@ -342,10 +356,8 @@
         entry = send.target.entry
         if not send.max_records:
             return None
-        wide = self.gateway.wide_services
-        if entry.service in wide:
-            groups = count_groups(len(wide), const.SHARDS_PER_PEER)
-            return str(assign_group(entry.service, groups))
+        if entry.service in self.gateway.wide_services:
+            return self._group_key(entry)
         settings = self.gateway.settings
         if send.is_further or entry.failure_domain == settings.failure_domain:
             return None
@@ -363,7 +375,59 @@
             self.rankings[(domain, key)] = ranked
         return ranked
 
-    def _flush(self, key: tuple[str, str]) -> None:
+    def find_sponsor(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether a further send to a target may exceed the own budget.
+
+        Asks the budget of this instance if it is the delegate; a peer decides
+        when it receives the send.
+        """
+        if entry.service not in self.gateway.wide_services:
+            return False
+        for name in self._ranked_members(
+            entry.failure_domain, self._group_key(entry)
+        ):
+            if name == self.gateway.settings.name:
+                return self.sponsor(entry, now)
+            if self.peers[name].is_available(now):
+                return True
+        return False
+
+    def sponsor(self, entry: TargetEntry, now: float) -> bool:
+        """Spend the delegate's budget for a further send if it allows it."""
+        budget = self.sponsor_budgets.get(entry.service)
+        global_limits = self.gateway.settings.global_limits
+        if budget is None:
+            budget = FurtherSendBudget(
+                ratio=0,
+                slack=0,
+                window_s=global_limits.retry_window_s,
+                restarted_at=self.gateway.restarted_at,
+            )
+            self.sponsor_budgets[entry.service] = budget
+        ranked = self._ranked_members(
+            entry.failure_domain, self._group_key(entry)
+        )
+        own_name = self.gateway.settings.name
+        budget.slack = delegate_slack(
+            global_limits.retry_slack,
+            domains=self._count_domains(entry.service),
+            rank=ranked.index(own_name) if own_name in ranked else len(ranked),
+        )
+        return budget.try_spend(SendReason.RETRY, now)
+
+    def _count_domains(self, service: ServiceName) -> int:
+        """Return the number of failure domains with targets of a service."""
+        ready = self.gateway.ready.get(service, ())
+        return len({target.entry.failure_domain for target in ready})
+
+    def _group_key(self, entry: TargetEntry) -> str:
+        """Return the key of the shard group of a target of a wide route."""
+        groups = count_groups(
+            len(self.gateway.wide_services), const.SHARDS_PER_PEER
+        )
+        return str(assign_group(entry.service, groups))
+
+    def _flush(self, key: OutboxKey) -> None:
         """Send the queued sends of one request to a peer, or directly."""
         queued = self.outbox.pop(key)
         sends = [send for send in queued if not send.ended]
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -106,10 +106,13 @@
             # Not MISDIRECTED: that would make the requesting instance displace
             # the target again with each request.
             return SendOutcome.UNREACHABLE
-        if not self.request.may_decline:
-            return None
         candidate = target.as_candidate(self.latency_estimate.mean_s, now)
-        return SendOutcome.DECLINED if should_decline(candidate, now) else None
+        if self.request.may_decline and should_decline(candidate, now):
+            return SendOutcome.DECLINED
+        allowed = not self.request.sponsored or self.gateway.sponsor(
+            target.entry, now
+        )
+        return None if allowed else SendOutcome.OVER_BUDGET
 
     def cancel(self, index: int) -> None:
         """Cancel one send."""
--- a/bitternturn/relay/outcomes.py
+++ b/bitternturn/relay/outcomes.py
@@ -16,6 +16,7 @@
     SendOutcome.NOT_SENT: relay_pb2.SEND_OUTCOME_NOT_SENT,
     SendOutcome.LOST: relay_pb2.SEND_OUTCOME_LOST,
     SendOutcome.PEER_LOST: relay_pb2.SEND_OUTCOME_PEER_LOST,
+    SendOutcome.OVER_BUDGET: relay_pb2.SEND_OUTCOME_OVER_BUDGET,
 }
 _OUTCOMES: Final[Mapping[int, SendOutcome]] = {
     number: outcome for outcome, number in _VALUES.items()
--- a/tests/policy/test_further_send_budget.py
+++ b/tests/policy/test_further_send_budget.py
@@ -2,7 +2,15 @@
 
 import random
 
-from bitternturn.policy.further_send_budget import FurtherSendBudget, SendReason
+import pytest
+
+from bitternturn.policy.further_send_budget import (
+    DELEGATE_RANK_SHARES,
+    FurtherSendBudget,
+    SendReason,
+    delegate_slack,
+    instance_slack,
+)
 
 INSTANCES = 8
 RATIO = 0.2
@@ -100,3 +108,37 @@
         assert budget.try_spend(SendReason.RETRY, 0)
         assert not budget.try_spend(SendReason.RETRY, 9.9)
         assert budget.try_spend(SendReason.RETRY, 11)
+
+
+class TestDelegates:
+    @pytest.mark.parametrize('domains', [1, 2, 6])
+    def test_instances_and_delegates_stay_within_the_budget(self, domains):
+        """Guards against the same slack being spent in two places.
+
+        Instances may disagree on the ranks while one joins or leaves, so each
+        rank is held by two of them.
+        """
+        now = 100.0
+        slacks = [
+            instance_slack(SLACK, instances=200, delegated=True)
+            for _ in range(200)
+        ]
+        slacks += [
+            delegate_slack(SLACK, domains=domains, rank=rank)
+            for rank in range(len(DELEGATE_RANK_SHARES))
+            for _ in range(2 * domains)
+        ]
+        spent = 0
+        for slack in slacks:
+            budget = FurtherSendBudget(ratio=0, slack=slack, window_s=WINDOW_S)
+            while budget.try_spend(SendReason.RETRY, now):
+                spent += 1
+        assert spent <= SLACK
+
+    def test_slack_of_services_without_delegates_is_not_reduced(self):
+        assert instance_slack(SLACK, instances=8, delegated=False) == 7
+
+    def test_further_ranks_spend_nothing(self):
+        assert not delegate_slack(
+            SLACK, domains=1, rank=len(DELEGATE_RANK_SHARES)
+        )
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import time
 from types import MappingProxyType
 
@@ -63,6 +64,7 @@
     async def async_start(self):
         for name, domain in self.domains.items():
             gateway = make_gateway()
+            gateway.settings = dataclasses.replace(gateway.settings, name=name)
             self.gateways.append(gateway)
             server = RelayServer(
                 gateway=gateway,
@@ -96,9 +98,13 @@
                 ),
             )
         self.entry = self.gateways[0]
-        self.delegation = Delegation(gateway=self.entry, tasks=self.tasks)
-        self.delegation.update_members(self.members)
-        self.entry.refresh_targets()
+        self.delegation, *self.peer_delegations = [
+            Delegation(gateway=gateway, tasks=self.tasks)
+            for gateway in self.gateways
+        ]
+        for delegation in (self.delegation, *self.peer_delegations):
+            delegation.update_members(self.members)
+            delegation.gateway.refresh_targets()
 
     async def async_stop(self):
         for server in self.servers:
@@ -346,6 +352,71 @@
         assert response.headers['x-missing-parts'] == '0'
 
 
+class TestSponsoredHedges:
+    """Hedges above the budget of the entry instance."""
+
+    @staticmethod
+    def make_targets():
+        """Return targets, the first few of which do not answer, and spares."""
+        hanging = [
+            make_scripted_target(f't{it}', *[ScriptedBehaviour.HANG] * 9)
+            for it in range(4)
+        ]
+        spares = [
+            PlatformTarget(id=f'u{number}', body=make_record(number))
+            for number in range(SHARDS)
+        ]
+        return [*hanging, *make_targets()[4:], *spares]
+
+    async def async_count_hedged(self, prepare):
+        """Return how many parts of hanging targets a hedge replaced."""
+        async with fleet_over(
+            self.make_targets(), latency_objective_s=3.0, min_coverage=0.5
+        ) as fleet:
+            now = fleet.entry.now()
+            for name, target in fleet.entry.targets.items():
+                if name.startswith('u'):
+                    target.record.record_latency_ratio(3, now)
+            for gateway in fleet.gateways:
+                gateway.settings = dataclasses.replace(
+                    gateway.settings,
+                    global_limits=dataclasses.replace(
+                        gateway.settings.global_limits, retry_slack=200
+                    ),
+                )
+            # A share of this size allows no hedge of a single request.
+            fleet.entry.instance_count = 500
+            prepare(fleet)
+            response = await fleet.entry.async_handle(make_patient_request())
+        answering = answering_targets(response)
+        return sum(f'u{it}' in answering for it in range(4))
+
+    async def test_delegate_allows_hedges_from_its_budget(self):
+        """Guards against one hedge per instance, service and window."""
+        assert await self.async_count_hedged(lambda fleet: None) == 4
+
+    async def test_without_a_sponsor_the_own_budget_denies_them(self):
+        def prepare(fleet):
+            fleet.entry.find_sponsor = lambda entry, now: False
+
+        assert await self.async_count_hedged(prepare) == 0
+
+    async def test_delegate_denies_hedges_above_its_budget(self):
+        def prepare(fleet):
+            for delegation in fleet.peer_delegations:
+                for number in range(SHARDS):
+                    entry = delegation.gateway.targets[f'u{number}'].entry
+                    while delegation.sponsor(entry, fleet.entry.now()):
+                        """Spend the budget of the window."""
+
+        assert await self.async_count_hedged(prepare) == 0
+
+    async def test_instance_that_is_no_delegate_sponsors_nothing(self):
+        async with fleet_over(self.make_targets()) as fleet:
+            entry = fleet.entry.targets['u3'].entry
+            assert not fleet.delegation.sponsor(entry, fleet.entry.now())
+
+
 class TestFailingTargets:
     async def test_entry_records_an_unreachable_target(self):
         """Guards against every query trying a crashed target first."""
