Leave records out of later reports that cannot be in the answer

A part that is late is reported alone, with all of its highest records, most of which are lower than those reported before.

Change: a delegate leaves out records below the highest ones of all its reports for a request; the entry instance counts the answers and the floor over all reports of the request. Messages from 512 bytes on are compressed.

--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -1,8 +1,9 @@
 """Data types of the gateway: configuration, targets, requests, answers."""
 
+import heapq
 import math
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Final
 
@@ -196,16 +197,36 @@
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class MergedRecords:
-    """Records that a peer merged from several answers."""
-
-    # Records in descending order, and the index of the answer that each is
-    # from.
-    records: Sequence[bytes]
-    answer_indexes: Sequence[int]
-    # Whether the records were truncated to the limit.
-    truncated: bool
+    """Records that a peer merged from several answers, from all its reports."""
+
+    # Records in descending order within each report, and the index of the
+    # answer that each is from.
+    records: list[bytes] = field(default_factory=list)
+    answer_indexes: list[int] = field(default_factory=list)
+    # Greatest record below which the peer may have left out records, None if
+    # it has left out none.
+    floor: bytes | None = None
     # Number of merged answers.
-    answer_count: int
+    answer_count: int = 0
+
+    def add_report(
+        self,
+        records: Sequence[bytes],
+        answer_indexes: Iterable[int],
+        *,
+        truncated: bool,
+        limit: int,
+    ) -> None:
+        """Add a report, whose indexes count the answers of all reports.
+
+        A truncated report lacks records that are lower than the greatest
+        `limit` ones of this and all earlier reports.
+        """
+        self.records.extend(records)
+        self.answer_indexes.extend(answer_indexes)
+        if truncated:
+            greatest = heapq.nlargest(limit, self.records)
+            self.floor = greatest[-1] if greatest else b''
 
     def answer_records(self, answer_index: int) -> list[bytes]:
         """Return the records of one answer."""
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -7,8 +7,9 @@
 MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
 # Bit of the length prefix that marks a compressed frame.
 COMPRESSED_FLAG: Final = 1 << 31
-# Larger frames are compressed: configurations shrink to a tenth.
-MIN_COMPRESS_BYTES: Final = 2048
+# Larger frames are compressed: configurations shrink to a tenth, lists of ids
+# and stamps to less than two thirds.
+MIN_COMPRESS_BYTES: Final = 512
 COMPRESS_LEVEL: Final = 1
 # Timeout for opening a connection to another instance.
 CONNECT_TIMEOUT_S: Final = 0.5
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -78,6 +78,8 @@
         self.record_bytes = gateway.wire.record_bytes
         self.peer = peer
         self.sends = sends
+        self.limit = sends[0].max_records
+        self.merged = MergedRecords()
         self.number = 0
         self.reported = False
         self.watchdog: asyncio.TimerHandle | None = None
@@ -124,6 +126,7 @@
                 usual_ms=first.latency_estimate.mean_s * MS_PER_SECOND,
                 may_decline=all(map(self._has_alternative, self.sends)),
                 sponsored=first.sponsored,
+                cumulative=True,
             ),
         )
 
@@ -142,17 +145,25 @@
             self._finish_all(PeerFailure.LOST)
             return
         self.reported = True
-        merged = MergedRecords(
-            records=split_records(report.records, self.record_bytes),
-            answer_indexes=report.owners,
+        # Index of the first answer of this report among those of all reports.
+        first_index = self.merged.answer_count
+        answered = [
+            place
+            for place, part in enumerate(report.parts)
+            if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+        ]
+        answer_indexes = {
+            place: first_index + offset for offset, place in enumerate(answered)
+        }
+        self.merged.answer_count += len(answered)
+        self.merged.add_report(
+            split_records(report.records, self.record_bytes),
+            [answer_indexes[place] for place in report.owners],
             truncated=report.cut,
-            answer_count=sum(
-                part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
-                for part in report.parts
-            ),
+            limit=self.limit,
         )
         for place, part in enumerate(report.parts):
-            self._finish_send(part, place, merged)
+            self._finish_send(part, answer_indexes.get(place, 0))
         if all(send.ended for send in self.sends):
             self._close()
 
@@ -167,12 +178,7 @@
         if all(other.ended for other in self.sends):
             self._close()
 
-    def _finish_send(
-        self,
-        part: Part,
-        place: int,
-        merged: MergedRecords,
-    ) -> None:
+    def _finish_send(self, part: Part, answer_index: int) -> None:
         """Finish one send as reported."""
         send = self.sends[part.index]
         outcome = decode_outcome(part.outcome)
@@ -188,8 +194,8 @@
                 idle_timeout_s=None,
                 headers={},
                 body=b'',
-                merged=merged,
-                answer_index=place,
+                merged=self.merged,
+                answer_index=answer_index,
             )
         took_s = part.took_ms / MS_PER_SECOND
         send.target.end_send(send, outcome, answer, took_s)
@@ -220,10 +226,14 @@
 def _is_valid_report(report: Parts, send_count: int, record_bytes: int) -> bool:
     """Return whether the indexes and records of a report are consistent."""
     records = len(report.records) // record_bytes
-    part_count = len(report.parts)
+    answered = {
+        place
+        for place, part in enumerate(report.parts)
+        if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+    }
     return (
         records == len(report.owners)
-        and all(owner < part_count for owner in report.owners)
+        and all(owner in answered for owner in report.owners)
         and all(part.index < send_count for part in report.parts)
         and all(
             part.stamp
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -7,7 +7,7 @@
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.core.ids import TargetId
 from bitternturn.gateway.gateway import Gateway
-from bitternturn.gateway.merge import split_records
+from bitternturn.gateway.merge import RecordSelection, split_records
 from bitternturn.gateway.models import CallerRequest, SendOutcome, TargetAnswer
 from bitternturn.gateway.target import Send, Target, start_directly
 from bitternturn.policy.answer_timing import LatencyEstimate
@@ -46,6 +46,9 @@
         self.first_report_sent = False
         # Ended sends that have not been reported.
         self.unreported: list[SendEnd] = []
+        self.selection = RecordSelection(
+            limit=request.limit, cumulative=request.cumulative
+        )
         self.report_timer: asyncio.TimerHandle | None = None
         # Reports failures ahead of the first report.
         self.failure_timer: asyncio.TimerHandle | None = None
@@ -213,8 +216,7 @@
                     (record, place)
                     for record in split_records(answer.body, record_bytes)
                 )
-        records.sort(reverse=True)
-        top_records = records[: self.request.limit]
+        top_records = self.selection.select(records)
         self.connection.send(
             Frame(
                 number=self.number,
