Confirm requests between instances and answer rejections at once

Change: rejections leave before any send is started, else a receipt does; sends start four at a time between other events. Without a receipt in 40 ms the peer counts as failed for other requests and its parts are hedged, while its late answers are still taken. Jobs that follow the store restart after an unexpected error; a malformed change of a peer is logged and read elsewhere.

--- a/bitternturn/core/tasks.py
+++ b/bitternturn/core/tasks.py
@@ -1,7 +1,7 @@
 """Group of background tasks that are cancelled together."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import logbook
@@ -46,3 +46,21 @@
         error = task.exception()
         if error is not None:
             LOGGER.error('task {} failed: {!r}', task.get_name(), error)
+
+
+async def async_supervise(
+    make: Callable[[], Coroutine[Any, Any, None]],
+    *,
+    restart_delay_s: float,
+) -> None:
+    """Run a background job until it returns; restart it after an error.
+
+    Guards against a job that an unexpected error ends for the remaining life
+    of the process.
+    """
+    while True:
+        try:
+            return await make()
+        except Exception:
+            LOGGER.exception('background job failed, restarting it')
+        await asyncio.sleep(restart_delay_s)
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any, Protocol
 
 from bitternturn.core.clock import MS_PER_SECOND
@@ -173,6 +174,7 @@
                 part, send, outcome, answer
             ),
         )
+        send.on_silence = partial(self._handle_silence, part)
         send.max_records = self.route.max_records
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
@@ -198,7 +200,9 @@
             return target
         if part.undelivered_count > const.MAX_UNDELIVERED_SENDS:
             return None
-        current_targets = [send.target.entry.id for send in part.in_flight]
+        current_targets = [
+            send.target.entry.id for send in part.in_flight if not send.silent
+        ]
         retried = self.dispatcher.select_target(
             part.service, current_targets, typical_latency_s
         )
@@ -244,6 +248,15 @@
                 self._retry_part(part, outcome, now)
         self._evaluate(now)
 
+    def _handle_silence(self, part: Part) -> None:
+        """Hedge a part at once, as the delegate of its send may be lost."""
+        if part.closed or self.on_end is None or not self.repeatable:
+            return
+        now = self.dispatcher.now()
+        if all(send.silent for send in part.in_flight):
+            self._hedge_part(part, now)
+        self._evaluate(now)
+
     def _log_unusual_send(
         self,
         part: Part,
@@ -314,12 +327,7 @@
 
     def _hedge_part(self, part: Part, now: float) -> None:
         """Send a hedge for a part if there is a target and budget for it."""
-        target = self.dispatcher.select_target(
-            part.service,
-            [*part.tried_targets, *part.unusable_targets],
-            self.latency_estimate.mean_s,
-        )
-        if target is None:
+        if self._find_target(part) is None:
             return
         budget = self.dispatcher.retry_budget(part.service)
         paid = budget.try_spend(SendReason.HEDGE, now)
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -63,7 +63,9 @@
         'is_further',
         'max_records',
         'on_end',
+        'on_silence',
         'relay_delay_s',
+        'silent',
         'sponsored',
         'started_at',
         'target',
@@ -92,6 +94,10 @@
         self.require_fresh_connection = require_fresh_connection
         self.started_at = now
         self.on_end: SendEndListener | None = on_end
+        # Called if the delegate does not confirm that it has the send.
+        self.on_silence: Callable[[], None] | None = None
+        # Whether the delegate has not confirmed it in time.
+        self.silent = False
         self.connection: SendCarrier | None = None
         # Additional time until a peer reports the answer, 0 for a direct send.
         self.relay_delay_s: float = 0
@@ -108,6 +114,14 @@
         self.aborted = False
         self.ended = False
 
+    def report_silence(self) -> None:
+        """Handle that the delegate has not confirmed the send in time."""
+        if self.ended or self.on_end is None:
+            return
+        self.silent = True
+        if self.on_silence is not None:
+            self.on_silence()
+
     def detach(self) -> None:
         """Ignore the outcome; abort the send if it does not end soon."""
         if self.ended:
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -9,8 +9,9 @@
 
 import msgspec
 
+from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
-from bitternturn.core.tasks import TaskSet
+from bitternturn.core.tasks import TaskSet, async_supervise
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.models import Address, InstanceSettings
 from bitternturn.platform import wire_names
@@ -31,6 +32,7 @@
 from bitternturn.relay.delegation import Delegation
 from bitternturn.relay.peer import Peer, PeerFailure, async_request
 from bitternturn.schema.relay_pb2 import (
+    Changes,
     Follow,
     Frame,
     KindChanges,
@@ -38,6 +40,8 @@
 )
 
 READER_POLL_INTERVAL_S = 0.2
+# Time until a job that has failed unexpectedly is started again.
+RESTART_DELAY_S = 0.5
 # Timeout of a poll, which the peer answers at the latest after its wait.
 POLL_TIMEOUT_S = (
     relay_const.FOLLOW_POLL_TIMEOUT_S + relay_const.FOLLOW_REPLY_MARGIN_S
@@ -140,7 +144,11 @@
         """Start to follow all kinds in the background."""
         if self.is_reader or not self.readers:
             self.start_reading()
-        self.tasks.spawn(self._async_follow_readers())
+        self.tasks.spawn(
+            async_supervise(
+                self._async_follow_readers, restart_delay_s=RESTART_DELAY_S
+            )
+        )
 
     @property
     def is_reader(self) -> bool:
@@ -183,20 +191,27 @@
             gate.record_failure()
         self.mirror_tasks = [
             self.tasks.spawn(
-                async_mirror(
-                    self.store,
-                    kind,
-                    on_list=partial(self._on_store_list, kind),
-                    on_events=partial(self._on_store_events, kind),
-                    on_failure=self.record_failure,
-                    since_revision=self.copies.kinds[kind].revision,
-                    batch_s=handler.batch_s,
-                    gate=gate,
-                ),
+                async_supervise(
+                    partial(self._async_mirror, kind, gate),
+                    restart_delay_s=RESTART_DELAY_S,
+                )
             )
-            for kind, handler in self.handlers.items()
+            for kind in self.handlers
         ]
 
+    async def _async_mirror(self, kind: str, gate: OutageGate) -> None:
+        """Keep the copy of one kind up to date from the store."""
+        await async_mirror(
+            self.store,
+            kind,
+            on_list=partial(self._on_store_list, kind),
+            on_events=partial(self._on_store_events, kind),
+            on_failure=self.record_failure,
+            since_revision=self.copies.kinds[kind].revision,
+            batch_s=self.handlers[kind].batch_s,
+            gate=gate,
+        )
+
     def stop_reading(self) -> None:
         """Stop reading the store; rely on the readers."""
         for task in self.mirror_tasks:
@@ -283,8 +298,13 @@
         )
         if isinstance(reply, PeerFailure):
             return ReaderState.UNRESPONSIVE
-        for kind, changes in reply.changes.kinds.items():
-            self._apply_kind_changes(kind, changes)
+        try:
+            self._apply_changes(reply.changes)
+        except DECODE_ERRORS as error:
+            self.decisions.write(
+                'changes_unread', peer=peer.name, error=str(error)
+            )
+            return ReaderState.UNRESPONSIVE
         if reply.changes.fresh:
             self.copies.relayed_until = polled_at + RELAYED_S
             return ReaderState.UP_TO_DATE
@@ -306,6 +326,11 @@
             readers[self.next_reader % len(readers)]
         )
 
+    def _apply_changes(self, changes: Changes) -> None:
+        """Apply the changes of all kinds; raises one of DECODE_ERRORS."""
+        for kind, kind_changes in changes.kinds.items():
+            self._apply_kind_changes(kind, kind_changes)
+
     def _apply_kind_changes(self, kind: str, changes: KindChanges) -> None:
         """Apply a reader's changes of a kind, unless they are outdated."""
         copy = self.copies.kinds.get(kind)
--- a/bitternturn/platform/store_follower.py
+++ b/bitternturn/platform/store_follower.py
@@ -5,7 +5,7 @@
 
 from bitternturn.core.errors import BitternturnError
 from bitternturn.core.ids import FailureDomain, TargetId
-from bitternturn.core.tasks import TaskSet
+from bitternturn.core.tasks import TaskSet, async_supervise
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.models import InstanceSettings
 from bitternturn.platform import wire_names
@@ -14,7 +14,11 @@
     decode_instance,
     encode_instance,
 )
-from bitternturn.platform.source import KindHandler, StoreSource
+from bitternturn.platform.source import (
+    RESTART_DELAY_S,
+    KindHandler,
+    StoreSource,
+)
 from bitternturn.platform.store import (
     ObjectEvent,
     PlatformObject,
@@ -84,8 +88,10 @@
     def start(self) -> None:
         """Follow all kinds and register this instance, in the background."""
         self.source.start()
-        self.tasks.spawn(self._async_remove_expired())
-        self.tasks.spawn(self._async_register())
+        for job in (self._async_remove_expired, self._async_register):
+            self.tasks.spawn(
+                async_supervise(job, restart_delay_s=RESTART_DELAY_S)
+            )
 
     # Configuration
 
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -21,15 +21,20 @@
 LEAVING_BACKOFF_S: Final = 8.0
 # A peer has failed when its first report is overdue by more than this time.
 REPORT_GRACE_S: Final = 0.06
+# Time for a request to reach a peer and for its receipt to return, also while
+# the peer handles another request. Without a receipt the peer counts as silent.
+RECEIPT_TIMEOUT_S: Final = 0.04
 # Time for a request and its report to pass the network and a busy peer. It is
 # added to the age at which a delegated part counts as late.
-REPORT_LATENCY_S: Final = 0.015
+REPORT_LATENCY_S: Final = 0.01
 # Shards per request to a peer: enough to amortise its cost, few enough for
 # several peers to share a wide request.
 SHARDS_PER_PEER: Final = 16
 # Minimum number of parts of a request with few shards that are worth a message
 # to a peer in their failure domain.
 MIN_DELEGATED_PARTS: Final = 3
+# Number of sends for a peer that are started before other events are handled.
+SENDS_PER_TURN: Final = 4
 # Delay that batches ends of sends into one report, after the first report or
 # for failures and hedges, which are reported early.
 REPORT_BATCH_DELAY_S: Final = 0.002
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -83,6 +83,7 @@
         self.number = 0
         self.reported = False
         self.watchdog: asyncio.TimerHandle | None = None
+        self.receipt_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Send the request and start the timeout for the first report."""
@@ -92,6 +93,9 @@
             report_delay_s + const.REPORT_GRACE_S,
             self._on_report_timeout,
         )
+        self.receipt_timer = loop.call_later(
+            const.RECEIPT_TIMEOUT_S, self._on_receipt_timeout
+        )
         self.number = self.peer.send_request(self.make_frame, self.handle_reply)
 
     def make_frame(self) -> Frame | None:
@@ -127,6 +131,7 @@
                 may_decline=all(map(self._has_alternative, self.sends)),
                 sponsored=first.sponsored,
                 cumulative=True,
+                want_receipt=True,
             ),
         )
 
@@ -140,6 +145,9 @@
         if isinstance(reply, PeerFailure):
             self._finish_all(reply)
             return
+        self._cancel_receipt_timer()
+        if reply.HasField('receipt'):
+            return
         report = reply.parts
         if not _is_valid_report(report, len(self.sends), self.record_bytes):
             self._finish_all(PeerFailure.LOST)
@@ -209,6 +217,22 @@
         for send in self.sends:
             send.target.end_send(send, outcome, None, 0)
 
+    def _on_receipt_timeout(self) -> None:
+        """Record a failure and let all sends be hedged at once.
+
+        The sends go on: a peer that is only slow still reports their answers.
+        """
+        self.receipt_timer = None
+        self.peer.record_failure()
+        for send in self.sends:
+            send.report_silence()
+
+    def _cancel_receipt_timer(self) -> None:
+        """Stop waiting for the receipt."""
+        if self.receipt_timer is not None:
+            self.receipt_timer.cancel()
+            self.receipt_timer = None
+
     def _on_report_timeout(self) -> None:
         """Record a failure: the peer may be frozen or unreachable."""
         self.watchdog = None
@@ -218,6 +242,7 @@
     def _close(self) -> None:
         """Stop waiting for reports."""
         self.peer.drop_handler(self.number)
+        self._cancel_receipt_timer()
         if self.watchdog is not None:
             self.watchdog.cancel()
             self.watchdog = None
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -16,7 +16,7 @@
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.outcomes import encode_outcome
 from bitternturn.schema import relay_pb2
-from bitternturn.schema.relay_pb2 import Frame, Part, Parts, Sends
+from bitternturn.schema.relay_pb2 import Frame, Part, Parts, Receipt, Sends
 
 # How one send ended, with its answer if there is one.
 SendEnd = tuple[Part, TargetAnswer | None]
@@ -40,7 +40,19 @@
         self.request = request
         self.latency_estimate = LatencyEstimate(aim_s=1)
         self.latency_estimate.mean_s = max(1, request.usual_ms) / MS_PER_SECOND
+        self.caller = CallerRequest(
+            id=request.request_id,
+            method=request.method,
+            request_target=request.target,
+            path='',
+            host='',
+            remaining_s=None,
+            headers=[(it.name, it.value) for it in request.headers],
+            body=b'',
+        )
         self.sends: dict[int, Send] = {}
+        # Targets of the sends that have not started, by index.
+        self.waiting: dict[int, Target] = {}
         self.pending_count = len(request.items)
         self.started_at: float = 0
         self.first_report_sent = False
@@ -59,43 +71,53 @@
         return not self.pending_count and not self.unreported
 
     def start(self) -> None:
-        """Start the sends; reject those to unknown or unsuitable targets."""
+        """Reject sends to unsuitable targets at once and start the others.
+
+        The peer needs the rejections and the receipt early, to send elsewhere,
+        while starting all sends takes many milliseconds of processor time.
+        """
         now = self.gateway.now()
         self.started_at = now
-        caller = CallerRequest(
-            id=self.request.request_id,
-            method=self.request.method,
-            request_target=self.request.target,
-            path='',
-            host='',
-            remaining_s=None,
-            headers=[(it.name, it.value) for it in self.request.headers],
-            body=b'',
-        )
-        self._schedule_report(self.request.report_ms / MS_PER_SECOND)
+        rejected: list[SendEnd] = []
         for index, name in enumerate(self.request.items):
             target = self.gateway.targets.get(TargetId(name))
             rejection = self._rejection_outcome(target, now)
             if target is None or rejection is not None:
-                self._record_end(
-                    index,
-                    rejection or SendOutcome.NOT_SENT,
-                    None,
-                    now,
-                )
-                continue
-            send = Send(
-                caller=caller,
-                target=target,
-                latency_estimate=self.latency_estimate,
-                deadline=now + self.request.left_ms / MS_PER_SECOND,
-                require_fresh_connection=False,
-                now=now,
-                on_end=partial(self._on_send_end, index),
-            )
-            send.max_records = self.request.limit
-            self.sends[index] = send
-            start_directly(send, now)
+                outcome = rejection or SendOutcome.NOT_SENT
+                rejected.append((_make_part(index, outcome), None))
+            else:
+                self.waiting[index] = target
+        self.pending_count -= len(rejected)
+        if rejected:
+            self._send(rejected)
+        elif self.request.want_receipt:
+            self.connection.send(Frame(number=self.number, receipt=Receipt()))
+        if self.waiting:
+            self._schedule_report(self.request.report_ms / MS_PER_SECOND)
+            self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        """Start some of the waiting sends, and the others in later turns."""
+        now = self.gateway.now()
+        for index in list(self.waiting)[: const.SENDS_PER_TURN]:
+            self._start_send(index, self.waiting.pop(index), now)
+        if self.waiting:
+            asyncio.get_running_loop().call_soon(self._start_waiting)
+
+    def _start_send(self, index: int, target: Target, now: float) -> None:
+        """Start the send to one target."""
+        send = Send(
+            caller=self.caller,
+            target=target,
+            latency_estimate=self.latency_estimate,
+            deadline=self.started_at + self.request.left_ms / MS_PER_SECOND,
+            require_fresh_connection=False,
+            now=now,
+            on_end=partial(self._on_send_end, index),
+        )
+        send.max_records = self.request.limit
+        self.sends[index] = send
+        start_directly(send, now)
 
     def _rejection_outcome(
         self,
@@ -119,6 +141,9 @@
 
     def cancel(self, index: int) -> None:
         """Cancel one send."""
+        if self.waiting.pop(index, None) is not None:
+            self.pending_count -= 1
+            return
         send = self.sends.get(index)
         if send is None or send.ended:
             return
@@ -131,7 +156,7 @@
             if timer is not None:
                 timer.cancel()
         self.report_timer = self.failure_timer = None
-        for index in self.sends:
+        for index in (*self.waiting, *self.sends):
             self.cancel(index)
 
     def _on_send_end(
@@ -153,12 +178,9 @@
     ) -> None:
         """Record the end of a send and schedule its report."""
         self.pending_count -= 1
-        part = Part(
-            index=index,
-            outcome=encode_outcome(outcome),
-            stamp=answer.stamp if answer else '',
-            took_ms=round((now - self.started_at) * MS_PER_SECOND),
-        )
+        part = _make_part(index, outcome)
+        part.stamp = answer.stamp if answer else ''
+        part.took_ms = round((now - self.started_at) * MS_PER_SECOND)
         self.unreported.append((part, answer))
         if not self.pending_count:
             self._report_ended()
@@ -230,6 +252,11 @@
         )
 
 
+def _make_part(index: int, outcome: SendOutcome) -> Part:
+    """Return the report of a send that ended at once without an answer."""
+    return Part(index=index, outcome=encode_outcome(outcome))
+
+
 def _is_answer(end: SendEnd) -> bool:
     """Whether a send ended with a valid answer."""
     part, answer = end
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -14,6 +14,7 @@
 from bitternturn.platform.store import ObjectEvent, ObjectMeta, PlatformObject
 from bitternturn.platform.wire_names import KIND_INSTANCES
 from bitternturn.policy import relay_selection
+from bitternturn.relay.copies import CopiedObject
 from bitternturn.relay.server import RelayServer
 from bitternturn.standins.platform_store import (
     StoreFault,
@@ -265,6 +266,49 @@
             await async_until(lambda: not any(it.reads_store for it in others))
 
 
+class TestUnexpectedErrors:
+    """Errors that must not end what an instance does in the background."""
+
+    async def test_malformed_change_of_a_peer_is_done_without(
+        self, standin, ports
+    ):
+        async with running_fleet(standin, 3, ports) as fleet:
+            for reader in fleet[:2]:
+                copy = reader.follower.source.copies.kinds['servers']
+                copy.apply(
+                    [CopiedObject(name='bad', revision=999, spec=b'{')], 999
+                )
+                reader.follower.source.copies.notify_followers()
+            await async_until(lambda: fleet[2].reads_store)
+            standin.put('config', 'main', configuration_document(9))
+            await async_until(lambda: fleet[2].gateway.version == 9)
+
+    async def test_error_while_a_change_is_applied_is_survived(
+        self, standin, ports, monkeypatch
+    ):
+        monkeypatch.setattr(source, 'RESTART_DELAY_S', 0.01)
+        async with running_fleet(standin, 2, ports, readers=1) as fleet:
+            failed = []
+            for instance in fleet:
+                apply = instance.gateway.apply_configuration
+
+                def fail_once(configuration, apply=apply, instance=instance):
+                    if instance not in failed:
+                        failed.append(instance)
+                        raise RuntimeError('unexpected')
+                    apply(configuration)
+
+                instance.gateway.apply_configuration = fail_once
+            for version in (9, 10):
+                standin.put('config', 'main', configuration_document(version))
+                await async_until(
+                    lambda at=version: (
+                        at == 9 or all(it.gateway.version == at for it in fleet)
+                    )
+                )
+                await async_until(lambda: len(failed) == len(fleet))
+
+
 class TestFirstStart:
     async def test_late_readers_are_waited_for(self, standin, ports):
         """Without a wait, every instance lists all kinds at the start."""
