--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -23,10 +23,10 @@
 REPORT_GRACE_S: Final = 0.06
 # Time for a request to reach a peer and for its receipt to return, also while
 # the peer handles another request. Without a receipt the peer counts as silent.
-RECEIPT_TIMEOUT_S: Final = 0.04
+RECEIPT_TIMEOUT_S: Final = 0.06
 # Time for a request and its report to pass the network and a busy peer. It is
 # added to the age at which a delegated part counts as late.
-REPORT_LATENCY_S: Final = 0.01
+REPORT_LATENCY_S: Final = 0.015
 # Shards per request to a peer: enough to amortise its cost, few enough for
 # several peers to share a wide request.
 SHARDS_PER_PEER: Final = 16
