Bypass delegates that do not know a target

A third of the instances is cut off from the store and the readers while the index is repartitioned, so they do not know the new targets and return the sends at once; the entry instance handed each of them to the same delegate again until its count of undelivered sends was used up.

Change: a delegate that did not know a target is avoided for a second, so that a part goes to the next one, and is sent directly after two of them.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -31,6 +31,8 @@
 # Number of hedge delays after which targets that have not answered a request
 # count as unresponsive.
 UNRESPONSIVE_HEDGE_DELAYS = 2
+# Number of peers that could not make a send after which it is made directly.
+MAX_UNSUCCESSFUL_PEERS = 2
 # Outcomes that guarantee that the target has not run the request.
 NOT_RUN_OUTCOMES = frozenset(
     (
@@ -179,6 +181,7 @@
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
         send.sponsored = sponsored
+        send.direct = part.not_sent_count >= MAX_UNSUCCESSFUL_PEERS
         part.in_flight.append(send)
         self.dispatcher.start_send(send, now)
         return True
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -58,6 +58,7 @@
         'deadline',
         'declinable',
         'detach_timer',
+        'direct',
         'ended',
         'require_fresh_connection',
         'is_further',
@@ -105,6 +106,8 @@
         self.max_records = 0
         # Whether a peer may decline the send in favour of another target.
         self.declinable = False
+        # Whether no peer may make the send.
+        self.direct = False
         # Whether this is a hedge or retry, whose outcome a peer reports early.
         self.is_further = False
         # Whether the budget of the delegate has to allow this further send.
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -17,6 +17,9 @@
 # with each further failure up to the maximum.
 INITIAL_BACKOFF_S: Final = 0.5
 MAX_BACKOFF_S: Final = 4.0
+# Time for which an instance gets no requests that did not know a target: its
+# copy of the store's objects is outdated.
+OUTDATED_BACKOFF_S: Final = 1.0
 # Backoff for an instance that has announced that it is leaving.
 LEAVING_BACKOFF_S: Final = 8.0
 # A peer has failed when its first report is overdue by more than this time.
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -153,6 +153,11 @@
             self._finish_all(PeerFailure.LOST)
             return
         self.reported = True
+        if any(
+            part.outcome == relay_pb2.SEND_OUTCOME_NOT_SENT
+            for part in report.parts
+        ):
+            self.peer.avoid(const.OUTDATED_BACKOFF_S)
         # Index of the first answer of this report among those of all reports.
         first_index = self.merged.answer_count
         answered = [
@@ -389,7 +394,7 @@
     def _delegate_key(self, send: Send) -> str | None:
         """Return the key that ranks the delegates, None to send directly."""
         entry = send.target.entry
-        if not send.max_records:
+        if send.direct or not send.max_records:
             return None
         if entry.service in self.gateway.wide_services:
             return self._group_key(entry)
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -99,6 +99,10 @@
         self.backoff_until = now + self.backoff_s
         self.backoff_s = min(const.MAX_BACKOFF_S, self.backoff_s * 2)
 
+    def avoid(self, duration_s: float) -> None:
+        """Send no requests for some time, without counting a failure."""
+        self.backoff_until = max(self.backoff_until, self.now() + duration_s)
+
     def reset_backoff(self) -> None:
         """Reset the backoff."""
         self.backoff_s = const.INITIAL_BACKOFF_S
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -504,6 +504,21 @@
         assert second.headers['x-missing-parts'] == '0'
         assert len(ignored) == 1
 
+    @pytest.mark.parametrize('outdated', [(1,), (2,), (1, 2)])
+    async def test_outdated_peers_are_bypassed(self, outdated):
+        """Guards against refusals while peers are cut off from the store.
+
+        They do not know targets that were added since, for example all those of
+        a repartitioned index, while the entry instance knows them.
+        """
+        async with fleet_over(make_targets(), min_coverage=1) as fleet:
+            for number in outdated:
+                register(fleet.gateways[number])
+            first = await fleet.entry.async_handle(make_patient_request('q1'))
+            second = await fleet.entry.async_handle(make_patient_request('q2'))
+        assert first.headers['x-missing-parts'] == '0'
+        assert second.headers['x-missing-parts'] == '0'
+
     async def test_slow_peer_is_not_given_up(self):
         """Guards against work that is repeated or lost since a peer is slow."""
         targets = make_targets()
