Keep queued requests when a connection to a peer is lost; parse IPv6 hosts

A request queued between the close of a connection and its report ended as lost, so its caller got 502 though nothing of it was sent; it now waits for the next connection. The port of an IPv6 Host header was kept, so that it matched no route. Tests that fail on: tests/relay/test_peer.py, two cases of tests/gateway/test_routes.py.

--- a/bitternturn/gateway/routes.py
+++ b/bitternturn/gateway/routes.py
@@ -62,8 +62,9 @@
 
 
 def _normalize_host(host: str) -> str:
-    """Return a host in lower case, without its port unless it is IPv6."""
+    """Return a host in lower case and without its port."""
     name = host.lower()
     if name.startswith('['):
-        return name
+        # An IPv6 address, whose colons are within the brackets.
+        return name[: name.rfind(']') + 1]
     return name.partition(':')[0]
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum, unique
 
 from bitternturn.core.errors import BitternturnError
@@ -123,7 +123,8 @@
             )
         except BitternturnError:
             self.record_failure()
-            self._fail_all(PeerFailure.NOT_SENT)
+            self.send_queue.clear()
+            self._fail(PeerFailure.NOT_SENT, list(self.handlers))
         finally:
             self.connecting = False
         connection = self.connection
@@ -144,13 +145,13 @@
         """Fail the pending requests of a lost connection."""
         if connection is self.connection:
             self.connection = None
-            self._fail_all(PeerFailure.LOST)
+            # Queued requests wait for the next connection.
+            queued = {number for number, _ in self.send_queue}
+            self._fail(PeerFailure.LOST, self.handlers.keys() - queued)
 
-    def _fail_all(self, failure: PeerFailure) -> None:
-        """Fail all pending requests."""
-        self.send_queue.clear()
-        handlers = list(self.handlers.values())
-        self.handlers.clear()
+    def _fail(self, failure: PeerFailure, numbers: Iterable[int]) -> None:
+        """Fail pending requests."""
+        handlers = [self.handlers.pop(number) for number in sorted(numbers)]
         if handlers:
             self.record_failure()
         for on_reply in handlers:
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -11,6 +11,7 @@
         make_route(name='short', prefix='/a/'),
         make_route(name='long', prefix='/a/b/'),
         make_route(name='root', host='other.example', prefix='/'),
+        make_route(name='address', host='[::1]', prefix='/'),
     ]
 )
 
@@ -28,6 +29,8 @@
             ('search.example', '/', None),
             ('other.example', '/any', 'root'),
             ('third.example', '/a/', None),
+            ('[::1]', '/a', 'address'),
+            ('[::1]:8080', '/a', 'address'),
         ],
     )
     def test_longest_prefix_wins(self, host, path, name):
--- /dev/null
+++ b/tests/relay/test_peer.py
@@ -0,0 +1,98 @@
+"""Tests of the requests to one other instance."""
+
+import asyncio
+import time
+
+import pytest
+
+from bitternturn.core.ids import FailureDomain
+from bitternturn.core.tasks import TaskSet
+from bitternturn.gateway.metrics import GatewayMetrics
+from bitternturn.gateway.models import Address
+from bitternturn.relay.connection import RelayConnection
+from bitternturn.relay.peer import Peer, PeerFailure
+from bitternturn.relay.traffic import RelayTraffic
+from bitternturn.schema.relay_pb2 import Frame, Receipt, Sends
+
+TRAFFIC = RelayTraffic(metrics=GatewayMetrics(), domain=FailureDomain('a'))
+
+
+class Instance:
+    """Replies to each request, and can drop its connections."""
+
+    def __init__(self):
+        self.connections = []
+        self.requests = []
+        self.replying = True
+
+    async def async_start(self):
+        self.server = await asyncio.get_running_loop().create_server(
+            self._accept, '127.0.0.1', 0
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        return Address(host='127.0.0.1', port=port)
+
+    def _accept(self):
+        connection = RelayConnection(
+            on_frame=self._on_frame, on_lost=lambda _: None, traffic=TRAFFIC
+        )
+        self.connections.append(connection)
+        return connection
+
+    def _on_frame(self, connection, frame):
+        self.requests.append(frame.number)
+        if self.replying:
+            connection.send(Frame(number=frame.number, receipt=Receipt()))
+
+
+@pytest.fixture
+async def connected():
+    """Provide an instance and a client of it."""
+    instance = Instance()
+    tasks = TaskSet()
+    peer = Peer(
+        name='p',
+        address=await instance.async_start(),
+        tasks=tasks,
+        now=time.monotonic,
+        traffic=TRAFFIC,
+    )
+    yield instance, peer
+    await tasks.async_stop()
+    peer.close()
+    instance.server.close()
+
+
+async def async_until(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class TestLostConnections:
+    async def test_only_written_requests_are_lost(self, connected):
+        """Guards against a lost request that never left this instance."""
+        instance, peer = connected
+        instance.replying = False
+        written, queued = [], []
+        peer.send_request(lambda: Frame(sends=Sends()), written.append)
+        await async_until(lambda: instance.requests)
+        peer.connection.close()
+        instance.replying = True
+        # The loss of the connection has not been reported yet.
+        peer.send_request(lambda: Frame(sends=Sends()), queued.append)
+        await async_until(lambda: written and queued)
+        assert written == [PeerFailure.LOST]
+        assert queued[0].HasField('receipt')
+        assert instance.requests == [1, 2]
+
+    async def test_requests_without_a_connection_were_not_sent(self, connected):
+        instance, peer = connected
+        instance.server.close()
+        failed = []
+        for _ in range(3):
+            peer.send_request(lambda: Frame(sends=Sends()), failed.append)
+        await async_until(lambda: len(failed) == 3)
+        assert set(failed) == {PeerFailure.NOT_SENT}
+        assert not peer.send_queue
