--- /dev/null
+++ b/bitternturn/relay/outgoing_batch.py
@@ -0,0 +1,256 @@
+"""Sends of one request that are delegated to one peer."""
+
+import asyncio
+from collections.abc import Sequence
+
+from bitternturn.core.clock import MS_PER_SECOND
+from bitternturn.gateway.gateway import Gateway
+from bitternturn.gateway.merge import split_records
+from bitternturn.gateway.models import (
+    MergedRecords,
+    SendOutcome,
+    TargetAnswer,
+)
+from bitternturn.gateway.target import Send
+from bitternturn.http.const import STATUS_OK
+from bitternturn.relay import const
+from bitternturn.relay.outcomes import decode_outcome
+from bitternturn.relay.peer import Peer, PeerFailure
+from bitternturn.schema import relay_pb2
+from bitternturn.schema.relay_pb2 import (
+    Cancel,
+    Frame,
+    Header,
+    Part,
+    Parts,
+    Sends,
+)
+
+
+class OutgoingBatch:
+    """Sends of one request that are delegated to one peer.
+
+    The sends are started when the request is written to the peer. Until then,
+    none of them can have run.
+    """
+
+    def __init__(
+        self,
+        *,
+        peer: Peer,
+        sends: Sequence[Send],
+        gateway: Gateway,
+    ) -> None:
+        """Initialise; a send's position is its index on the wire."""
+        self.gateway = gateway
+        self.record_bytes = gateway.wire.record_bytes
+        self.peer = peer
+        self.sends = sends
+        self.limit = sends[0].max_records
+        self.merged = MergedRecords()
+        self.number = 0
+        self.reported = False
+        self.watchdog: asyncio.TimerHandle | None = None
+        self.receipt_timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Send the request and start the timeout for the first report."""
+        report_delay_s = self.sends[0].latency_estimate.hedge_delay_s()
+        loop = asyncio.get_running_loop()
+        self.watchdog = loop.call_later(
+            report_delay_s + const.REPORT_GRACE_S,
+            self._on_report_timeout,
+        )
+        self.receipt_timer = loop.call_later(
+            const.RECEIPT_TIMEOUT_S, self._on_receipt_timeout
+        )
+        self.number = self.peer.send_request(self.make_frame, self.handle_reply)
+
+    def make_frame(self) -> Frame | None:
+        """Return the request with all sends that have not ended."""
+        self.sends = [send for send in self.sends if not send.ended]
+        if not self.sends:
+            self._close()
+            return None
+        for index, send in enumerate(self.sends):
+            send.connection = SendHandle(batch=self, index=index)
+        first = self.sends[0]
+        urgent = any(send.is_further for send in self.sends)
+        report_delay_s = (
+            const.REPORT_BATCH_DELAY_S
+            if urgent
+            else first.latency_estimate.hedge_delay_s()
+        )
+        left_s = first.deadline - self.gateway.now()
+        return Frame(
+            sends=Sends(
+                request_id=first.caller.id,
+                method=first.caller.method,
+                target=first.caller.request_target,
+                headers=[
+                    Header(name=name, value=content)
+                    for name, content in first.caller.headers
+                ],
+                left_ms=max(1, int(left_s * MS_PER_SECOND)),
+                report_ms=int(report_delay_s * MS_PER_SECOND),
+                limit=first.max_records,
+                items=[send.target.entry.id for send in self.sends],
+                usual_ms=first.latency_estimate.mean_s * MS_PER_SECOND,
+                may_decline=all(map(self._has_alternative, self.sends)),
+                sponsored=first.sponsored,
+                cumulative=True,
+                want_receipt=True,
+            ),
+        )
+
+    def _has_alternative(self, send: Send) -> bool:
+        """Return whether a peer may decline a send: another target exists."""
+        ready = self.gateway.ready.get(send.target.entry.service, ())
+        return send.declinable and len(ready) > 1
+
+    def handle_reply(self, reply: Frame | PeerFailure) -> None:
+        """Handle a report, or the failure of the peer."""
+        if isinstance(reply, PeerFailure):
+            self._finish_all(reply)
+            return
+        self._cancel_receipt_timer()
+        if reply.HasField('receipt'):
+            return
+        report = reply.parts
+        if not _is_valid_report(report, len(self.sends), self.record_bytes):
+            self._finish_all(PeerFailure.LOST)
+            return
+        self.reported = True
+        if any(
+            part.outcome == relay_pb2.SEND_OUTCOME_NOT_SENT
+            for part in report.parts
+        ):
+            self.peer.avoid(const.OUTDATED_BACKOFF_S)
+        # Index of the first answer of this report among those of all reports.
+        first_index = self.merged.answer_count
+        answered = [
+            place
+            for place, part in enumerate(report.parts)
+            if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+        ]
+        answer_indexes = {
+            place: first_index + offset for offset, place in enumerate(answered)
+        }
+        self.merged.answer_count += len(answered)
+        self.merged.add_report(
+            split_records(report.records, self.record_bytes),
+            [answer_indexes[place] for place in report.owners],
+            truncated=report.cut,
+            limit=self.limit,
+        )
+        for place, part in enumerate(report.parts):
+            self._finish_send(part, answer_indexes.get(place, 0))
+        if all(send.ended for send in self.sends):
+            self._close()
+
+    def cancel(self, index: int) -> None:
+        """Cancel one send at the peer."""
+        self.peer.send_followup(
+            self.number,
+            Frame(cancel=Cancel(indexes=[index])),
+        )
+        send = self.sends[index]
+        send.target.end_send(send, SendOutcome.LOST, None)
+        if all(other.ended for other in self.sends):
+            self._close()
+
+    def _finish_send(self, part: Part, answer_index: int) -> None:
+        """Finish one send as reported."""
+        send = self.sends[part.index]
+        outcome = decode_outcome(part.outcome)
+        answer = None
+        if outcome is SendOutcome.ANSWERED:
+            answer = TargetAnswer(
+                status=STATUS_OK,
+                stamp=part.stamp,
+                request_id=send.caller.id,
+                not_run=False,
+                misdirected=False,
+                encoded=False,
+                idle_timeout_s=None,
+                headers={},
+                body=b'',
+                merged=self.merged,
+                answer_index=answer_index,
+            )
+        took_s = part.took_ms / MS_PER_SECOND
+        send.target.end_send(send, outcome, answer, took_s)
+
+    def _finish_all(self, failure: PeerFailure) -> None:
+        """Finish every pending send after a failure of the peer."""
+        outcome = SendOutcome.PEER_LOST
+        if failure is PeerFailure.NOT_SENT:
+            outcome = SendOutcome.NOT_SENT
+        self._close()
+        for send in self.sends:
+            send.target.end_send(send, outcome, None, 0)
+
+    def _on_receipt_timeout(self) -> None:
+        """Record a failure and let all sends be hedged at once.
+
+        The sends go on: a peer that is only slow still reports their answers.
+        """
+        self.receipt_timer = None
+        self.peer.record_failure()
+        for send in self.sends:
+            send.report_silence()
+
+    def _cancel_receipt_timer(self) -> None:
+        """Stop waiting for the receipt."""
+        if self.receipt_timer is not None:
+            self.receipt_timer.cancel()
+            self.receipt_timer = None
+
+    def _on_report_timeout(self) -> None:
+        """Record a failure: the peer may be frozen or unreachable."""
+        self.watchdog = None
+        if not self.reported:
+            self.peer.record_failure()
+
+    def _close(self) -> None:
+        """Stop waiting for reports."""
+        self.peer.drop_handler(self.number)
+        self._cancel_receipt_timer()
+        if self.watchdog is not None:
+            self.watchdog.cancel()
+            self.watchdog = None
+
+
+def _is_valid_report(report: Parts, send_count: int, record_bytes: int) -> bool:
+    """Return whether the indexes and records of a report are consistent."""
+    records = len(report.records) // record_bytes
+    answered = {
+        place
+        for place, part in enumerate(report.parts)
+        if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+    }
+    return (
+        records == len(report.owners)
+        and all(owner in answered for owner in report.owners)
+        and all(part.index < send_count for part in report.parts)
+        and all(
+            part.stamp
+            for part in report.parts
+            if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+        )
+    )
+
+
+class SendHandle:
+    """Handle of a delegated send; `close` cancels it at the peer."""
+
+    __slots__ = ('batch', 'index')
+
+    def __init__(self, *, batch: OutgoingBatch, index: int) -> None:
+        """Initialise with the index of the send in its batch."""
+        self.batch = batch
+        self.index = index
+
+    def close(self) -> None:
+        """Cancel the send."""
+        self.batch.cancel(self.index)
