Keep hedges that a delegate has to allow within its budget

Found by reading the diff: a hedge above the own budget that its delegate returned unsent, since it did not know the target, was sent again as a free replacement, in the end directly, though no budget had been spent for it.

Change: the replacement of a sponsored send needs budget again, and a direct send is never sponsored. The new case of TestSponsoredHedges fails before the change.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -158,7 +158,10 @@
         if target is None or self.deadline - now < const.MIN_SEND_TIME_S:
             part.closed = not part.in_flight
             return False
-        if sponsored and not self.dispatcher.may_sponsor(target, now):
+        direct = part.not_sent_count >= MAX_UNSUCCESSFUL_PEERS
+        if sponsored and (
+            direct or not self.dispatcher.may_sponsor(target, now)
+        ):
             part.closed = not part.in_flight
             return False
         if not part.send_count:
@@ -181,7 +184,7 @@
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
         send.sponsored = sponsored
-        send.direct = part.not_sent_count >= MAX_UNSUCCESSFUL_PEERS
+        send.direct = direct
         part.in_flight.append(send)
         self.dispatcher.start_send(send, now)
         return True
@@ -248,7 +251,7 @@
                 self.denied_hedges += 1
                 part.closed = not part.in_flight
             else:
-                self._retry_part(part, outcome, now)
+                self._retry_part(part, send, outcome, now)
         self._evaluate(now)
 
     def _handle_silence(self, part: Part) -> None:
@@ -306,12 +309,20 @@
         for send in part.in_flight:
             send.detach()
 
-    def _retry_part(self, part: Part, outcome: SendOutcome, now: float) -> None:
-        """Retry a part after a failure if safe and within the budget."""
+    def _retry_part(
+        self, part: Part, send: Send, outcome: SendOutcome, now: float
+    ) -> None:
+        """Retry a part after a failure if safe and within the budget.
+
+        An undelivered send is replaced without further budget, but that of a
+        sponsored one has not been spent.
+        """
         if self.repeatable or outcome in NOT_RUN_OUTCOMES:
             budget = self.dispatcher.retry_budget(part.service)
-            free = outcome in UNDELIVERED_OUTCOMES
-            paid = free or budget.try_spend(SendReason.RETRY, now)
+            undelivered = outcome in UNDELIVERED_OUTCOMES
+            paid = (undelivered and not send.sponsored) or budget.try_spend(
+                SendReason.RETRY, now
+            )
             self.retries += paid
             if self._send_part(part, now, sponsored=not paid):
                 return
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -419,6 +419,20 @@
 
         assert await self.async_count_hedged(prepare) == 0
 
+    async def test_hedge_that_no_delegate_allowed_is_not_sent(self):
+        """Guards against an unpaid send in place of one that was returned."""
+
+        def prepare(fleet):
+            for gateway in fleet.gateways[1:]:
+                kept = [
+                    target.entry
+                    for name, target in gateway.targets.items()
+                    if name.startswith('t')
+                ]
+                register(gateway, *kept)
+
+        assert await self.async_count_hedged(prepare) == 0
+
     async def test_instance_that_is_no_delegate_sponsors_nothing(self):
         async with fleet_over(self.make_targets()) as fleet:
             entry = fleet.entry.targets['u3'].entry
