Remove repetitions from the gateway, the relay and their tests

Cause: reading the whole change found loops and steps that were written twice: the choice of a delegate in _choose_peer and find_sponsor, the construction of peers, the scan of a report for its answered sends, the stand-in's plain encoding, and a hedge selected its target twice.

Change: one function each; increment calls add; the relays of TestRelays leave out readers, which makes one of its conditions stricter. Behaviour is the same, except that a hedge draws the random factor of its cost once.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -155,14 +155,23 @@
         `sponsored` is whether a delegate has to allow the send.
         """
         target = self._find_target(part)
-        if target is None or self.deadline - now < const.MIN_SEND_TIME_S:
+        sent = target is not None and self._start_send(
+            part, target, now, sponsored=sponsored
+        )
+        if not sent:
             part.closed = not part.in_flight
+        return sent
+
+    def _start_send(
+        self, part: Part, target: Target, now: float, *, sponsored: bool
+    ) -> bool:
+        """Send a part to a target; return whether it was sent."""
+        if self.deadline - now < const.MIN_SEND_TIME_S:
             return False
         direct = part.not_sent_count >= MAX_UNSUCCESSFUL_PEERS
         if sponsored and (
             direct or not self.dispatcher.may_sponsor(target, now)
         ):
-            part.closed = not part.in_flight
             return False
         if not part.send_count:
             self.dispatcher.retry_budget(part.service).record_request(now)
@@ -341,11 +350,12 @@
 
     def _hedge_part(self, part: Part, now: float) -> None:
         """Send a hedge for a part if there is a target and budget for it."""
-        if self._find_target(part) is None:
+        target = self._find_target(part)
+        if target is None:
             return
         budget = self.dispatcher.retry_budget(part.service)
         paid = budget.try_spend(SendReason.HEDGE, now)
-        if self._send_part(part, now, sponsored=not paid):
+        if self._start_send(part, target, now, sponsored=not paid):
             self.hedges += 1
         else:
             self.denied_hedges += 1
--- a/bitternturn/gateway/metrics.py
+++ b/bitternturn/gateway/metrics.py
@@ -34,7 +34,7 @@
 
     def increment(self, name: str, **labels: str) -> None:
         """Increment the counter with a name and labels."""
-        self.counts[(name, tuple(labels.items()))] += 1
+        self.add(name, 1, **labels)
 
     def add(self, name: str, amount: int, **labels: str) -> None:
         """Add to the counter with a name and labels."""
--- a/bitternturn/http/client.py
+++ b/bitternturn/http/client.py
@@ -198,8 +198,8 @@
                 chunk = await self._chunks.get()
                 if chunk is None:
                     return
-                if self._chunks.qsize() < MAX_QUEUED_CHUNKS:
-                    self._resume_reading()
+                if self._chunks.qsize() < MAX_QUEUED_CHUNKS and self.transport:
+                    self.transport.resume_reading()
                 yield chunk
         finally:
             self.close()
@@ -276,8 +276,9 @@
         """Append received data to the body, or enqueue it as a chunk."""
         if self._chunks is not None:
             self._chunks.put_nowait(data)
-            if self._chunks.qsize() >= MAX_QUEUED_CHUNKS:
-                self._pause_reading()
+            if self._chunks.qsize() >= MAX_QUEUED_CHUNKS and self.transport:
+                # Reading resumes when the consumer of the chunks catches up.
+                self.transport.pause_reading()
             return
         self._body_parts.append(data)
         self.size.body_bytes += len(data)
@@ -295,16 +296,6 @@
         """Fail the exchange to free the memory of its body."""
         self._fail(ErrorCode.BAD_ANSWER, 'too many large response bodies')
 
-    def _pause_reading(self) -> None:
-        """Stop reading until the consumer of the chunks catches up."""
-        if self.transport is not None:
-            self.transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        """Read again after a pause."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-
     def _on_response_end(self) -> None:
         """Deliver the response and prepare for the next exchange, or close."""
         response = self._make_response()
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -77,12 +77,8 @@
             )
             known = self.peers.get(entry.name)
             if known is None or known.address != entry.address:
-                self.peers[entry.name] = Peer(
-                    name=entry.name,
-                    address=entry.address,
-                    tasks=self.tasks,
-                    now=self.gateway.now,
-                    traffic=self.traffic,
+                self.peers[entry.name] = self._make_peer(
+                    entry.name, entry.address
                 )
         self.traffic.domains = {
             entry.address.host: entry.domain for entry in entries
@@ -93,12 +89,7 @@
     def find_relays(self, domain: FailureDomain, now: float) -> list[Peer]:
         """Return the available relays of a failure domain, best first."""
         names = rank_relays(domain, self.members.get(domain, ()))
-        available = [
-            name
-            for name in names
-            if name == self.gateway.settings.name
-            or self.peers[name].is_available(now)
-        ]
+        available = [name for name in names if self._is_usable(name, now)]
         return [self.peers[name] for name in available[:RELAYS_PER_DOMAIN]]
 
     def get_or_add_peer(self, address: Address) -> Peer:
@@ -107,15 +98,16 @@
             if peer.address == address:
                 return peer
         name = f'{address.host}:{address.port}'
-        return self.peers.setdefault(
-            name,
-            Peer(
-                name=name,
-                address=address,
-                tasks=self.tasks,
-                now=self.gateway.now,
-                traffic=self.traffic,
-            ),
+        return self.peers.setdefault(name, self._make_peer(name, address))
+
+    def _make_peer(self, name: str, address: Address) -> Peer:
+        """Return a client of an instance, not connected yet."""
+        return Peer(
+            name=name,
+            address=address,
+            tasks=self.tasks,
+            now=self.gateway.now,
+            traffic=self.traffic,
         )
 
     def dispatch(self, send: Send, now: float) -> None:
@@ -137,16 +129,25 @@
         """Return the peer to delegate a send to, None to send directly."""
         domain = send.target.entry.failure_domain
         key = self._delegate_key(send)
-        if key is None:
+        name = None if key is None else self._find_delegate(domain, key, now)
+        if name is None or name == self.gateway.settings.name:
             return None
+        return self.peers[name]
+
+    def _find_delegate(
+        self, domain: FailureDomain, key: str, now: float
+    ) -> str | None:
+        """Return the first usable instance of a domain for a key, if any."""
         for name in self._ranked_members(domain, key):
-            if name == self.gateway.settings.name:
-                return None
-            peer = self.peers[name]
-            if peer.is_available(now):
-                return peer
+            if self._is_usable(name, now):
+                return name
         return None
 
+    def _is_usable(self, name: str, now: float) -> bool:
+        """Return whether a member is this instance or an available peer."""
+        own = name == self.gateway.settings.name
+        return own or self.peers[name].is_available(now)
+
     def _delegate_key(self, send: Send) -> str | None:
         """Return the key that ranks the delegates, None to send directly."""
         entry = send.target.entry
@@ -179,14 +180,12 @@
         """
         if entry.service not in self.gateway.wide_services:
             return False
-        for name in self._ranked_members(
-            entry.failure_domain, self._group_key(entry)
-        ):
-            if name == self.gateway.settings.name:
-                return self.sponsor(entry, now)
-            if self.peers[name].is_available(now):
-                return True
-        return False
+        name = self._find_delegate(
+            entry.failure_domain, self._group_key(entry), now
+        )
+        if name == self.gateway.settings.name:
+            return self.sponsor(entry, now)
+        return name is not None
 
     def sponsor(self, entry: TargetEntry, now: float) -> bool:
         """Spend the delegate's budget for a further send if it allows it."""
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -117,7 +117,8 @@
         if reply.HasField('receipt'):
             return
         report = reply.parts
-        if not _is_valid_report(report, len(self.sends), self.record_bytes):
+        answered = _find_answered(report)
+        if not self._is_valid(report, answered):
             self._finish_all(PeerFailure.LOST)
             return
         self.reported = True
@@ -128,11 +129,6 @@
             self.peer.avoid(const.OUTDATED_BACKOFF_S)
         # Index of the first answer of this report among those of all reports.
         first_index = self.merged.answer_count
-        answered = [
-            place
-            for place, part in enumerate(report.parts)
-            if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
-        ]
         answer_indexes = {
             place: first_index + offset for offset, place in enumerate(answered)
         }
@@ -148,6 +144,16 @@
         if all(send.ended for send in self.sends):
             self._close()
 
+    def _is_valid(self, report: Parts, answered: Sequence[int]) -> bool:
+        """Return whether the indexes and records of a report are consistent."""
+        records = len(report.records) // self.record_bytes
+        return (
+            records == len(report.owners)
+            and set(report.owners).issubset(answered)
+            and all(part.index < len(self.sends) for part in report.parts)
+            and all(report.parts[place].stamp for place in answered)
+        )
+
     def cancel(self, index: int) -> None:
         """Cancel one send at the peer."""
         self.peer.send_followup(
@@ -221,24 +227,13 @@
             self.watchdog = None
 
 
-def _is_valid_report(report: Parts, send_count: int, record_bytes: int) -> bool:
-    """Return whether the indexes and records of a report are consistent."""
-    records = len(report.records) // record_bytes
-    answered = {
+def _find_answered(report: Parts) -> list[int]:
+    """Return the places of the answered sends in a report."""
+    return [
         place
         for place, part in enumerate(report.parts)
         if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
-    }
-    return (
-        records == len(report.owners)
-        and all(owner in answered for owner in report.owners)
-        and all(part.index < send_count for part in report.parts)
-        and all(
-            part.stamp
-            for part in report.parts
-            if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
-        )
-    )
+    ]
 
 
 class SendHandle:
--- a/bitternturn/standins/platform_target.py
+++ b/bitternturn/standins/platform_target.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Final
@@ -211,11 +211,8 @@
             status, headers, body = self._make_content(
                 received, ScriptedBehaviour.MISSING_ID
             )
-            lines = ''.join(f'{name}: {value}\r\n' for name, value in headers)
-            self.late_copies[writer] = (
-                f'HTTP/1.1 {status} OK\r\n{lines}'
-                f'content-length: {len(body)}\r\n\r\n'
-            ).encode() + body
+            headers.append(('content-length', str(len(body))))
+            self.late_copies[writer] = _encode_plain(status, headers, body)
         if late_copy:
             data = late_copy
         if behaviour is ScriptedBehaviour.GARBAGE:
@@ -251,9 +248,8 @@
             ScriptedBehaviour.UNFRAMED_RESET,
         }:
             # Without a length, the end of the connection ends the body.
-            head = ''.join(f'{name}: {value}\r\n' for name, value in headers)
             connection.send_failed()
-            return f'HTTP/1.1 {status} OK\r\n{head}\r\n'.encode() + body
+            return _encode_plain(status, headers, body)
         headers.append(('content-length', str(len(body))))
         events = (
             h11.Response(status_code=status, headers=headers),
@@ -298,6 +294,14 @@
         return http.STATUS_OK, headers, self.body
 
 
+def _encode_plain(
+    status: int, headers: Iterable[tuple[str, str]], body: bytes
+) -> bytes:
+    """Return an encoded answer regardless of the state of the connection."""
+    lines = ''.join(f'{name}: {value}\r\n' for name, value in headers)
+    return f'HTTP/1.1 {status} OK\r\n{lines}\r\n'.encode() + body
+
+
 async def _async_write_endless(
     writer: asyncio.StreamWriter,
     start: bytes,
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -22,7 +22,11 @@
     register,
     running_targets,
 )
-from tests.gateway.test_gather import answering_targets, make_patient_request
+from tests.gateway.test_gather import (
+    answering_targets,
+    async_gather,
+    make_patient_request,
+)
 
 ANSWERS_AT_ONCE = 64
 MEGABYTE = 1_000_000
@@ -91,18 +95,13 @@
 class TestParts:
     @endless
     async def test_part_is_left_out(self, behaviour):
-        targets = [
-            make_scripted_target('a', *[behaviour] * 9),
-            PlatformTarget(id='b'),
-        ]
-        async with running_targets(*targets):
-            gateway = make_gateway()
-            configure(gateway, make_shard_route(2))
-            register(
-                gateway,
-                make_entry(targets[0], 's0'),
-                make_entry(targets[1], 's1'),
-            )
-            response = await gateway.async_handle(make_patient_request())
+        response = await async_gather(
+            make_shard_route(2),
+            [
+                [make_scripted_target('a', *[behaviour] * 9)],
+                [PlatformTarget(id='b')],
+            ],
+            make_patient_request(),
+        )
         assert response.status == 200
         assert answering_targets(response) == ['b']
--- a/tests/gateway/test_foreign_answers.py
+++ b/tests/gateway/test_foreign_answers.py
@@ -17,7 +17,11 @@
     register,
     running_targets,
 )
-from tests.gateway.test_gather import answering_targets, make_patient_request
+from tests.gateway.test_gather import (
+    answering_targets,
+    async_gather,
+    make_patient_request,
+)
 
 
 class TestLateCopies:
@@ -59,19 +63,14 @@
         [ScriptedBehaviour.MISSING_ID, ScriptedBehaviour.WRONG_REQUEST],
     )
     async def test_unidentified_part_is_left_out(self, behaviour):
-        targets = [
-            make_scripted_target('a', *[behaviour] * 9),
-            PlatformTarget(id='b'),
-        ]
-        async with running_targets(*targets):
-            gateway = make_gateway()
-            configure(gateway, make_shard_route(2))
-            register(
-                gateway,
-                make_entry(targets[0], 's0'),
-                make_entry(targets[1], 's1'),
-            )
-            response = await gateway.async_handle(make_patient_request())
+        response = await async_gather(
+            make_shard_route(2),
+            [
+                [make_scripted_target('a', *[behaviour] * 9)],
+                [PlatformTarget(id='b')],
+            ],
+            make_patient_request(),
+        )
         assert response.status == 200
         assert answering_targets(response) == ['b']
         assert response.headers['x-missing-parts'] == '1'
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -162,9 +162,11 @@
                 next(iter(fleet[0].follower.delegation.members.values())),
             )
             readers = [it for it in fleet if it.follower.source.is_reader]
+            relay_names = names[: relay_selection.RELAYS_PER_DOMAIN]
             relays = [
-                next(it for it in fleet if it.settings.name == name)
-                for name in names[: relay_selection.RELAYS_PER_DOMAIN]
+                it
+                for it in fleet
+                if it.settings.name in relay_names and it not in readers
             ]
             others = [it for it in fleet if it not in (*readers, *relays)]
             yield readers, relays, others
@@ -203,8 +205,7 @@
                         it.gateway.version == at for it in others
                     )
                 )
-            relay_count = sum(it not in readers for it in relays)
-            assert len(pollers) <= relay_count
+            assert len(pollers) <= len(relays)
 
     async def test_silent_relays_delay_nobody(self, standin, ports):
         async def async_ignore(connection, frame):
@@ -216,8 +217,7 @@
             others,
         ):
             for relay in relays:
-                if relay not in readers:
-                    relay.server._async_follow = async_ignore
+                relay.server._async_follow = async_ignore
             standin.put('config', 'main', configuration_document(9))
             await async_until(
                 lambda: all(it.gateway.version == 9 for it in others)
@@ -231,18 +231,13 @@
             others,
         ):
             for relay in relays:
-                if relay not in readers:
-                    followed = relay.follower.source
-                    followed.store.async_watch = async_refuse_call
-                    followed.store.async_list = async_refuse_call
-                    followed._next_reader = lambda: None
+                followed = relay.follower.source
+                followed.store.async_watch = async_refuse_call
+                followed.store.async_list = async_refuse_call
+                followed._next_reader = lambda: None
             await async_until(
                 lambda: (
-                    not any(
-                        it.follower.source.copies.relayed
-                        for it in relays
-                        if it not in readers
-                    )
+                    not any(it.follower.source.copies.relayed for it in relays)
                 )
             )
             standin.put('config', 'main', configuration_document(9))
--- a/tests/relay/test_connection.py
+++ b/tests/relay/test_connection.py
@@ -4,14 +4,12 @@
 
 import pytest
 
-from bitternturn.core.ids import FailureDomain
-from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import Address
 from bitternturn.relay.connection import RelayConnection, async_open_connection
-from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Sends
+from tests.relay.helpers import make_traffic
 
-TRAFFIC = RelayTraffic(metrics=GatewayMetrics(), domain=FailureDomain('a'))
+TRAFFIC = make_traffic()
 
 
 class Listener:
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -20,7 +20,7 @@
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.delegation import Delegation, MemberEntry
 from bitternturn.relay.server import RelayServer
-from bitternturn.relay.traffic import METRIC, RelayTraffic
+from bitternturn.relay.traffic import METRIC
 from bitternturn.schema.relay_pb2 import Frame, Part, Parts
 from bitternturn.standins.platform_target import (
     PlatformTarget,
@@ -41,15 +41,11 @@
     make_patient_request,
     make_record,
 )
+from tests.relay.helpers import make_traffic
 
 SHARDS = 32
 
 
-def make_traffic(gateway):
-    """Return the counters of a gateway's messages."""
-    return RelayTraffic(metrics=gateway.metrics, domain=FailureDomain('north'))
-
-
 class Fleet:
     """An entry gateway and two peers that share the targets of a route."""
 
@@ -73,7 +69,7 @@
                 gateway=gateway,
                 copies=StoreCopies(kinds=()),
                 tasks=self.tasks,
-                traffic=make_traffic(gateway),
+                traffic=make_traffic(gateway.metrics),
             )
             port = await server.async_start(Address(host='127.0.0.1', port=0))
             self.servers.append(server)
--- a/tests/relay/test_peer.py
+++ b/tests/relay/test_peer.py
@@ -5,16 +5,15 @@
 
 import pytest
 
-from bitternturn.core.ids import FailureDomain
 from bitternturn.core.tasks import TaskSet
-from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import Address
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.peer import Peer, PeerFailure
-from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Receipt, Sends
+from tests.platform.test_mirror import async_until
+from tests.relay.helpers import make_traffic
 
-TRAFFIC = RelayTraffic(metrics=GatewayMetrics(), domain=FailureDomain('a'))
+TRAFFIC = make_traffic()
 
 
 class Instance:
@@ -63,13 +62,6 @@
     instance.server.close()
 
 
-async def async_until(condition):
-    """Wait until a condition holds."""
-    async with asyncio.timeout(10):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 class TestLostConnections:
     async def test_only_written_requests_are_lost(self, connected):
         """Guards against a lost request that never left this instance."""
