Log the rate limits that targets name and what is sent to them

Callers saw nothing of the incident and neither did the logs: they could not tell whether usual sends, hedges or joining instances exceed a limit.

The header is now read. A line target_limit says when an instance learns, sees changed or sees lifted a limit; target_limit_use counts what it has written to the target in 4 s, by kind. No decision uses them yet.

Unit tests of gateway, relay and platform pass.

--- a/bitternturn/gateway/announcements.py
+++ b/bitternturn/gateway/announcements.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from bitternturn.gateway.models import TargetLife
+from bitternturn.gateway.rate_limits import RateLimit
 
 # Time after which the announcement of a target without an entry is forgotten.
 # It outlasts every copy from which an old entry may come back.
@@ -13,7 +14,13 @@
 class Announcement:
     """What one life of a target has announced."""
 
-    __slots__ = ('announced_at', 'leaving', 'paused_until', 'unread')
+    __slots__ = (
+        'announced_at',
+        'leaving',
+        'paused_until',
+        'rate_limit',
+        'unread',
+    )
 
     def __init__(self) -> None:
         """Initialise as a target that wants requests."""
@@ -23,6 +30,7 @@
         self.paused_until: float = 0
         # Whether it has asked for a pause of an unreadable length.
         self.unread = False
+        self.rate_limit = RateLimit()
 
     def announce_leaving(self, now: float) -> bool:
         """Record that the target leaves; return whether this is new."""
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -280,6 +280,9 @@
     # How long the target wants no requests, in seconds; NaN if it states a time
     # that can't be read, None if it states none.
     pause_s: float | None
+    # Requests per second that the target accepts from all instances; NaN if it
+    # states a limit that can't be read, None if it states none.
+    limit_per_s: float | None
     # Whether the body has a content encoding: it was changed in transit.
     encoded: bool
     # Target's timeout for idle connections, in seconds; None if not stated.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -20,6 +20,7 @@
     Service,
     TargetEntry,
 )
+from bitternturn.gateway.rate_limits import RateLimits
 from bitternturn.gateway.reporting import record_send_end
 from bitternturn.gateway.target import (
     Send,
@@ -97,6 +98,7 @@
         self.delegation_enabled = False
         self.targets: dict[TargetId, Target] = {}
         self.announcements = Announcements()
+        self.rate_limits = RateLimits(decisions=decisions)
         # End of the last pause that a target has asked for.
         self.pauses_end_at: float = 0
         self.target_hooks = TargetHooks(
@@ -180,6 +182,7 @@
                 tasks=self.tasks,
                 buffers=self.answer_buffers,
                 announcement=self.announcements.get(entry.life),
+                rate_limits=self.rate_limits,
                 hooks=self.target_hooks,
             )
             self.targets[entry.id] = target
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -20,6 +20,7 @@
     TargetAnswer,
     TargetEntry,
 )
+from bitternturn.gateway.rate_limits import RateLimits, SendKind
 from bitternturn.gateway.wire import Wire
 from bitternturn.http import const as http
 from bitternturn.http.client import ClientConnection, async_connect
@@ -68,6 +69,7 @@
         'detach_timer',
         'direct',
         'ended',
+        'for_peer',
         'require_fresh_connection',
         'is_further',
         'max_records',
@@ -118,6 +120,8 @@
         self.direct = False
         # Whether this is a hedge or retry, whose outcome a peer reports early.
         self.is_further = False
+        # Whether another instance has asked for the send.
+        self.for_peer = False
         # Whether the budget of the delegate has to allow this further send.
         self.sponsored = False
         self.detach_timer: asyncio.TimerHandle | None = None
@@ -125,6 +129,13 @@
         self.aborted = False
         self.ended = False
 
+    @property
+    def kind(self) -> SendKind:
+        """Why this instance makes the send."""
+        if self.for_peer:
+            return SendKind.DELEGATED
+        return SendKind.FURTHER if self.is_further else SendKind.FIRST
+
     def report_silence(self) -> None:
         """Handle that the delegate has not confirmed the send in time."""
         if self.ended or self.on_end is None:
@@ -185,6 +196,7 @@
         tasks: TaskSet,
         buffers: BodyBuffers,
         announcement: Announcement,
+        rate_limits: RateLimits,
         hooks: TargetHooks,
     ) -> None:
         """Initialise without connections; they are opened on demand."""
@@ -193,6 +205,7 @@
         self.tasks = tasks
         self.buffers = buffers
         self.announcement = announcement
+        self.rate_limits = rate_limits
         self.hooks = hooks
         self.now = hooks.now
         # Rank of the failure domain, see `Candidate`.
@@ -369,11 +382,15 @@
     def _write_request(self, send: Send, connection: ClientConnection) -> None:
         """Write the request of a send to its connection."""
         send.connection = connection
+        now = self.now()
+        self.rate_limits.record_send(
+            self.entry, self.announcement.rate_limit, send.kind, now
+        )
         connection.buffers = self.buffers
         connection.size.max_body_bytes = _max_answer_bytes(
             send.max_records, self.wire.record_bytes
         )
-        remaining_s = max(const.MIN_SEND_TIME_S, send.deadline - self.now())
+        remaining_s = max(const.MIN_SEND_TIME_S, send.deadline - now)
         try:
             connection.start_exchange(
                 method=send.caller.method,
@@ -407,15 +424,21 @@
             self.end_send(send, SendOutcome.LOST, None)
             return
         if not answer.misdirected:
-            self._apply_announcement(answer)
+            self._apply_announcement(answer, send.started_at)
         if answer.idle_timeout_s is not None:
             self.idle_timeout_s = answer.idle_timeout_s
         self.end_send(send, _classify(answer), answer)
         if connection.usable:
             self._use_connection(connection)
 
-    def _apply_announcement(self, answer: TargetAnswer) -> None:
-        """Apply what an answer says about the requests that are wanted."""
+    def _apply_announcement(
+        self, answer: TargetAnswer, started_at: float
+    ) -> None:
+        """Apply what an answer says about the requests that are wanted.
+
+        `started_at` is when its send started.
+        """
+        self.announce_rate_limit(answer.limit_per_s, started_at)
         if answer.leaving:
             self.announce_leaving()
         if answer.pause_s is None:
@@ -425,6 +448,18 @@
         else:
             self.announce_pause(answer.pause_s)
 
+    def announce_rate_limit(
+        self, per_s: float | None, started_at: float
+    ) -> None:
+        """Update the rate limit by the answer to a send.
+
+        An answer to a send that is older than the limit does not lift it.
+        """
+        limit = self.announcement.rate_limit
+        if per_s is None and started_at < limit.named_at:
+            return
+        self.rate_limits.update(self.entry, limit, per_s, self.now())
+
     def announce_pause(self, pause_s: float) -> None:
         """Send nothing to the target for as long as it asks, in seconds."""
         self.hooks.on_pause(self, pause_s)
--- a/bitternturn/platform/http_messages.py
+++ b/bitternturn/platform/http_messages.py
@@ -108,6 +108,7 @@
         misdirected=misdirected,
         leaving=headers.get(wire_names.HEADER_LEAVING, '').strip()
         == LEAVING_VALUE,
+        limit_per_s=_read_rate_limit(headers),
         pause_s=_read_pause(response.status, headers),
         encoded=wire_names.HEADER_CONTENT_ENCODING in headers,
         idle_timeout_s=_read_idle_timeout(
@@ -186,6 +187,15 @@
     return math.nan if pause_s is None else pause_s
 
 
+def _read_rate_limit(headers: Mapping[str, str]) -> float | None:
+    """Return the rate limit that an answer names; see `TargetAnswer`."""
+    text = headers.get(wire_names.HEADER_RATE_LIMIT)
+    if text is None:
+        return None
+    per_s = parse_decimal(text.strip())
+    return math.nan if per_s is None else per_s
+
+
 @lru_cache(maxsize=HEADER_CACHE_SIZE)
 def _read_idle_timeout(text: str) -> float | None:
     """Return the idle timeout in a keep-alive header, in seconds."""
--- a/bitternturn/platform/wire_names.py
+++ b/bitternturn/platform/wire_names.py
@@ -13,6 +13,9 @@
 HEADER_NOT_RUN: Final = 'x-not-executed'
 # `1` in all answers of a target that leaves.
 HEADER_LEAVING: Final = 'server-leaving'
+# Requests per second that a target accepts from all instances together, in all
+# answers while the limit holds.
+HEADER_RATE_LIMIT: Final = 'server-limit'
 HEADER_PART_STAMPS: Final = 'x-part-stamps'
 HEADER_MISSING_PARTS: Final = 'x-missing-parts'
 HEADER_RETRY_AFTER: Final = 'retry-after'
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -125,6 +125,7 @@
             on_end=partial(self._on_send_end, index),
         )
         send.max_records = self.request.limit
+        send.for_peer = True
         self.sends[index] = send
         start_directly(send, now)
 
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -183,6 +183,7 @@
                 misdirected=False,
                 leaving=part.leaving,
                 pause_s=None,
+                limit_per_s=None,
                 encoded=False,
                 idle_timeout_s=None,
                 headers={},
--- a/tests/gateway/test_merge.py
+++ b/tests/gateway/test_merge.py
@@ -21,6 +21,7 @@
         misdirected=False,
         leaving=False,
         pause_s=None,
+        limit_per_s=None,
         encoded=False,
         idle_timeout_s=None,
         headers={},
