--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -1,6 +1,7 @@
 """Helpers that set up a gateway with scripted targets on loopback."""
 
 import contextlib
+import dataclasses
 import os
 import random
 
@@ -105,19 +106,19 @@
     return TargetEntry(**fields)
 
 
-def make_gateway():
+def make_gateway(name='instance-1'):
     """Return a gateway without configuration and targets."""
     descriptor = os.open(os.devnull, os.O_WRONLY)
     gateway = Gateway(
-        settings=SETTINGS,
+        settings=dataclasses.replace(SETTINGS, name=name),
         wire=WIRE,
         decisions=DecisionLog(
-            instance='instance-1',
+            instance=name,
             writer=LineWriter(descriptor=descriptor),
         ),
         rng=random.Random(1),
     )
-    gateway.update_instances(['instance-1'])
+    gateway.update_instances([name])
     return gateway
 
 
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -62,8 +62,7 @@
 
     async def async_start(self):
         for name, domain in self.domains.items():
-            gateway = make_gateway()
-            gateway.settings = dataclasses.replace(gateway.settings, name=name)
+            gateway = make_gateway(name)
             self.gateways.append(gateway)
             server = RelayServer(
                 gateway=gateway,
