Keep all instances together within the rate limit that a target names

Cause: no instance observed Server-Limit, and none could have done so alone: the limit is a bound on the sum over the instances. Evidence: the counts of target_limit_use are the same before and after an instance has read the limit; hedges and retries are 8 to 9 %.

An instance now takes a permit for each send to such a target from a token bucket that holds its share: the limit divided by the senders. Bursts and rates of all senders, and of one that the others do not know yet, add up to at most the bound, whatever the timing. Where the bursts of all instances would exceed it, some instances are senders, by rendezvous rank, and the others probe. The instance that decides to send takes the permit, also when a peer sends for it; to targets of wide services the delegates do, with parts of the bound by rank. Reports carry the limit to the entry instance. Hedges, retries, queued and delegated sends need permits like first sends; a send that never left gives its permit back; a pause of the process voids saved ones. A target with room is preferred, and a request that too few shards can serve is refused at once with the time of the next permit.

--- a/bitternturn/gateway/const.py
+++ b/bitternturn/gateway/const.py
@@ -83,3 +83,6 @@
 # Delay of requests that were received during a pause of the process, until all
 # that waited has been read, in seconds.
 PAUSE_SETTLE_S: Final = 0.002
+# Time for which the permit of a send holds that waits for a connection, in
+# seconds. Later, sends of other instances may have followed.
+PERMIT_TIMEOUT_S: Final = 0.25
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -10,6 +10,7 @@
 from bitternturn.core.ids import ServiceName, TargetId
 from bitternturn.gateway import const
 from bitternturn.gateway.models import (
+    UNDELIVERED_OUTCOMES,
     CallerRequest,
     RepeatPolicy,
     Route,
@@ -45,16 +46,6 @@
         SendOutcome.MISDIRECTED,
     ),
 )
-# Outcomes of sends that did not reach a target.
-UNDELIVERED_OUTCOMES = frozenset(
-    (
-        SendOutcome.NOT_SENT,
-        SendOutcome.UNREACHABLE,
-        SendOutcome.DECLINED,
-        SendOutcome.OVER_BUDGET,
-        SendOutcome.UNWANTED,
-    )
-)
 # Outcomes after which the target is used for the same part only if no other
 # target is left.
 UNUSABLE_TARGET_OUTCOMES = frozenset(
@@ -85,6 +76,9 @@
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
 
+    def may_hedge(self, target: Target, now: float) -> bool:
+        """Return whether a hedge takes no permit that a first send needs."""
+
     def record_unanswered(
         self, targets: Sequence[TargetId], now: float
     ) -> None:
@@ -358,7 +352,7 @@
     def _hedge_part(self, part: Part, now: float) -> None:
         """Send a hedge for a part if there is a target and budget for it."""
         target = self._find_target(part)
-        if target is None:
+        if target is None or not self.dispatcher.may_hedge(target, now):
             return
         budget = self.dispatcher.retry_budget(part.service)
         paid = budget.try_spend(SendReason.HEDGE, now)
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -24,6 +24,7 @@
 )
 from bitternturn.gateway.pool import TargetPool
 from bitternturn.gateway.reporting import (
+    record_pause,
     record_refusal,
     record_request_end,
     register_gauges,
@@ -118,6 +119,11 @@
         )
         self.refresh_targets()
 
+    def handle_pause(self, length_s: float) -> None:
+        """Handle that the process handled no event for some seconds."""
+        self.rate_limits.void_permits(self.now())
+        record_pause(self, length_s)
+
     # Requests
 
     async def async_handle(self, request: Request) -> Response:
@@ -151,7 +157,12 @@
             - arrived_at
         )
         if paused_s > 0:
-            return self._refuse(caller, RefusalReason.PAUSED_TARGETS, paused_s)
+            reason = (
+                RefusalReason.PAUSED_TARGETS
+                if arrived_at < self.pauses_end_at
+                else RefusalReason.LIMITED_TARGETS
+            )
+            return self._refuse(caller, reason, paused_s)
         if route.shards and not self.can_serve(services, route.min_parts()):
             return self._refuse(
                 caller,
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -313,7 +313,7 @@
     DECLINED = 'declined'
     # The budget of a peer does not allow a further send.
     OVER_BUDGET = 'over_budget'
-    # Not sent: the target leaves, or has asked for a pause.
+    # Not sent: the target leaves, has asked for a pause or has named a limit.
     UNWANTED = 'unwanted'
     # The request was not sent, for a reason other than the target.
     NOT_SENT = 'not_sent'
@@ -323,6 +323,22 @@
     PEER_LOST = 'peer_lost'
 
 
+# Outcomes that show that a target is responsive.
+REPLY_OUTCOMES = frozenset(
+    (SendOutcome.ANSWERED, SendOutcome.FAILED, SendOutcome.NOT_RUN)
+)
+# Outcomes of sends that did not reach a target.
+UNDELIVERED_OUTCOMES = frozenset(
+    (
+        SendOutcome.NOT_SENT,
+        SendOutcome.UNREACHABLE,
+        SendOutcome.DECLINED,
+        SendOutcome.OVER_BUDGET,
+        SendOutcome.UNWANTED,
+    )
+)
+
+
 @unique
 class RefusalReason(Enum):
     """Reason for which a request is refused or fails."""
@@ -335,6 +351,8 @@
     SILENT_TARGETS = 'silent_targets'
     # Too few services have a target that has not asked for a pause.
     PAUSED_TARGETS = 'paused_targets'
+    # Too few services have a target that is below its rate limit.
+    LIMITED_TARGETS = 'limited_targets'
     BUSY = 'busy'
     NOT_RUN = 'not_run'
     # For the remaining reasons, targets may have run the request.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -15,6 +15,7 @@
 from bitternturn.gateway.fleet_state import FleetState
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import (
+    REPLY_OUTCOMES,
     InstanceSettings,
     SendOutcome,
     Service,
@@ -56,10 +57,6 @@
 # Range of random factors on the cost of targets, which spreads the sends over
 # targets of equal cost.
 COST_JITTER = (0.9, 1.1)
-# Outcomes that show that a target is responsive.
-REPLY_OUTCOMES = frozenset(
-    (SendOutcome.ANSWERED, SendOutcome.FAILED, SendOutcome.NOT_RUN)
-)
 
 
 class TargetPool:
@@ -98,7 +95,9 @@
         self.delegation_enabled = False
         self.targets: dict[TargetId, Target] = {}
         self.announcements = Announcements()
-        self.rate_limits = RateLimits(decisions=decisions)
+        self.rate_limits = RateLimits(
+            own_name=settings.name, decisions=decisions, rng=rng
+        )
         # End of the last pause that a target has asked for.
         self.pauses_end_at: float = 0
         self.target_hooks = TargetHooks(
@@ -135,6 +134,7 @@
         """Update the instances that share budgets and limits with this one."""
         self.fleet_state.instances_known = True
         ordered = sorted({*instances, self.settings.name})
+        self.rate_limits.update_instances(ordered)
         instance_index = ordered.index(self.settings.name)
         if (len(ordered), instance_index) == (
             self.instance_count,
@@ -251,11 +251,11 @@
         self, services: Sequence[ServiceName], min_services: int, now: float
     ) -> float:
         """Return when enough services have a target that wants requests."""
-        if now >= self.pauses_end_at:
+        if now >= self.pauses_end_at and not self.rate_limits.limited:
             return now
         returns = [
             min(
-                target.announcement.paused_until
+                target.next_send_at(now)
                 for target in (
                     *self.ready[service],
                     *self.standby.get(service, ()),
@@ -437,19 +437,28 @@
     ) -> Target | None:
         """Return the available target with the lowest expected cost."""
         now = self.now()
+        available = [
+            target
+            for target in targets
+            if target.entry.id not in avoided and target.allows_send(now)
+        ]
+        # A target near its rate limit keeps its permits for parts that have no
+        # other target.
+        spare = [target for target in available if target.has_spare(now)]
         return choose_target(
-            (
-                target
-                for target in targets
-                if target.entry.id not in avoided
-                and target.within_cold_limit(now)
-                and target.announcement.allows_send(now)
-            ),
+            spare or available,
             describe=lambda target: target.as_candidate(typical_latency_s, now),
             jitter=lambda: self.rng.uniform(*COST_JITTER),
             now=now,
         )
 
+    def may_hedge(self, target: Target, now: float) -> bool:
+        """Return whether a hedge takes no permit that a first send needs."""
+        return target.has_spare(now) or any(
+            other.announcement.rate_limit.per_s is None
+            for other in self.ready[target.entry.service]
+        )
+
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
         send.target.cold_send_limit.record_send(now)
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -15,6 +15,7 @@
 from bitternturn.gateway import const
 from bitternturn.gateway.announcements import Announcement
 from bitternturn.gateway.models import (
+    UNDELIVERED_OUTCOMES,
     CallerRequest,
     SendOutcome,
     TargetAnswer,
@@ -75,6 +76,8 @@
         'max_records',
         'on_end',
         'on_silence',
+        'peer_permit',
+        'permitted_at',
         'relay_delay_s',
         'silent',
         'sponsored',
@@ -122,6 +125,10 @@
         self.is_further = False
         # Whether another instance has asked for the send.
         self.for_peer = False
+        # When the rate limit of the target has permitted the send, None if it
+        # has not, and whether the instance that asked for it has the permit.
+        self.permitted_at: float | None = None
+        self.peer_permit = False
         # Whether the budget of the delegate has to allow this further send.
         self.sponsored = False
         self.detach_timer: asyncio.TimerHandle | None = None
@@ -262,10 +269,50 @@
         """Return whether a cold target's rate limit allows one more send."""
         return now >= self.cold_until or self.cold_send_limit.allows(now)
 
+    def allows_send(self, now: float) -> bool:
+        """Return whether the target accepts a request now."""
+        announcement = self.announcement
+        return (
+            self.within_cold_limit(now)
+            and announcement.allows_send(now)
+            and self.rate_limits.allows(
+                self.entry, announcement.rate_limit, now
+            )
+        )
+
+    def has_spare(self, now: float) -> bool:
+        """Return whether its rate limit has a permit that would be lost."""
+        return self.rate_limits.has_spare(
+            self.entry, self.announcement.rate_limit, now
+        )
+
+    def next_send_at(self, now: float) -> float:
+        """Return when the target accepts a request again."""
+        return max(
+            self.announcement.paused_until,
+            self.rate_limits.next_at(
+                self.entry, self.announcement.rate_limit, now
+            ),
+        )
+
+    def permits(self, send: Send, now: float) -> bool:
+        """Return whether the rate limit permits a send; take its permit."""
+        limit = self.announcement.rate_limit
+        if limit.per_s is None or send.peer_permit:
+            return True
+        if send.permitted_at is not None:
+            return now - send.permitted_at <= const.PERMIT_TIMEOUT_S
+        if not self.rate_limits.try_take(self.entry, limit, now):
+            return False
+        send.permitted_at = now
+        return True
+
     def start(self, send: Send, now: float) -> None:
         """Send over an idle connection, or queue the send for one."""
         self.sends.add(send)
-        if not self.announcement.allows_send(now):
+        if not self.announcement.allows_send(now) or not self.permits(
+            send, now
+        ):
             self.end_send(send, SendOutcome.UNWANTED, None)
             return
         connection = self._pop_idle(now, fresh=send.require_fresh_connection)
@@ -372,6 +419,8 @@
 
     def _use_connection(self, connection: ClientConnection) -> None:
         """Use a new or free connection for a queued send, or keep it idle."""
+        while self.queued and not self.permits(self.queued[0], self.now()):
+            self.end_send(self.queued[0], SendOutcome.UNWANTED, None)
         if self.queued:
             self._write_request(self.queued.popleft(), connection)
         elif self.closed:
@@ -458,7 +507,10 @@
         limit = self.announcement.rate_limit
         if per_s is None and started_at < limit.named_at:
             return
-        self.rate_limits.update(self.entry, limit, per_s, self.now())
+        now = self.now()
+        if per_s is not None:
+            self.announcement.announced_at = now
+        self.rate_limits.update(self.entry, limit, per_s, now)
 
     def announce_pause(self, pause_s: float) -> None:
         """Send nothing to the target for as long as it asks, in seconds."""
@@ -501,6 +553,8 @@
             send.detach_timer.cancel()
         if send.connection is None and send in self.queued:
             self.queued.remove(send)
+        if send.permitted_at is not None and outcome in UNDELIVERED_OUTCOMES:
+            self.rate_limits.give_back(self.announcement.rate_limit)
         self._record_end(send, outcome, took_s)
         if send.on_end is not None:
             send.on_end(send, outcome, answer)
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import signal
-from functools import partial
 from pathlib import Path
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
@@ -13,7 +12,7 @@
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.models import CallerLimits, InstanceSettings
-from bitternturn.gateway.reporting import log_traffic, record_pause
+from bitternturn.gateway.reporting import log_traffic
 from bitternturn.http import const as http
 from bitternturn.http.models import Request, Response
 from bitternturn.http.server import HttpServer, ServerLimits
@@ -62,7 +61,7 @@
             on_limits=self.apply_limits,
         )
         self.gateway.pauses = pauses
-        pauses.on_pause = partial(record_pause, self.gateway)
+        pauses.on_pause = self.gateway.handle_pause
         store = PlatformStore(
             transport=ObjectTransport(
                 host=settings.store.host,
--- a/bitternturn/platform/http_messages.py
+++ b/bitternturn/platform/http_messages.py
@@ -47,6 +47,7 @@
     RefusalReason.NO_TARGET: http.STATUS_UNAVAILABLE,
     RefusalReason.SILENT_TARGETS: http.STATUS_UNAVAILABLE,
     RefusalReason.PAUSED_TARGETS: http.STATUS_UNAVAILABLE,
+    RefusalReason.LIMITED_TARGETS: http.STATUS_UNAVAILABLE,
     RefusalReason.BUSY: http.STATUS_UNAVAILABLE,
     RefusalReason.NOT_RUN: http.STATUS_UNAVAILABLE,
     RefusalReason.FAILED: http.STATUS_BAD_GATEWAY,
--- a/bitternturn/policy/const.py
+++ b/bitternturn/policy/const.py
@@ -88,3 +88,9 @@
 LAG_SHRINK_FACTOR: Final = 0.8
 LAG_GROWTH_FACTOR: Final = 1.05
 MIN_CAPACITY_SHARE: Final = 0.1
+
+# Bound of the requests to a target that has named a limit of so many requests
+# per second: any window holds limit × factor × window + slack at most.
+NAMED_LIMIT_WINDOW_S: Final = 4.0
+NAMED_LIMIT_FACTOR: Final = 1.5
+NAMED_LIMIT_SLACK: Final = 5.0
--- a/bitternturn/policy/delegate_selection.py
+++ b/bitternturn/policy/delegate_selection.py
@@ -13,11 +13,8 @@
 import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Final
 
-HASH_RANGE: Final = 0x100000000  # noqa: WPS432
-# Odd multiplier near the golden ratio of the range (Fibonacci hashing, Knuth).
-HASH_MULTIPLIER: Final = 0x9E3779B1  # noqa: WPS432
+from bitternturn.policy.rendezvous import hash_share
 
 
 @dataclass(kw_only=True, frozen=True, slots=True)
@@ -57,8 +54,4 @@
 
 def _score(key: str, member: DelegateCandidate) -> float:
     """Return the rendezvous score of a member for a key."""
-    digest = zlib.crc32(f'{key}/{member.name}'.encode())
-    # CRC is linear; the multiplication separates similar names.
-    mixed_hash = (digest * HASH_MULTIPLIER) % HASH_RANGE
-    share = (mixed_hash + 1) / (HASH_RANGE + 1)
-    return -member.cores / math.log(share)
+    return -member.cores / math.log(hash_share(key, member.name))
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -9,6 +9,7 @@
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.models import (
     Address,
+    SendOutcome,
     TargetEntry,
 )
 from bitternturn.gateway.target import Send, start_directly
@@ -65,6 +66,8 @@
         gateway.find_sponsor = self.find_sponsor
         gateway.sponsor = self.sponsor
         gateway.delegation_enabled = True
+        gateway.rate_limits.find_delegate_rank = self.find_own_rank
+        gateway.rate_limits.needs_own_permit = self.needs_own_permit
 
     def update_members(self, entries: Sequence[MemberEntry]) -> None:
         """Update the peers from the registered instances."""
@@ -85,6 +88,7 @@
         }
         self.members = domains
         self.rankings.clear()
+        self.gateway.rate_limits.invalidate_shares()
 
     def find_relays(self, domain: FailureDomain, now: float) -> list[Peer]:
         """Return the available relays of a failure domain, best first."""
@@ -116,6 +120,11 @@
         if peer is None:
             start_directly(send, now)
             return
+        if self._sent_by_instances(send.target.entry) and (
+            not send.target.permits(send, now)
+        ):
+            send.target.end_send(send, SendOutcome.UNWANTED, None)
+            return
         key = (peer.name, send.caller.id, send.sponsored)
         queued = self.outbox.get(key)
         if queued is None:
@@ -172,6 +181,37 @@
             self.rankings[(domain, key)] = ranked
         return ranked
 
+    def _sent_by_instances(self, entry: TargetEntry) -> bool:
+        """Return whether instances use a target on their own behalf."""
+        return entry.service not in self.gateway.wide_services
+
+    def needs_own_permit(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether sends to a target need a permit of this instance.
+
+        To the targets of wide services the delegate sends for all instances.
+        """
+        if self._sent_by_instances(entry):
+            return True
+        name = self._find_delegate(
+            entry.failure_domain, self._group_key(entry), now
+        )
+        return name is None or name == self.gateway.settings.name
+
+    def find_own_rank(self, entry: TargetEntry) -> int | None:
+        """Return the rank of this instance among a target's delegates.
+
+        Returns None if instances send to it on their own behalf.
+        """
+        return None if self._sent_by_instances(entry) else self._own_rank(entry)
+
+    def _own_rank(self, entry: TargetEntry) -> int:
+        """Return the rank of this instance among a target's delegates."""
+        ranked = self._ranked_members(
+            entry.failure_domain, self._group_key(entry)
+        )
+        own_name = self.gateway.settings.name
+        return ranked.index(own_name) if own_name in ranked else len(ranked)
+
     def find_sponsor(self, entry: TargetEntry, now: float) -> bool:
         """Return whether a further send to a target may exceed the own budget.
 
@@ -199,14 +239,10 @@
                 restarted_at=self.gateway.restarted_at,
             )
             self.sponsor_budgets[entry.service] = budget
-        ranked = self._ranked_members(
-            entry.failure_domain, self._group_key(entry)
-        )
-        own_name = self.gateway.settings.name
         budget.slack = delegate_slack(
             global_limits.retry_slack,
             domains=self._count_domains(entry.service),
-            rank=ranked.index(own_name) if own_name in ranked else len(ranked),
+            rank=self._own_rank(entry),
         )
         return budget.try_spend(SendReason.RETRY, now)
 
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -126,6 +126,7 @@
         )
         send.max_records = self.request.limit
         send.for_peer = True
+        send.peer_permit = self.request.permitted
         self.sends[index] = send
         start_directly(send, now)
 
@@ -143,6 +144,11 @@
             # Not MISDIRECTED: that would make the requesting instance displace
             # the target again with each request.
             return SendOutcome.UNREACHABLE
+        permitted = self.request.permitted or target.rate_limits.has_permit(
+            target.entry, target.announcement.rate_limit, now
+        )
+        if not permitted:
+            return SendOutcome.UNWANTED
         candidate = target.as_candidate(self.latency_estimate.mean_s, now)
         if self.request.may_decline and should_decline(candidate, now):
             return SendOutcome.DECLINED
@@ -272,9 +278,21 @@
         part.leaving = target.announcement.leaving
         pause_s = target.announcement.paused_until - target.now()
         part.pause_ms = max(0, math.ceil(pause_s * MS_PER_SECOND))
+        _add_rate_limit(part, target)
     return part
 
 
+def _add_rate_limit(part: Part, target: Target) -> None:
+    """Add the rate limit that a target has named, if any."""
+    limit = target.announcement.rate_limit
+    if limit.per_s is None:
+        return
+    now = target.now()
+    wait_s = target.rate_limits.own_next_at(target.entry, limit, now) - now
+    part.limit_per_s = limit.per_s
+    part.limit_wait_ms = math.ceil(wait_s * MS_PER_SECOND)
+
+
 def _is_answer(end: SendEnd) -> bool:
     """Whether a send ended with a valid answer."""
     part, answer = end
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -7,6 +7,7 @@
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.merge import split_records
 from bitternturn.gateway.models import (
+    REPLY_OUTCOMES,
     MergedRecords,
     SendOutcome,
     TargetAnswer,
@@ -100,6 +101,8 @@
                 sponsored=first.sponsored,
                 cumulative=True,
                 want_receipt=True,
+                permitted=first.target.entry.service
+                not in self.gateway.wide_services,
             ),
         )
 
@@ -173,6 +176,7 @@
             send.target.announce_leaving()
         if part.pause_ms:
             send.target.announce_pause(part.pause_ms / MS_PER_SECOND)
+        self._apply_rate_limit(send, part, outcome)
         answer = None
         if outcome is SendOutcome.ANSWERED:
             answer = TargetAnswer(
@@ -194,6 +198,20 @@
         took_s = part.took_ms / MS_PER_SECOND
         send.target.end_send(send, outcome, answer, took_s)
 
+    def _apply_rate_limit(
+        self, send: Send, part: Part, outcome: SendOutcome
+    ) -> None:
+        """Apply the rate limit that a report states, if the peer knows it."""
+        limited = part.limit_per_s > 0
+        if limited or outcome in REPLY_OUTCOMES:
+            send.target.announce_rate_limit(
+                part.limit_per_s if limited else None, send.started_at
+            )
+        limit = send.target.announcement.rate_limit
+        limit.peer_full_until = (
+            self.gateway.now() + part.limit_wait_ms / MS_PER_SECOND
+        )
+
     def _finish_all(self, failure: PeerFailure) -> None:
         """Finish every pending send after a failure of the peer."""
         outcome = SendOutcome.PEER_LOST
