Let the soak's targets name rate limits

A new fault lets a share of the targets (a fifth, half or all) name limits of 0.5 to 12 a second, change them once and lift them, beside kills, pauses, restarts and outages. The check counts, per limit, what instances sent that had passed on an answer with it half a second before, in any 4 s after the first 4 s.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -131,6 +131,25 @@
     environment.pausing_share = 0.0
 
 
+async def async_limit_targets(
+    environment: SoakEnvironment, duration_s: float
+) -> None:
+    """Let targets name rate limits, change them once and lift them."""
+    rng = environment.rng
+    share = rng.choice((0.2, 0.5, 1.0))
+    limited = [
+        target.standin
+        for target in environment.targets
+        if target.state == 'ready' and rng.random() < share
+    ]
+    for span_s in (rng.uniform(4.5, 8), duration_s):
+        for standin in limited:
+            standin.rate_limit = f'{rng.uniform(0.5, 12):.1f}'
+        await asyncio.sleep(span_s)
+    for standin in limited:
+        standin.rate_limit = None
+
+
 async def async_leave_target(
     environment: SoakEnvironment, duration_s: float
 ) -> None:
@@ -225,6 +244,7 @@
     async_drop_store_history,
     async_restore_store,
     async_pause_targets,
+    async_limit_targets,
     async_leave_target,
     async_delay_target,
     async_break_target_connections,
--- a/bench/soak/invariants.py
+++ b/bench/soak/invariants.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 import h11
@@ -15,6 +15,13 @@
     SoakTarget,
 )
 from bitternturn.standins.platform_target import PAUSE_GRACE_S, PlatformTarget
+from bitternturn.standins.rate_limit_check import (
+    GRACE_S,
+    STABILITY_S,
+    LimitPeriod,
+    allowed_requests,
+    find_crowded_window,
+)
 
 MAX_REQUESTS_IN_PAUSE = 2
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -152,22 +159,14 @@
         for target in environment.targets:
             self._check_leaving(target.standin, asked)
             self._check_pauses(target, asked)
+            for period in target.standin.named_limits.periods:
+                self._check_rate_limit(target, period, asked)
 
     def _check_leaving(
         self, target: PlatformTarget, asked: Mapping[str, ObservedAnswer]
     ) -> None:
         """Check that no request follows an answer that says it leaves."""
-        told_at: dict[tuple[int, int], float] = {}
-        for answer in asked.values():
-            stamps = answer.headers.get(
-                'x-server-stamp', ''
-            ) + answer.headers.get('x-part-stamps', '')
-            named = f'{target.id}.{answer.id}.' in stamps
-            if named and answer.sent_at > target.leaving_told_at:
-                key = (answer.instance, answer.epoch)
-                told_at[key] = min(
-                    told_at.get(key, math.inf), answer.received_at
-                )
+        told_at = _find_told(target, asked.values(), target.leaving_told_at)
         for received in target.requests:
             answer = asked.get(received.id)
             if answer is None:
@@ -179,6 +178,37 @@
                     f'{answer.instance} had passed on that it leaves'
                 )
 
+    def _check_rate_limit(
+        self,
+        disturbed: SoakTarget,
+        period: LimitPeriod,
+        asked: Mapping[str, ObservedAnswer],
+    ) -> None:
+        """Check the requests of all instances that knew a limit.
+
+        Not windows in which requests may have been held up on the way.
+        """
+        target = disturbed.standin
+        told_at = _find_told(target, asked.values(), period.since)
+        arrivals = sorted(
+            received.arrived_at
+            for received in target.requests
+            if received.arrived_at < period.until
+            and (answer := asked.get(received.id)) is not None
+            and received.arrived_at
+            > told_at.get((answer.instance, answer.epoch), math.inf) + GRACE_S
+        )
+        crowded = find_crowded_window(
+            arrivals,
+            allowed=allowed_requests(float(period.text)),
+            ends_from=period.since + STABILITY_S,
+        )
+        if crowded and not any(map(disturbed.was_disturbed, crowded)):
+            self.violations.append(
+                f'{target.id}: {len(crowded)} requests in 4 s until '
+                f'{crowded[-1]:.3f} with a limit of {period.text} per s'
+            )
+
     def _check_pauses(
         self, disturbed: SoakTarget, asked: Mapping[str, ObservedAnswer]
     ) -> None:
@@ -216,6 +246,23 @@
     }
 
 
+def _find_told(
+    target: PlatformTarget, answers: Iterable[ObservedAnswer], since: float
+) -> dict[tuple[int, int], float]:
+    """Return when each epoch of an instance first passed on an answer.
+
+    Only answers of a target to requests that were sent after a time count.
+    """
+    told_at: dict[tuple[int, int], float] = {}
+    for answer in answers:
+        stamps = answer.headers.get('x-server-stamp', '')
+        stamps += answer.headers.get('x-part-stamps', '')
+        if f'{target.id}.{answer.id}.' in stamps and answer.sent_at > since:
+            key = (answer.instance, answer.epoch)
+            told_at[key] = min(told_at.get(key, math.inf), answer.received_at)
+    return told_at
+
+
 def _parse_stamp(stamp: str) -> tuple[str, str]:
     """Return target and request id from the stamp of a target stand-in."""
     target_id, _, rest = stamp.partition('.')
--- a/bitternturn/standins/platform_target.py
+++ b/bitternturn/standins/platform_target.py
@@ -17,13 +17,15 @@
 from bitternturn.http import const as http
 from bitternturn.platform import wire_names
 from bitternturn.standins.proxy import LINGER_RESET
-from bitternturn.standins.rate_limit_check import count_worst_window
+from bitternturn.standins.rate_limit_check import (
+    GRACE_S,
+    NamedLimits,
+    count_worst_window,
+)
 
 STAMP_FORMAT = '{target}.{request}.{count}'
 # Time after the request for a pause in which requests may still arrive.
 PAUSE_GRACE_S = 0.5
-# Time after the first answer with a rate limit in which requests do not count.
-LIMIT_GRACE_S = 0.5
 # Size of what an endless answer writes at once.
 ENDLESS_WRITE_BYTES = 32 * 1024
 
@@ -141,10 +143,9 @@
     # request.
     retry_after: str = '1'
     pauses_told: list[tuple[float, str]] = field(default_factory=list)
-    # Rate limit that all answers name, and when the first one did, on the
-    # monotonic clock.
+    # Rate limit that all answers name, and what they have named so far.
     rate_limit: str | None = None
-    limit_named_at: float = math.inf
+    named_limits: NamedLimits = field(default_factory=NamedLimits)
     # Copies of answers that precede the next answer on a connection.
     late_copies: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
 
@@ -176,7 +177,7 @@
 
     def worst_window_under_limit(self) -> int:
         """Return the most requests in a window since the limit was named."""
-        counted_from = self.limit_named_at + LIMIT_GRACE_S
+        counted_from = self.named_limits.first_named_at + GRACE_S
         return count_worst_window(
             received.arrived_at
             for received in self.requests
@@ -325,8 +326,8 @@
         if self.leaving:
             self.leaving_told_at = min(self.leaving_told_at, time.monotonic())
             headers.append((wire_names.HEADER_LEAVING, '1'))
+        self.named_limits.record_answer(self.rate_limit, time.monotonic())
         if self.rate_limit is not None:
-            self.limit_named_at = min(self.limit_named_at, time.monotonic())
             headers.append((wire_names.HEADER_RATE_LIMIT, self.rate_limit))
         if behaviour is not ScriptedBehaviour.MISSING_ID:
             headers.append((wire_names.HEADER_REQUEST_ID, echoed))
