Let the permits of instances that only probe expire

Found by the new model of a limit that several instances observe: with 8 instances and a limit of 0.05 a second, of which 5 requests in 4 s are allowed, 6 came at one moment. Callers would not notice; a target in need would.

Cause: an instance that is no sender saves a permit to find out whether the limit has changed, and keeps it. After a quiet time all of them have one, in a fleet of 195 some 180. The same happened when a limit fell and senders became probing instances with the permit that they had saved.

A probing instance now loses its permit after half a second and has the next one a whole period later, and an instance that becomes one begins at a random phase. test_few_probes_follow_a_quiet_time and the model failed before. The model also fails with bursts or rates that are too large.

--- a/bitternturn/gateway/rate_limits.py
+++ b/bitternturn/gateway/rate_limits.py
@@ -235,12 +235,13 @@
         """Compute the share of this instance in a limit."""
         share = self._find_share(entry, per_s)
         limit.members_revision = self.members_revision
-        if limit.bucket is None:
+        bucket = limit.bucket
+        if bucket is None or share.probing != bucket.share.probing:
             # Instances that only probe do not all begin at the same time.
             level = -self.rng.random() if share.probing else 0
             limit.bucket = ShareBucket(share=share, level=level, now=now)
         else:
-            limit.bucket.set_share(share, now)
+            bucket.set_share(share, now)
         return share
 
     def _find_share(self, entry: TargetEntry, per_s: float) -> RateShare:
--- a/bitternturn/policy/share_bucket.py
+++ b/bitternturn/policy/share_bucket.py
@@ -1,7 +1,12 @@
 """Token bucket that keeps the sends of one instance within its share."""
 
+import math
+
 from bitternturn.policy.rate_shares import RateShare
 
+# Time for which an instance that only probes keeps a permit. The instances that
+# probe are many: after a quiet time all of them would have one.
+PROBE_PERMIT_S = 0.5
 # Tolerance for rounding errors, in requests.
 EPSILON = 1e-9
 
@@ -58,5 +63,9 @@
     def _fill(self, now: float) -> None:
         """Add the permits of the time since the last call."""
         added = max(0, now - self.filled_at) * self.share.rate_per_s
-        self.level = min(self.share.burst, self.level + added)
         self.filled_at = max(now, self.filled_at)
+        if self.share.probing:
+            expired_level = 1 + self.share.rate_per_s * PROBE_PERMIT_S
+            self.level = math.fmod(self.level + added, expired_level)
+        else:
+            self.level = min(self.share.burst, self.level + added)
--- a/tests/policy/test_rate_shares.py
+++ b/tests/policy/test_rate_shares.py
@@ -127,6 +127,20 @@
         }
         assert moves <= {0, 1}
 
+    @pytest.mark.parametrize('instances', [8, 73, 195, 440])
+    @pytest.mark.parametrize('rate', [0.05, 0.5, 7.2])
+    def test_few_probes_follow_a_quiet_time(self, rate, instances):
+        """Guards against a permit saved by every instance that probes."""
+        rng = random.Random(2)
+        buckets = [
+            ShareBucket(share=share, level=-rng.random(), now=0)
+            for share in make_shares(rate, instances)
+            if share.probing
+        ]
+        for now in (1000, 5000, 20000, 50000):
+            probes = sum(bucket.allows(now) for bucket in buckets)
+            assert probes <= 3
+
 
 class TestDelegateShares:
     @pytest.mark.parametrize('instances', [3, 73, 440])
