Split targets, sends, connections and the assignment of targets

Cause: connections, sends and announcements of a target had grown in one class, and log lines took whole objects.

Now send.py holds a send, target_connections.py the connections to a target, assignment.py decides which targets an instance uses, send_reporting.py and reporting.py take what they log. Tests of gateway, relay and platform pass.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -18,7 +18,8 @@
     TargetAnswer,
 )
 from bitternturn.gateway.parts import Deadlines, Part, RequestResult
-from bitternturn.gateway.target import Send, Target
+from bitternturn.gateway.send import Send
+from bitternturn.gateway.target import Target
 from bitternturn.policy.answer_timing import (
     LatencyEstimate,
     Progress,
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -27,7 +27,6 @@
     record_pause,
     record_refusal,
     record_request_end,
-    register_gauges,
 )
 from bitternturn.gateway.routes import RouteTable, WeightedRoundRobin
 from bitternturn.gateway.wire import Wire
@@ -88,7 +87,7 @@
         )
         self.configured_at = self.now()
         self.in_flight = 0
-        register_gauges(self)
+        _register_gauges(self)
 
     @property
     def version(self) -> int:
@@ -325,3 +324,29 @@
         if len(route.shards) >= const.MIN_WIDE_ROUTE_SHARDS
         for service in route.shards
     )
+
+
+def _register_gauges(gateway: Gateway) -> None:
+    """Register the gauges of an instance."""
+    gauges: dict[str, Callable[[], float]] = {
+        'in_flight': lambda: gateway.in_flight,
+        'configuration_version': lambda: gateway.version,
+        'configuration_age': lambda: gateway.now() - gateway.configured_at,
+        'configuration_confirmed_age': lambda: (
+            gateway.confirmed_age_s(gateway.now()) or 0
+        ),
+        'targets': lambda: len(gateway.targets),
+        'sends_under_way': lambda: sum(
+            len(target.sends) for target in gateway.targets.values()
+        ),
+        'sends_waiting': lambda: sum(
+            len(target.queued) for target in gateway.targets.values()
+        ),
+        'instances': lambda: gateway.instance_count,
+        'further_sends': lambda: sum(
+            budget.further_sends for budget in gateway.retry_budgets.values()
+        ),
+        'log_lines_dropped': lambda: gateway.decisions.writer.dropped,
+    }
+    for name, read in gauges.items():
+        gateway.metrics.register_gauge(name, read)
--- a/bitternturn/gateway/parts.py
+++ b/bitternturn/gateway/parts.py
@@ -6,7 +6,7 @@
 
 from bitternturn.core.ids import ServiceName, TargetId
 from bitternturn.gateway.models import Route, TargetAnswer
-from bitternturn.gateway.target import Send
+from bitternturn.gateway.send import Send
 from bitternturn.http import const as http
 from bitternturn.policy.answer_timing import Verdict
 
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -11,6 +11,10 @@
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway import const
 from bitternturn.gateway.announcements import Announcements
+from bitternturn.gateway.assignment import (
+    assign_targets,
+    choose_preferred_domain,
+)
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.fleet_state import FleetState
 from bitternturn.gateway.metrics import GatewayMetrics
@@ -22,9 +26,9 @@
     TargetEntry,
 )
 from bitternturn.gateway.rate_limits import RateLimits
-from bitternturn.gateway.reporting import record_send_end
+from bitternturn.gateway.send import Send
+from bitternturn.gateway.send_reporting import record_send_end
 from bitternturn.gateway.target import (
-    Send,
     Target,
     TargetHooks,
     start_directly,
@@ -35,11 +39,6 @@
     FurtherSendBudget,
     instance_slack,
 )
-from bitternturn.policy.subsets import (
-    connections_per_target,
-    count_subset_replicas,
-    split_replicas,
-)
 from bitternturn.policy.target_pauses import (
     MAX_PAUSE_S,
     choose_return_at,
@@ -162,7 +161,15 @@
                 self.targets.pop(target_id).close()
         for entry in entries.values():
             self._update_target(entry)
-        self._choose_preferred_domain()
+        self.preferred_domain = choose_preferred_domain(
+            {
+                entry.failure_domain
+                for entry in entries.values()
+                if entry.service in self.wide_services
+            },
+            own=self.settings.failure_domain,
+            position=self.instance_index if self.delegation_enabled else None,
+        )
         self._rank_domains()
         self.ready = {}
         self.standby = {}
@@ -201,7 +208,15 @@
         exchange_bytes: int,
     ) -> None:
         """Record the end of a send and displace a misdirected target."""
-        record_send_end(self, target, outcome, latency_s, exchange_bytes)
+        record_send_end(
+            target,
+            outcome,
+            latency_s,
+            exchange_bytes,
+            own_domain=self.settings.failure_domain,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
         if outcome is SendOutcome.MISDIRECTED:
             self.displace(target)
         elif outcome is SendOutcome.UNREACHABLE:
@@ -287,26 +302,6 @@
         target.readmit()
         self.refresh_targets()
 
-    def _choose_preferred_domain(self) -> None:
-        """Choose the failure domain whose targets are preferred.
-
-        It is the domain of this instance, or, with delegation, one by the
-        index of the instance if the own domain has no targets of wide
-        services.
-        """
-        domains = {
-            entry.failure_domain
-            for entry in self.fleet_state.entries.values()
-            if entry.service in self.wide_services
-        }
-        own = self.settings.failure_domain
-        if own in domains or not domains or not self.delegation_enabled:
-            self.preferred_domain = own
-        else:
-            self.preferred_domain = sorted(domains)[
-                self.instance_index % len(domains)
-            ]
-
     def _rank_domains(self) -> None:
         """Rank the failure domains of all targets."""
         next_domain = choose_next_domain(
@@ -331,35 +326,32 @@
     ) -> None:
         """Assign a subset of a service's targets to this instance."""
         service = self._find_service(name)
-        max_connections = service.max_connections if service else 1
-        connections = max(1, int(max_connections * const.MAX_CONNECTION_SHARE))
-        ordered = sorted(ready, key=_by_id)
-        subset_size = count_subset_replicas(
-            replicas=len(ordered),
-            instances=self.instance_count,
-            connections=connections,
-        )
-        assigned, standby = split_replicas(
-            ordered,
+        assignment = assign_targets(
+            ready,
             service=name,
+            max_connections=service.max_connections if service else 1,
+            instances=self.instance_count,
             position=self.instance_index,
-            subset_size=subset_size,
+            delegated=self.delegation_enabled and name in self.wide_services,
         )
-        max_target_connections = connections_per_target(
-            replicas=len(ordered),
-            instances=self.instance_count,
-            subset_size=subset_size,
-            connections=connections,
+        self.ready[name] = [
+            self.targets[entry.id] for entry in assignment.assigned
+        ]
+        self.standby[name] = [
+            self.targets[entry.id] for entry in assignment.standby
+        ]
+        for target in self.ready[name]:
+            target.connections.max_count = assignment.max_connections
+        self._share_cold_limits(
+            service, [*self.ready[name], *self.standby[name]]
         )
-        if self.delegation_enabled and name in self.wide_services:
-            assigned, standby = ordered, []
-            max_target_connections = _delegate_connections(connections, ordered)
-        self.ready[name] = [self.targets[entry.id] for entry in assigned]
-        self.standby[name] = [self.targets[entry.id] for entry in standby]
+
+    def _share_cold_limits(
+        self, service: Service | None, targets: Sequence[Target]
+    ) -> None:
+        """Update the share of this instance in the limits of cold targets."""
         global_limits = self.settings.global_limits
-        for target in self.ready[name]:
-            target.max_connections = max_target_connections
-        for target in (*self.ready[name], *self.standby[name]):
+        for target in targets:
             target.cold_send_limit.set_limit(
                 rate=service.cold_rate_per_s if service else 0,
                 factor=global_limits.cold_rate_factor,
@@ -488,24 +480,6 @@
     return False
 
 
-def _delegate_connections(
-    connections: int,
-    targets: Sequence[TargetEntry],
-) -> int:
-    """Return the connections to one target for an instance that delegates.
-
-    Such an instance connects to all targets of wide services. It opens at most
-    a quarter of the connections that a target allows, and three per slot.
-    """
-    slots = max((target.slots for target in targets), default=1)
-    return max(1, min(connections // 4, slots * 3))
-
-
-def _by_id(entry: TargetEntry) -> TargetId:
-    """Return the sort key of target entries."""
-    return entry.id
-
-
 def _is_replaced(current: TargetEntry, entry: TargetEntry) -> bool:
     """Return whether an entry has another start, address or service."""
     return (
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -1,49 +1,35 @@
 """Decision log lines and metrics of the gateway."""
 
 from collections import Counter
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.gateway.decision_log import DecisionLog
+from bitternturn.gateway.execution import RequestExecution
 from bitternturn.gateway.metrics import GatewayMetrics
-from bitternturn.gateway.models import CallerRequest, RefusalReason, SendOutcome
-from bitternturn.policy.target_selection import EJECTION_FAILURES
-
-if TYPE_CHECKING:
-    from bitternturn.gateway.execution import RequestExecution
-    from bitternturn.gateway.gateway import Gateway
-    from bitternturn.gateway.pool import TargetPool
-    from bitternturn.gateway.target import Target
-
-
-def register_gauges(gateway: 'Gateway') -> None:
-    """Register the gauges of an instance."""
-    gauges: dict[str, Callable[[], float]] = {
-        'in_flight': lambda: gateway.in_flight,
-        'configuration_version': lambda: gateway.version,
-        'configuration_age': lambda: gateway.now() - gateway.configured_at,
-        'configuration_confirmed_age': lambda: (
-            gateway.confirmed_age_s(gateway.now()) or 0
-        ),
-        'targets': lambda: len(gateway.targets),
-        'sends_under_way': lambda: sum(
-            len(target.sends) for target in gateway.targets.values()
-        ),
-        'sends_waiting': lambda: sum(
-            len(target.queued) for target in gateway.targets.values()
-        ),
-        'instances': lambda: gateway.instance_count,
-        'further_sends': lambda: sum(
-            budget.further_sends for budget in gateway.retry_budgets.values()
-        ),
-        'log_lines_dropped': lambda: gateway.decisions.writer.dropped,
-    }
-    for name, read in gauges.items():
-        gateway.metrics.register_gauge(name, read)
+from bitternturn.gateway.models import CallerRequest, RefusalReason
+
+
+class InstanceState(Protocol):
+    """State of the instance that its log lines mention."""
+
+    metrics: GatewayMetrics
+    decisions: DecisionLog
+    configured_at: float
+    in_flight: int
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration."""
 
-def record_pause(gateway: 'Gateway', length_s: float) -> None:
+    def now(self) -> float:
+        """Return the current time in seconds."""
+
+    def confirmed_age_s(self, now: float) -> float | None:
+        """Return the time since the configuration was confirmed."""
+
+
+def record_pause(gateway: InstanceState, length_s: float) -> None:
     """Count and log a time in which the process handled no event."""
     gateway.metrics.record_latency('pause', length_s)
     gateway.decisions.write(
@@ -63,47 +49,9 @@
     )
 
 
-def record_send_end(
-    pool: 'TargetPool',
-    target: 'Target',
-    outcome: SendOutcome,
-    latency_s: float,
-    exchange_bytes: int,
-) -> None:
-    """Count the outcome of a send; log displaced and ejected targets."""
-    name = target.entry.id
-    pool.metrics.increment('sends', outcome=outcome.value)
-    if exchange_bytes:
-        same_domain = (
-            target.entry.failure_domain == pool.settings.failure_domain
-        )
-        pool.metrics.add(
-            'target_bytes',
-            exchange_bytes,
-            scope='same_domain' if same_domain else 'other_domain',
-        )
-    if outcome is SendOutcome.ANSWERED:
-        pool.metrics.record_latency('send_latency', latency_s, target=name)
-    elif outcome is SendOutcome.MISDIRECTED:
-        pool.decisions.write(
-            'target_displaced',
-            target=name,
-            service=target.entry.service,
-            address=f'{target.entry.host}:{target.entry.port}',
-        )
-    elif target.record.consecutive_failures == EJECTION_FAILURES:
-        pool.decisions.write(
-            'target_ejected',
-            target=name,
-            service=target.entry.service,
-            failures=target.record.consecutive_failures,
-            last=outcome.value,
-        )
-
-
 def record_request_end(
-    gateway: 'Gateway',
-    execution: 'RequestExecution',
+    gateway: InstanceState,
+    execution: RequestExecution,
     outcome: str,
     arrived_at: float,
 ) -> None:
@@ -148,7 +96,7 @@
 
 
 def record_refusal(
-    gateway: 'Gateway',
+    gateway: InstanceState,
     caller: CallerRequest,
     reason: RefusalReason,
     retry_after_s: float | None,
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -1,4 +1,4 @@
-"""One target: its connections, sends in flight and statistics."""
+"""One target: its sends in flight, statistics and announcements."""
 
 import asyncio
 import math
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import Protocol
 
 import h11
 
@@ -16,18 +15,19 @@
 from bitternturn.gateway.announcements import Announcement
 from bitternturn.gateway.models import (
     UNDELIVERED_OUTCOMES,
-    CallerRequest,
+    Address,
     SendOutcome,
     TargetAnswer,
     TargetEntry,
 )
-from bitternturn.gateway.rate_limits import RateLimits, SendKind
+from bitternturn.gateway.rate_limits import RateLimits
+from bitternturn.gateway.send import Send
+from bitternturn.gateway.target_connections import TargetConnections
 from bitternturn.gateway.wire import Wire
 from bitternturn.http import const as http
-from bitternturn.http.client import ClientConnection, async_connect
+from bitternturn.http.client import ClientConnection
 from bitternturn.http.models import Response
 from bitternturn.http.response_size import BodyBuffers
-from bitternturn.policy.answer_timing import LatencyEstimate
 from bitternturn.policy.cold_send_limit import ColdSendLimit
 from bitternturn.policy.target_selection import (
     DECLINED_SLOWNESS,
@@ -48,132 +48,6 @@
 # Called with the target, the outcome of a send, its latency in seconds and the
 # bytes of its exchange, 0 if a peer made it.
 SendRecorder = Callable[['Target', SendOutcome, float, int], None]
-SendEndListener = Callable[['Send', SendOutcome, TargetAnswer | None], None]
-
-
-class SendCarrier(Protocol):
-    """Connection or delegated batch that carries a send."""
-
-    def close(self) -> None:
-        """Cancel the send."""
-
-
-class Send:
-    """One send of a request to one target."""
-
-    __slots__ = (
-        'aborted',
-        'caller',
-        'connection',
-        'deadline',
-        'declinable',
-        'detach_timer',
-        'direct',
-        'ended',
-        'for_peer',
-        'require_fresh_connection',
-        'is_further',
-        'max_records',
-        'on_end',
-        'on_silence',
-        'peer_permit',
-        'permitted_at',
-        'relay_delay_s',
-        'silent',
-        'sponsored',
-        'started_at',
-        'target',
-        'latency_estimate',
-    )
-
-    def __init__(
-        self,
-        *,
-        caller: CallerRequest,
-        target: 'Target',
-        latency_estimate: LatencyEstimate,
-        deadline: float,
-        require_fresh_connection: bool,
-        now: float,
-        on_end: SendEndListener,
-    ) -> None:
-        """Initialise a send.
-
-        A connection is fresh if it is new or was used a short time ago.
-        """
-        self.caller = caller
-        self.target = target
-        self.latency_estimate = latency_estimate
-        self.deadline = deadline
-        self.require_fresh_connection = require_fresh_connection
-        self.started_at = now
-        self.on_end: SendEndListener | None = on_end
-        # Called if the delegate does not confirm that it has the send.
-        self.on_silence: Callable[[], None] | None = None
-        # Whether the delegate has not confirmed it in time.
-        self.silent = False
-        self.connection: SendCarrier | None = None
-        # Additional time until a peer reports the answer, 0 for a direct send.
-        self.relay_delay_s: float = 0
-        # Maximum number of records of a part, 0 for routes without shards.
-        self.max_records = 0
-        # Whether a peer may decline the send in favour of another target.
-        self.declinable = False
-        # Whether no peer may make the send.
-        self.direct = False
-        # Whether this is a hedge or retry, whose outcome a peer reports early.
-        self.is_further = False
-        # Whether another instance has asked for the send.
-        self.for_peer = False
-        # When the rate limit of the target has permitted the send, None if it
-        # has not, and whether the instance that asked for it has the permit.
-        self.permitted_at: float | None = None
-        self.peer_permit = False
-        # Whether the budget of the delegate has to allow this further send.
-        self.sponsored = False
-        self.detach_timer: asyncio.TimerHandle | None = None
-        # Whether this instance or the requesting peer has aborted the send.
-        self.aborted = False
-        self.ended = False
-
-    @property
-    def kind(self) -> SendKind:
-        """Why this instance makes the send."""
-        if self.for_peer:
-            return SendKind.DELEGATED
-        return SendKind.FURTHER if self.is_further else SendKind.FIRST
-
-    def report_silence(self) -> None:
-        """Handle that the delegate has not confirmed the send in time."""
-        if self.ended or self.on_end is None:
-            return
-        self.silent = True
-        if self.on_silence is not None:
-            self.on_silence()
-
-    def detach(self) -> None:
-        """Ignore the outcome; abort the send if it does not end soon."""
-        if self.ended:
-            return
-        self.on_end = None
-        if self.connection is None:
-            self.target.cancel_queued(self)
-            return
-        loop = asyncio.get_running_loop()
-        self.detach_timer = loop.call_later(
-            const.DETACHED_SEND_TIMEOUT_S, self.abort
-        )
-
-    def abort(self) -> None:
-        """End a detached send without an answer."""
-        if self.ended:
-            return
-        self.on_end = None
-        self.aborted = True
-        if self.connection is None:
-            self.target.cancel_queued(self)
-        else:
-            self.connection.close()
 
 
 @dataclass(kw_only=True, frozen=True, slots=True)
@@ -209,7 +83,6 @@
         """Initialise without connections; they are opened on demand."""
         self.entry = entry
         self.wire = wire
-        self.tasks = tasks
         self.buffers = buffers
         self.announcement = announcement
         self.rate_limits = rate_limits
@@ -218,13 +91,15 @@
         # Rank of the failure domain, see `Candidate`.
         self.domain_rank = 0
         self.record = TargetStatistics()
-        self.max_connections = 1
         self.cold_until: float = 0
         self.cold_send_limit = ColdSendLimit()
-        # Idle connections with the time of their last use, latest last.
-        self.idle: list[tuple[ClientConnection, float]] = []
-        self.idle_timeout_s = const.DEFAULT_IDLE_TIMEOUT_S
-        self.opening_count = 0
+        self.connections = TargetConnections(
+            address=Address(host=entry.host, port=entry.port),
+            tasks=tasks,
+            now=hooks.now,
+            on_open=self._use_connection,
+            on_failure=self._handle_connect_failure,
+        )
         self.queued: deque[Send] = deque()
         self.sends: set[Send] = set()
         # Those of `sends` that peers make.
@@ -262,7 +137,7 @@
             oldest_ratio=oldest_s / typical_latency_s,
             domain_rank=self.domain_rank,
             cold=now < self.cold_until,
-            full=bool(self.queued) and not self.opening_count,
+            full=bool(self.queued) and not self.connections.opening_count,
         )
 
     def within_cold_limit(self, now: float) -> bool:
@@ -315,7 +190,9 @@
         ):
             self.end_send(send, SendOutcome.UNWANTED, None)
             return
-        connection = self._pop_idle(now, fresh=send.require_fresh_connection)
+        connection = self.connections.take_idle(
+            now, fresh=send.require_fresh_connection
+        )
         if connection is not None:
             self._write_request(send, connection)
             return
@@ -342,68 +219,15 @@
         """Close idle connections, and others once their sends have ended."""
         self.closed = True
         self.readmit()
-        self.close_idle()
-
-    def close_idle(self) -> None:
-        """Close the idle connections."""
-        for connection, _ in self.idle:
-            connection.close()
-        self.idle.clear()
-
-    def _pop_idle(
-        self,
-        now: float,
-        *,
-        fresh: bool,
-    ) -> ClientConnection | None:
-        """Return an idle connection that the target should still keep open."""
-        max_idle_s = self.idle_timeout_s * const.IDLE_TIMEOUT_SHARE
-        if fresh:
-            max_idle_s = min(max_idle_s, const.NON_REPEATABLE_MAX_IDLE_S)
-        while self.idle:
-            connection, since = self.idle[-1]
-            if fresh and now - since > max_idle_s:
-                return None
-            self.idle.pop()
-            if connection.usable and now - since <= max_idle_s:
-                return connection
-            connection.close()
-        return None
+        self.connections.close_idle()
 
     def _open_connections(self) -> None:
         """Open a connection for a queued send, within the limit."""
         direct_count = len(self.sends) - len(self.delegated)
-        busy_count = direct_count - len(self.queued)
-        open_count = busy_count + self.opening_count
-        if (
-            self.opening_count >= len(self.queued)
-            or open_count >= self.max_connections
-        ):
-            return
-        # An idle connection that the queued send may not use is closed to make
-        # room for a new one.
-        if open_count + len(self.idle) >= self.max_connections and self.idle:
-            self.idle.pop(0)[0].close()
-        self.opening_count += 1
-        self.tasks.spawn(self._async_open_connection())
-
-    async def _async_open_connection(self) -> None:
-        """Open one connection and use it for a queued send."""
-        failed = False
-        started_at = self.now()
-        try:
-            async with asyncio.timeout(const.CONNECT_TIMEOUT_S):
-                connection = await async_connect(
-                    host=self.entry.host,
-                    port=self.entry.port,
-                )
-        except (TimeoutError, BitternturnError):
-            failed = True
-        self.opening_count -= 1
-        if failed:
-            self._handle_connect_failure(started_at)
-        else:
-            self._use_connection(connection)
+        self.connections.open(
+            queued_count=len(self.queued),
+            busy_count=direct_count - len(self.queued),
+        )
 
     def _handle_connect_failure(self, started_at: float) -> None:
         """End the first queued send as unreachable, else record a failure.
@@ -426,7 +250,7 @@
         elif self.closed:
             connection.close()
         else:
-            self.idle.append((connection, self.now()))
+            self.connections.put_idle(connection)
 
     def _write_request(self, send: Send, connection: ClientConnection) -> None:
         """Write the request of a send to its connection."""
@@ -475,7 +299,7 @@
         if not answer.misdirected:
             self._apply_announcement(answer, send.started_at)
         if answer.idle_timeout_s is not None:
-            self.idle_timeout_s = answer.idle_timeout_s
+            self.connections.idle_timeout_s = answer.idle_timeout_s
         self.end_send(send, _classify(answer), answer)
         if connection.usable:
             self._use_connection(connection)
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -12,7 +12,8 @@
     SendOutcome,
     TargetEntry,
 )
-from bitternturn.gateway.target import Send, start_directly
+from bitternturn.gateway.send import Send
+from bitternturn.gateway.target import start_directly
 from bitternturn.policy.delegate_selection import (
     DelegateCandidate,
     assign_group,
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -11,7 +11,8 @@
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.merge import RecordSelection, split_records
 from bitternturn.gateway.models import CallerRequest, SendOutcome, TargetAnswer
-from bitternturn.gateway.target import Send, Target, start_directly
+from bitternturn.gateway.send import Send
+from bitternturn.gateway.target import Target, start_directly
 from bitternturn.policy.answer_timing import LatencyEstimate
 from bitternturn.policy.target_selection import should_decline
 from bitternturn.relay import const
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -12,7 +12,7 @@
     SendOutcome,
     TargetAnswer,
 )
-from bitternturn.gateway.target import Send
+from bitternturn.gateway.send import Send
 from bitternturn.http.const import STATUS_OK
 from bitternturn.relay import const
 from bitternturn.relay.outcomes import decode_outcome
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -69,7 +69,7 @@
             gateway = make_gateway()
             configure(gateway, make_route(timeout_s=30.0))
             register(gateway, make_entry(target))
-            gateway.targets['t1'].max_connections = ANSWERS_AT_ONCE
+            gateway.targets['t1'].connections.max_count = ANSWERS_AT_ONCE
             tracemalloc.start()
             try:
                 responses = await asyncio.gather(
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -93,7 +93,7 @@
                 gateway, make_route(latency_objective_s=5.0, timeout_s=9.0)
             )
             register(gateway, make_entry(leaving))
-            gateway.targets['leaving'].max_connections = 1
+            gateway.targets['leaving'].connections.max_count = 1
             asked = [
                 asyncio.create_task(
                     gateway.async_handle(
@@ -104,7 +104,7 @@
             ]
             await async_until(lambda: leaving.requests)
             register(gateway, make_entry(leaving), make_entry(other))
-            gateway.targets['leaving'].max_connections = 1
+            gateway.targets['leaving'].connections.max_count = 1
             responses = await asyncio.gather(*asked)
         assert [response.status for response in responses] == [200, 200]
         assert len(leaving.requests) == 1
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -162,7 +162,9 @@
             register(gateway, make_entry(target))
             await gateway.async_handle(make_request('q1'))
             held = gateway.targets[target.id]
-            held.idle = [(held.idle[0][0], gateway.now() - 1.5)]
+            held.connections.idle = [
+                (held.connections.idle[0][0], gateway.now() - 1.5)
+            ]
             await gateway.async_handle(make_request('q2'))
         assert target.connection_count == 2
 
--- a/tests/gateway/test_target_limit.py
+++ b/tests/gateway/test_target_limit.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bitternturn.gateway import target as target_module
+from bitternturn.gateway import target_connections
 from bitternturn.standins.platform_target import ScriptedBehaviour
 from tests.gateway.helpers import (
     configure,
@@ -24,7 +24,7 @@
 @pytest.fixture
 def fail_connection(monkeypatch):
     """Return a function that lets a numbered connection to a target fail."""
-    connect = target_module.async_connect
+    connect = target_connections.async_connect
     opened = Counter()
     failing = set()
 
@@ -34,7 +34,7 @@
             raise TimeoutError
         return await connect(host=host, port=port)
 
-    monkeypatch.setattr(target_module, 'async_connect', async_fail)
+    monkeypatch.setattr(target_connections, 'async_connect', async_fail)
     return lambda target, number: failing.add((target.port, number))
 
 
--- a/tests/gateway/test_unreachable.py
+++ b/tests/gateway/test_unreachable.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bitternturn.gateway import target as target_module
+from bitternturn.gateway import target_connections
 from bitternturn.standins.platform_target import PlatformTarget
 from tests.gateway.helpers import (
     configure,
@@ -60,7 +60,7 @@
             configure(gateway, make_shard_route(1))
             register(gateway, make_entry(target, 's0'))
             opened = []
-            connect = target_module.async_connect
+            connect = target_connections.async_connect
 
             async def async_fail_once(**address):
                 opened.append(address)
@@ -69,7 +69,9 @@
                 return await connect(**address)
 
             with pytest.MonkeyPatch.context() as patch:
-                patch.setattr(target_module, 'async_connect', async_fail_once)
+                patch.setattr(
+                    target_connections, 'async_connect', async_fail_once
+                )
                 response = await gateway.async_handle(make_request())
         assert response.status == 200
 
@@ -81,7 +83,7 @@
             gateway = make_gateway()
             configure(gateway, make_shard_route(1))
             register(gateway, make_entry(target, 's0'))
-            connect = target_module.async_connect
+            connect = target_connections.async_connect
 
             async def async_pause_once(**address):
                 if not gateway.pauses.count:
@@ -90,7 +92,7 @@
                 return await connect(**address)
 
             monkeypatch.setattr(
-                target_module, 'async_connect', async_pause_once
+                target_connections, 'async_connect', async_pause_once
             )
             response = await gateway.async_handle(make_request())
         assert response.status == 200
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -11,7 +11,7 @@
 
 from bitternturn.core.ids import FailureDomain
 from bitternturn.core.tasks import TaskSet
-from bitternturn.gateway import target as gateway_target
+from bitternturn.gateway import target_connections
 from bitternturn.gateway.models import Address
 from bitternturn.http.client import async_connect
 from bitternturn.policy.target_selection import MIN_SLOW_ANSWERS
@@ -173,7 +173,9 @@
         async with fleet_over(make_targets()) as fleet:
             response = await fleet.entry.async_handle(make_patient_request())
             direct_targets = [
-                target for target in fleet.entry.targets.values() if target.idle
+                target
+                for target in fleet.entry.targets.values()
+                if target.connections.idle
             ]
         assert response.status == 200
         assert len(answering_targets(response)) == SHARDS
@@ -280,7 +282,7 @@
             direct = {
                 name
                 for name, target in fleet.entry.targets.items()
-                if target.idle
+                if target.connections.idle
             }
         return response, [sorted(it.items) for it in requested], direct
 
@@ -343,7 +345,7 @@
             )
             response = await fleet.entry.async_handle(make_patient_request())
             hedged = fleet.entry.targets['far9']
-            assert hedged.idle
+            assert hedged.connections.idle
         assert response.headers['x-missing-parts'] == '0'
 
     async def test_parts_are_sent_directly_without_a_peer(self):
@@ -599,7 +601,9 @@
             await fleet.entry.async_handle(make_patient_request('q2'))
             third = await fleet.entry.async_handle(make_patient_request('q3'))
             direct_targets = [
-                target for target in fleet.entry.targets.values() if target.idle
+                target
+                for target in fleet.entry.targets.values()
+                if target.connections.idle
             ]
         assert len(answering_targets(third)) == SHARDS
         assert direct_targets
@@ -618,7 +622,7 @@
 
         monkeypatch.setattr(peer, 'async_open_connection', async_connect_late)
         monkeypatch.setattr(
-            gateway_target, 'async_connect', async_connect_to_target_late
+            target_connections, 'async_connect', async_connect_to_target_late
         )
         targets = make_targets()
         async with fleet_over(targets, min_coverage=1, timeout_s=0.4) as fleet:
--- a/tests/relay/test_incoming_batch.py
+++ b/tests/relay/test_incoming_batch.py
@@ -88,7 +88,9 @@
         server, targets = delegate
         connection = RecordingConnection()
         server.handle_frame(connection, make_sends(0, *targets))
-        await async_until(lambda: len(server.gateway.targets['t5'].idle) == 1)
+        await async_until(
+            lambda: len(server.gateway.targets['t5'].connections.idle) == 1
+        )
         server.handle_frame(connection, make_sends(1, *targets))
         server.handle_frame(
             connection, Frame(number=1, cancel=Cancel(indexes=range(6)))
