Name rate limits as the cause of missing parts, and measure their use

A part that no target was allowed to answer was logged as no_target, like one whose targets are gone. Its cause is now limited; gauges and a counter show the targets with a limit, the instance's shares and what it has used of them.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,7 @@
     'control',
     'timeline',
     'fuzz',
+    'limits',
 )
 
 flags.DEFINE_boolean('quick', False, 'Run with short phases, 50 s at most.')
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -30,6 +30,8 @@
 
 # Maximum number of sends listed in the log line of a request.
 MAX_LOGGED_SENDS = 12
+# Log entry of a part for which rate limits left no target.
+LIMITED_PART = 'limited'
 # Number of hedge delays after which targets that have not answered a request
 # count as unresponsive.
 UNRESPONSIVE_HEDGE_DELAYS = 2
@@ -77,6 +79,9 @@
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
 
+    def is_limited(self, service: ServiceName, now: float) -> bool:
+        """Return whether rate limits alone keep all targets of a service."""
+
     def may_hedge(self, target: Target, now: float) -> bool:
         """Return whether a hedge takes no permit that a first send needs."""
 
@@ -157,6 +162,8 @@
         )
         if not sent:
             part.closed = not part.in_flight
+        if target is None and self.dispatcher.is_limited(part.service, now):
+            part.send_ends.append(LIMITED_PART)
         return sent
 
     def _start_send(
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -346,6 +346,11 @@
         'further_sends': lambda: sum(
             budget.further_sends for budget in gateway.retry_budgets.values()
         ),
+        'limited_targets': lambda: len(gateway.rate_limits.limited),
+        'limit_share': lambda: sum(
+            target.announcement.rate_limit.share_per_s
+            for target in gateway.targets.values()
+        ),
         'log_lines_dropped': lambda: gateway.decisions.writer.dropped,
     }
     for name, read in gauges.items():
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -95,7 +95,10 @@
         self.targets: dict[TargetId, Target] = {}
         self.announcements = Announcements()
         self.rate_limits = RateLimits(
-            own_name=settings.name, decisions=decisions, rng=rng
+            own_name=settings.name,
+            decisions=decisions,
+            metrics=self.metrics,
+            rng=rng,
         )
         # End of the last pause that a target has asked for.
         self.pauses_end_at: float = 0
@@ -444,6 +447,17 @@
             now=now,
         )
 
+    def is_limited(self, service: ServiceName, now: float) -> bool:
+        """Return whether rate limits alone keep all targets of a service."""
+        wanted = [
+            target
+            for target in self.ready.get(service, ())
+            if target.announcement.allows_send(now)
+        ]
+        return bool(wanted) and not any(
+            target.is_within_rate_limit(now) for target in wanted
+        )
+
     def may_hedge(self, target: Target, now: float) -> bool:
         """Return whether a hedge takes no permit that a first send needs."""
         return target.has_spare(now) or any(
--- a/bitternturn/gateway/rate_limits.py
+++ b/bitternturn/gateway/rate_limits.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from bitternturn.gateway.decision_log import DecisionLog
+from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import TargetEntry
 from bitternturn.policy.rate_shares import (
     NAMED_LIMIT_BOUND,
@@ -66,6 +67,11 @@
         # Whether the target has named a limit that can't be read.
         self.unread = False
 
+    @property
+    def share_per_s(self) -> float:
+        """Requests per second that this instance may send, 0 without a limit."""
+        return self.bucket.share.rate_per_s if self.bucket else 0
+
 
 class RateLimits:
     """Keeps the sends of this instance within its shares of the limits.
@@ -76,11 +82,17 @@
     """
 
     def __init__(
-        self, *, own_name: str, decisions: DecisionLog, rng: random.Random
+        self,
+        *,
+        own_name: str,
+        decisions: DecisionLog,
+        metrics: GatewayMetrics,
+        rng: random.Random,
     ) -> None:
         """Initialise as the only instance."""
         self.own_name = own_name
         self.decisions = decisions
+        self.metrics = metrics
         self.rng = rng
         self.names: Sequence[str] = (own_name,)
         self.members_revision = 0
@@ -271,6 +283,7 @@
         if limit.per_s is None:
             return
         limit.sends[kind] += 1
+        self.metrics.increment('limited_sends', kind=kind.value)
         if now - limit.sends_since >= USE_INTERVAL_S:
             self._log_use(entry, limit, now)
 
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -146,13 +146,16 @@
 
     def allows_send(self, now: float) -> bool:
         """Return whether the target accepts a request now."""
-        announcement = self.announcement
         return (
             self.within_cold_limit(now)
-            and announcement.allows_send(now)
-            and self.rate_limits.allows(
-                self.entry, announcement.rate_limit, now
-            )
+            and self.announcement.allows_send(now)
+            and self.is_within_rate_limit(now)
+        )
+
+    def is_within_rate_limit(self, now: float) -> bool:
+        """Return whether the limit that it has named allows a request."""
+        return self.rate_limits.allows(
+            self.entry, self.announcement.rate_limit, now
         )
 
     def has_spare(self, now: float) -> bool:
--- a/tests/gateway/test_rate_limit_machine.py
+++ b/tests/gateway/test_rate_limit_machine.py
@@ -13,6 +13,7 @@
     rule,
 )
 
+from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.rate_limits import RateLimit, RateLimits
 from bitternturn.standins.rate_limit_check import (
     allowed_requests,
@@ -30,7 +31,10 @@
 
     def __init__(self, name, names):
         self.limits = RateLimits(
-            own_name=name, decisions=DECISIONS, rng=random.Random(name)
+            own_name=name,
+            decisions=DECISIONS,
+            metrics=GatewayMetrics(),
+            rng=random.Random(name),
         )
         self.limits.update_instances(names)
         self.limit = RateLimit()
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -45,6 +45,13 @@
     return [response.status for response in await asyncio.gather(*requests)]
 
 
+def spy_on_log(gateway):
+    """Return a list that collects the fields of the lines from now on."""
+    lines = []
+    gateway.decisions.write = lambda kind, **fields: lines.append(fields)
+    return lines
+
+
 class TestRateLimits:
     async def test_instances_together_stay_within_the_limit_of_a_target(self):
         limited = PlatformTarget(id='limited', rate_limit='3.0')
@@ -209,7 +216,9 @@
                 ),
             )
             await gateway.async_handle(make_request('first'))
+            lines = spy_on_log(gateway)
             response = await gateway.async_handle(make_request('second'))
         assert response.status == 200
         assert response.headers['x-missing-parts'] == '1'
+        assert lines[-1]['missing_causes'] == {'limited': 1}
         assert len(targets[0].requests) == 1
