Take permits only where the instance that decides knows the limit

By reading, shown by a test: a peer that knew a limit sent without a permit for an entry instance that did not know it yet, since the message said that all permits had been taken. Many instances that are restarted together would each send some requests to a target in need. The message now lists the items with permits; for others the peer takes its own permit or rejects the send, which tells the entry instance the limit. test_entry_that_does_not_know_a_limit_has_no_permit failed before.

Also by reading: an instance that is no sender told callers, and entry instances that asked it, to wait until its next probe, which may be half an hour away in a large fleet; it now says one window at most. Callers refused while they wait for the same permit are spread over half of the wait. A target that is gone no longer counts as limited.

--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -151,17 +151,16 @@
                 RefusalReason.NO_TARGET,
                 const.UNAVAILABLE_RETRY_AFTER_S,
             )
-        paused_s = (
-            self.paused_until(services, route.min_parts(), arrived_at)
-            - arrived_at
+        return_delay_s = self.return_delay_s(
+            services, route.min_parts(), arrived_at
         )
-        if paused_s > 0:
+        if return_delay_s > 0:
             reason = (
                 RefusalReason.PAUSED_TARGETS
                 if arrived_at < self.pauses_end_at
                 else RefusalReason.LIMITED_TARGETS
             )
-            return self._refuse(caller, reason, paused_s)
+            return self._refuse(caller, reason, return_delay_s)
         if route.shards and not self.can_serve(services, route.min_parts()):
             return self._refuse(
                 caller,
@@ -260,13 +259,12 @@
                     merged.body,
                 )
         if not result.maybe_run:
-            now = self.now()
-            return_at = self.paused_until(
+            return_delay_s = self.return_delay_s(
                 [part.service for part in execution.parts],
                 execution.min_parts,
-                now,
+                self.now(),
             )
-            retry_after_s = max(const.BUSY_RETRY_AFTER_S, return_at - now)
+            retry_after_s = max(const.BUSY_RETRY_AFTER_S, return_delay_s)
             return self.wire.write_refusal(
                 execution.caller,
                 RefusalReason.NOT_RUN,
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -43,6 +43,7 @@
     MAX_PAUSE_S,
     choose_return_at,
     find_soonest_return,
+    spread_return,
 )
 from bitternturn.policy.target_selection import (
     choose_next_domain,
@@ -173,6 +174,11 @@
             own=self.settings.failure_domain,
             position=self.instance_index if self.delegation_enabled else None,
         )
+        self.rate_limits.limited = {
+            target.entry.id
+            for target in self.targets.values()
+            if target.announcement.rate_limit.per_s is not None
+        }
         self._rank_domains()
         self.ready = {}
         self.standby = {}
@@ -265,12 +271,25 @@
                 service=target.entry.service,
             )
 
-    def paused_until(
+    def return_delay_s(
         self, services: Sequence[ServiceName], min_services: int, now: float
     ) -> float:
-        """Return when enough services have a target that wants requests."""
+        """Return after how long enough services have a target, 0 if they do.
+
+        Waits for permits are spread over the callers; those for the end of a
+        pause are already spread over the instances.
+        """
         if now >= self.pauses_end_at and not self.rate_limits.limited:
-            return now
+            return 0
+        wait_s = self._wanted_at(services, min_services, now) - now
+        if now < self.pauses_end_at:
+            return wait_s
+        return spread_return(wait_s, uniform=self.rng.uniform)
+
+    def _wanted_at(
+        self, services: Sequence[ServiceName], min_services: int, now: float
+    ) -> float:
+        """Return when enough services have a target that wants requests."""
         returns = [
             min(
                 target.next_send_at(now)
--- a/bitternturn/gateway/rate_limits.py
+++ b/bitternturn/gateway/rate_limits.py
@@ -223,10 +223,18 @@
     def own_next_at(
         self, entry: TargetEntry, limit: RateLimit, now: float
     ) -> float:
-        """Return when this instance has a permit."""
+        """Return when this instance has a permit.
+
+        For an instance that only probes it is a time after which another one
+        has probably a permit.
+        """
         if limit.per_s is None:
             return now
-        return self._bucket(entry, limit, limit.per_s, now).next_at(now)
+        bucket = self._bucket(entry, limit, limit.per_s, now)
+        if bucket.share.probing:
+            latest = now + NAMED_LIMIT_BOUND.window_s
+            return min(latest, bucket.next_at(now))
+        return bucket.next_at(now)
 
     def _bucket(
         self, entry: TargetEntry, limit: RateLimit, per_s: float, now: float
--- a/bitternturn/policy/target_pauses.py
+++ b/bitternturn/policy/target_pauses.py
@@ -12,6 +12,8 @@
 # Share of the pause over which the returns are spread, and its maximum.
 RETURN_SPREAD: Final = 0.25
 MAX_RETURN_SPREAD_S: Final = 0.5
+# Share of its wait over which the returns of refused callers are spread.
+CALLER_SPREAD: Final = 0.5
 
 
 def choose_return_at(
@@ -29,6 +31,17 @@
     return now + bounded_s + uniform(0, spread_s)
 
 
+def spread_return(
+    wait_s: float, *, uniform: Callable[[float, float], float]
+) -> float:
+    """Return the time after which a refused caller should return.
+
+    Callers that are refused while they wait for the same permit or the end of
+    the same pause would otherwise all return for it.
+    """
+    return wait_s + uniform(0, wait_s * CALLER_SPREAD)
+
+
 def find_soonest_return(
     returns: Sequence[float], *, needed: int
 ) -> float | None:
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -89,7 +89,7 @@
         rejected: list[SendEnd] = []
         for index, name in enumerate(self.request.items):
             target = self.gateway.targets.get(TargetId(name))
-            rejection = self._rejection_outcome(target, now)
+            rejection = self._rejection_outcome(index, target, now)
             if target is None or rejection is not None:
                 outcome = rejection or SendOutcome.NOT_SENT
                 rejected.append((_make_part(index, outcome, target), None))
@@ -127,12 +127,13 @@
         )
         send.max_records = self.request.limit
         send.for_peer = True
-        send.peer_permit = self.request.permitted
+        send.peer_permit = index in self.request.permitted
         self.sends[index] = send
         start_directly(send, now)
 
     def _rejection_outcome(
         self,
+        index: int,
         target: Target | None,
         now: float,
     ) -> SendOutcome | None:
@@ -145,8 +146,11 @@
             # Not MISDIRECTED: that would make the requesting instance displace
             # the target again with each request.
             return SendOutcome.UNREACHABLE
-        permitted = self.request.permitted or target.rate_limits.has_permit(
-            target.entry, target.announcement.rate_limit, now
+        permitted = (
+            index in self.request.permitted
+            or target.rate_limits.has_permit(
+                target.entry, target.announcement.rate_limit, now
+            )
         )
         if not permitted:
             return SendOutcome.UNWANTED
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -101,8 +101,11 @@
                 sponsored=first.sponsored,
                 cumulative=True,
                 want_receipt=True,
-                permitted=first.target.entry.service
-                not in self.gateway.wide_services,
+                permitted=[
+                    index
+                    for index, send in enumerate(self.sends)
+                    if send.permitted_at is not None
+                ],
             ),
         )
 
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -222,3 +222,16 @@
         assert response.headers['x-missing-parts'] == '1'
         assert lines[-1]['missing_causes'] == {'limited': 1}
         assert len(targets[0].requests) == 1
+
+    async def test_instance_without_a_share_does_not_ask_for_a_long_wait(self):
+        """One of 400 instances, of which few are senders."""
+        target = PlatformTarget(id='t', rate_limit='0.5')
+        async with running_targets(target):
+            gateway = make_gateway()
+            configure(gateway, make_route())
+            register(gateway, make_entry(target))
+            gateway.update_instances([f'i{number}' for number in range(400)])
+            await gateway.async_handle(make_request('first'))
+            refused = await gateway.async_handle(make_request('second'))
+        assert refused.status == 503
+        assert 0 < float(refused.headers['retry-after']) <= 6
--- a/tests/policy/test_target_pauses.py
+++ b/tests/policy/test_target_pauses.py
@@ -10,6 +10,7 @@
     RETURN_SPREAD,
     choose_return_at,
     find_soonest_return,
+    spread_return,
 )
 
 
@@ -42,3 +43,15 @@
     def test_soonest_return_is_that_of_the_last_service_needed(self):
         assert find_soonest_return([7, 3, 5], needed=2) == 5
         assert find_soonest_return([7, 3, 5], needed=4) is None
+
+
+class TestCallersReturn:
+    def test_callers_do_not_return_for_one_permit_together(self):
+        """Twenty callers are refused while all wait for the same permit."""
+        waits = sorted(
+            spread_return(2, uniform=random.Random(seed).uniform)
+            for seed in range(20)
+        )
+        assert waits[0] >= 2
+        assert waits[-1] <= 3
+        assert waits[-1] - waits[0] > 0.5
--- a/tests/relay/test_delegated_rate_limits.py
+++ b/tests/relay/test_delegated_rate_limits.py
@@ -63,6 +63,23 @@
             share = LIMIT_PER_S * WINDOW_S / len(names) + 2
             assert 1 < target.worst_window_under_limit() <= share
 
+    async def test_entry_that_does_not_know_a_limit_has_no_permit(self):
+        """Guards against a burst of instances that were restarted together."""
+        targets = [
+            PlatformTarget(id=f'far{number}', body=make_record(number))
+            for number in range(4)
+        ]
+        async with fleet_over(targets, domains=self.DOMAINS, shards=4) as fleet:
+            for gateway in fleet.gateways[1:]:
+                gateway.targets['far0'].announce_rate_limit(0.5, gateway.now())
+            for number in range(5):
+                await fleet.entry.async_handle(
+                    make_patient_request(f'q{number}')
+                )
+            told = fleet.entry.targets['far0'].announcement.rate_limit.per_s
+        assert not targets[0].requests
+        assert told == 0.5
+
 
 class TestWideRequests:
     """The delegate takes the permits, for all entry instances."""
