--- a/bitternturn/owners/pool.py
+++ b/bitternturn/owners/pool.py
@@ -95,13 +95,20 @@
         return None
 
     def put_back(self, connection: PooledConnection, now: float) -> None:
-        """Return a connection after a complete exchange or without one."""
+        """Return a connection after a complete exchange."""
+        connection.last_returned_at = now
+        self.put_back_unused(connection)
+
+    def put_back_unused(self, connection: PooledConnection) -> None:
+        """Return a connection that was not written to.
+
+        It may have gone silent since its last exchange.
+        """
         known = connection in self.in_use or connection in self.checking
         self.in_use.discard(connection)
         if self.closed or not known or not connection.http.usable:
             connection.http.close()
             return
-        connection.last_returned_at = now
         self.idle.append(connection)
 
     def discard(self, connection: PooledConnection) -> None:
--- a/bitternturn/owners/request_sender.py
+++ b/bitternturn/owners/request_sender.py
@@ -94,7 +94,7 @@
         """Write a request unless the lease or the deadline has expired."""
         now = self.context.now()
         if not self.may_write(now):
-            self.pool.put_back(connection, now)
+            self.pool.put_back_unused(connection)
             self.hooks.resolve(
                 sub_request,
                 not_run_result(sub_request.item.id, ErrorCode.NOT_OWNER),
@@ -103,7 +103,7 @@
         if (
             sub_request.deadline - now
         ) * MS_PER_SECOND < const.MIN_REMAINING_MS:
-            self.pool.put_back(connection, now)
+            self.pool.put_back_unused(connection)
             self.hooks.resolve(
                 sub_request,
                 not_run_result(sub_request.item.id, ErrorCode.DEADLINE),
--- a/bitternturn/owners/target.py
+++ b/bitternturn/owners/target.py
@@ -117,7 +117,7 @@
                 break
             next_entry = self.queue.dequeue(now)
             if next_entry is None:
-                self.pool.put_back(connection, now)
+                self.pool.put_back_unused(connection)
                 break
             self.sender.send(next_entry.item, connection)
         self.pool.open_missing(now)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -235,3 +235,21 @@
             refused = await gateway.async_handle(make_request('second'))
         assert refused.status == 503
         assert 0 < float(refused.headers['retry-after']) <= 6
+
+
+class TestLiftedLimits:
+    """All targets of a service lift their limits at the same moment."""
+
+    async def test_all_requests_are_served_soon_afterwards(self):
+        targets = [
+            PlatformTarget(id=name, rate_limit='2') for name in ('a', 'b')
+        ]
+        async with running_targets(*targets):
+            gateways = make_gateways(*targets)
+            limited = await async_ask(gateways, per_s=40, seconds=2)
+            for target in targets:
+                target.rate_limit = None
+            await async_ask(gateways, per_s=40, seconds=2.5)
+            lifted = await async_ask(gateways, per_s=40, seconds=0.5)
+        assert 503 in limited
+        assert set(lifted) == {200}
--- a/tests/owners/test_connection_failures.py
+++ b/tests/owners/test_connection_failures.py
@@ -81,6 +81,24 @@
             assert old.isdisjoint(pool.idle)
 
 
+class TestIdleConnections:
+    async def test_send_that_is_not_written_does_not_renew_the_idle_time(self):
+        async with OwnerHarness() as owner:
+            owner.restore_warm()
+            await owner.submit()
+            pool = owner.owned.pool
+            while not pool.idle:
+                await asyncio.sleep(0.001)
+            returned_at = {it: it.last_returned_at for it in pool.idle}
+            owner.clock_offset_s += 0.1
+            result = await owner.submit(remaining_ms=1)
+            assert result.outcome == OUTCOME_NOT_RUN
+            assert len(owner.fake.requests) == 1
+            assert returned_at.items() <= {
+                it: it.last_returned_at for it in pool.idle
+            }.items()
+
+
 class TestConnectionLoss:
     async def test_connection_lost_in_flight_is_in_doubt(self):
         async with OwnerHarness() as owner:
