Report only the members that an instance has removed itself

The event now counts what the last attempt of the edit removes, and there is none if another instance was first. test_each_dead_member_is_reported_as_removed_once failed before: ['1', '0', '1'] instead of ['1'].

--- a/bitternturn/membership/service.py
+++ b/bitternturn/membership/service.py
@@ -365,12 +365,16 @@
         await asyncio.sleep(self.rng.random() * max_delay_s)
         is_isolated = not await self.prober.async_reaches_half_of_sample()
         dead = set(self._members_to_remove(self.now(), is_isolated=is_isolated))
+        # Those that the last attempt to edit the view removes.
+        removed: set[Incarnation] = set()
 
         def edit(view: View) -> View | None:
             """Remove the dead members that the view still contains."""
             remaining = dead.intersection(
                 Incarnation(member.incarnation) for member in view.members
             )
+            removed.clear()
+            removed.update(remaining)
             return views.remove(view, remaining) if remaining else None
 
         try:
@@ -378,7 +382,8 @@
         except BitternturnError as error:
             LOGGER.warning('failed to remove dead members: {}', error)
             return
-        self.event(MembershipEvent.REMOVED, detail=str(len(dead)))
+        if removed:
+            self.event(MembershipEvent.REMOVED, detail=str(len(removed)))
 
     async def _async_rejoin(self) -> None:
         """Join again as a new incarnation after all releases have ended."""
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -57,6 +57,27 @@
         run(scenario())
 
 
+class TestRemoval:
+    def test_each_dead_member_is_reported_as_removed_once(self):
+        """Several instances suspect the same members and edit the view."""
+
+        async def scenario():
+            net = Network()
+            await net.async_add(8)
+            await net.async_until_served(3)
+            await net.instances[1].async_crash()
+            await net.async_until_served(30)
+            await asyncio.sleep(10)
+            return [
+                info['detail']
+                for instance in net.instances.values()
+                for kind, info in instance.events
+                if kind is MembershipEvent.REMOVED
+            ]
+
+        assert run(scenario()) == ['1']
+
+
 class TestLeaving:
     def test_leaving_hands_targets_over_at_once(self):
         async def scenario():
--- a/tests/owners/test_connection_failures.py
+++ b/tests/owners/test_connection_failures.py
@@ -94,9 +94,10 @@
             result = await owner.submit(remaining_ms=1)
             assert result.outcome == OUTCOME_NOT_RUN
             assert len(owner.fake.requests) == 1
-            assert returned_at.items() <= {
-                it: it.last_returned_at for it in pool.idle
-            }.items()
+            assert (
+                returned_at.items()
+                <= {it: it.last_returned_at for it in pool.idle}.items()
+            )
 
 
 class TestConnectionLoss:
