--- a/bitternturn/callers/answer.py
+++ b/bitternturn/callers/answer.py
@@ -29,6 +29,7 @@
     request_id: RequestId,
     code: ErrorCode,
     step: str,
+    message: str = '',
     in_doubt: bool = False,
     retry_after_ms: int = 0,
 ) -> QueryAnswer:
@@ -39,6 +40,7 @@
         outcome=outcome,
         code=code,
         step=step,
+        message=message,
         retry_after_ms=retry_after_ms,
     )
 
@@ -78,7 +80,7 @@
         'code': code.value,
         'step': answer.step,
         'peer': '',
-        'message': '',
+        'message': answer.message,
     }
     if answer.retry_after_ms:
         body['retry_after_ms'] = answer.retry_after_ms
--- a/bitternturn/callers/handler.py
+++ b/bitternturn/callers/handler.py
@@ -78,12 +78,14 @@
 
 
 def _make_refusal_response(
-    code: ErrorCode, step: str, request: Request
+    code: ErrorCode, step: str, request: Request, message: str = ''
 ) -> Response:
     """Return the refusal of a request that was not parsed."""
     request_id = RequestId(request.headers.get(const.HEADER_REQUEST_ID, ''))
     return encode_answer(
-        make_refusal(request_id=request_id, code=code, step=step),
+        make_refusal(
+            request_id=request_id, code=code, step=step, message=message
+        ),
     )
 
 
@@ -115,7 +117,9 @@
             now=query_services.now(),
         )
     except BitternturnError as error:
-        return _make_refusal_response(error.code, error.step, request)
+        return _make_refusal_response(
+            error.code, error.step, request, error.message
+        )
     refusal = _admit(services, query)
     if refusal is not None:
         return encode_answer(
--- a/bitternturn/callers/models.py
+++ b/bitternturn/callers/models.py
@@ -79,6 +79,8 @@
     hits: list[dict[str, Any]] = field(default_factory=list)
     retry_after_ms: int = 0
     step: str = ''
+    # What was wrong with the request; empty if the code says it all.
+    message: str = ''
     # Numbers of hedges, retries and sub-requests sent for this query.
     hedges: int = 0
     retries: int = 0
--- a/bitternturn/callers/parse.py
+++ b/bitternturn/callers/parse.py
@@ -29,13 +29,22 @@
 
     Raises BitternturnError with a code if the request is invalid.
     """
-    index = find_index(IndexName(request.path.removeprefix(const.PATH_QUERY)))
+    index_name = IndexName(request.path.removeprefix(const.PATH_QUERY))
+    index = find_index(index_name)
     if index is None or not index.maps:
-        raise _make_error(request, 'unknown index', ErrorCode.UNKNOWN_INDEX)
+        raise _make_error(
+            request,
+            f'index {index_name!r} does not exist',
+            ErrorCode.UNKNOWN_INDEX,
+        )
     body = _decode_body(request)
     profile = find_profile(ProfileName(body.profile))
     if profile is None:
-        raise _make_error(request, 'unknown profile', ErrorCode.UNKNOWN_PROFILE)
+        raise _make_error(
+            request,
+            f'profile {body.profile!r} does not exist',
+            ErrorCode.UNKNOWN_PROFILE,
+        )
     shards = _parse_shards(request, body, index)
     key = request.headers.get(const.HEADER_IDEMPOTENCY_KEY, '')
     _check_key(request, profile, key, shards)
