--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -196,11 +196,7 @@
             api.store.put(kind='control', name='a', value=b'1', token='t')
             prepare(api)
             with pytest.raises(BitternturnError) as caught:
-                await anext(
-                    client.watch(
-                        'control', 0 if code is ErrorCode.WATCH_GONE else 1
-                    )
-                )
+                await anext(client.watch('control', start))
             assert code_of(caught) is code
 
 
