--- a/bitternturn/standins/platform_target.py
+++ b/bitternturn/standins/platform_target.py
@@ -22,6 +22,10 @@
     NamedLimits,
     count_worst_window,
 )
+from bitternturn.standins.received_request import (
+    ReceivedRequest,
+    async_read_request,
+)
 
 STAMP_FORMAT = '{target}.{request}.{count}'
 # Time after the request for a pause in which requests may still arrive.
@@ -104,20 +108,6 @@
 }
 
 
-@dataclass(kw_only=True, slots=True)
-class ReceivedRequest:
-    """One request as received by the target."""
-
-    id: str
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    run: bool
-    # When it arrived, on the monotonic clock.
-    arrived_at: float = 0
-
-
 @dataclass(kw_only=True, slots=True)
 class PlatformTarget:
     """Listens on loopback and handles each request as scripted."""
@@ -226,7 +216,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Serve one request; return whether the connection stays open."""
-        received = await _async_read(connection, reader)
+        received = await async_read_request(connection, reader)
         if received is None:
             return False
         behaviour = self.script(len(self.requests))
@@ -386,34 +376,3 @@
     sock = writer.get_extra_info('socket')
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
     writer.transport.abort()
-
-
-async def _async_read(
-    connection: h11.Connection,
-    reader: asyncio.StreamReader,
-) -> ReceivedRequest | None:
-    """Read the next request; return None at the end of the connection."""
-    head: h11.Request | None = None
-    body = b''
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(http.READ_BYTES))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            break
-        else:
-            return None
-    headers = {name.decode(): value.decode() for name, value in head.headers}
-    return ReceivedRequest(
-        id=headers.get(wire_names.HEADER_REQUEST_ID, ''),
-        method=head.method.decode(),
-        target=head.target.decode(),
-        headers=headers,
-        body=body,
-        run=False,
-        arrived_at=time.monotonic(),
-    )
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -1,5 +1,6 @@
 """Helpers that set up a gateway with scripted targets on loopback."""
 
+import asyncio
 import contextlib
 import dataclasses
 import os
@@ -175,6 +176,21 @@
     )
 
 
+async def async_ask_evenly(gateways, *, per_s, seconds, make=make_request):
+    """Let callers send requests to instances in turn; return the responses.
+
+    `make` returns the request with an id.
+    """
+    requests = []
+    for number in range(int(per_s * seconds)):
+        gateway = gateways[number % len(gateways)]
+        requests.append(
+            asyncio.ensure_future(gateway.async_handle(make(f'q{number}')))
+        )
+        await asyncio.sleep(1 / per_s)
+    return await asyncio.gather(*requests)
+
+
 @contextlib.asynccontextmanager
 async def running_targets(*targets):
     """Start targets and stop them at the end."""
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -8,6 +8,7 @@
 from bitternturn.standins.platform_target import PlatformTarget
 from bitternturn.standins.rate_limit_check import WINDOW_S, allowed_requests
 from tests.gateway.helpers import (
+    async_ask_evenly,
     configure,
     make_entry,
     make_gateway,
@@ -32,17 +33,17 @@
 
 
 async def async_ask(gateways, *, per_s, seconds):
-    """Let callers send requests to all instances; return the statuses."""
-    requests = []
-    for number in range(int(per_s * seconds)):
-        gateway = gateways[number % len(gateways)]
-        requests.append(
-            asyncio.ensure_future(
-                gateway.async_handle(make_request(f'q{number}'))
-            )
-        )
-        await asyncio.sleep(1 / per_s)
-    return [response.status for response in await asyncio.gather(*requests)]
+    """Let callers send requests to instances in turn; return the statuses."""
+    responses = await async_ask_evenly(gateways, per_s=per_s, seconds=seconds)
+    return [response.status for response in responses]
+
+
+def make_single(target):
+    """Return an instance that knows one target."""
+    gateway = make_gateway()
+    configure(gateway, make_route())
+    register(gateway, make_entry(target))
+    return gateway
 
 
 def spy_on_log(gateway):
@@ -75,9 +76,7 @@
     async def test_limit_is_lifted_by_an_answer_without_it(self):
         target = PlatformTarget(id='t', rate_limit='10')
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
             await gateway.async_handle(make_request('first'))
             target.rate_limit = None
             await asyncio.sleep(0.2)
@@ -91,9 +90,7 @@
     async def test_late_answer_to_an_older_request_does_not_lift_it(self):
         target = PlatformTarget(id='t', delay_s=0.1)
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
             gateway_target = gateway.targets['t']
             asked = asyncio.ensure_future(gateway.async_handle(make_request()))
             await asyncio.sleep(0.05)
@@ -104,9 +101,7 @@
     async def test_limit_outlives_an_entry_that_comes_back(self):
         target = PlatformTarget(id='t', rate_limit='0.1')
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
             await gateway.async_handle(make_request('first'))
             register(gateway)
             register(gateway, make_entry(target))
@@ -119,9 +114,7 @@
     async def test_unreadable_limit_is_ignored_and_logged_once(self, stated):
         target = PlatformTarget(id='t', rate_limit=stated)
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
             statuses = [
                 (await gateway.async_handle(make_request(f'q{it}'))).status
                 for it in range(5)
@@ -136,9 +129,7 @@
     async def test_absurd_limit_is_bounded(self, stated, expected):
         target = PlatformTarget(id='t', rate_limit=stated)
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
             await gateway.async_handle(make_request())
         limit = gateway.targets['t'].announcement.rate_limit
         assert limit.per_s == expected
@@ -163,9 +154,7 @@
     async def test_permit_of_an_unreachable_target_is_given_back(self):
         target = PlatformTarget(id='t')
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
         gateway_target = gateway.targets['t']
         gateway_target.announce_rate_limit(1, gateway.now())
         await asyncio.sleep(1.1)
@@ -176,9 +165,7 @@
     async def test_saved_permits_are_void_after_a_pause(self):
         target = PlatformTarget(id='t')
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
         gateway_target = gateway.targets['t']
         gateway_target.announce_rate_limit(2, gateway.now())
         await asyncio.sleep(1)
@@ -193,9 +180,7 @@
     async def test_request_is_refused_with_the_time_of_the_next_permit(self):
         target = PlatformTarget(id='t', rate_limit='0.5')
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
             await gateway.async_handle(make_request('first'))
             refused = await gateway.async_handle(make_request('second'))
         assert refused.status == 503
@@ -227,9 +212,7 @@
         """One of 400 instances, of which few are senders."""
         target = PlatformTarget(id='t', rate_limit='0.5')
         async with running_targets(target):
-            gateway = make_gateway()
-            configure(gateway, make_route())
-            register(gateway, make_entry(target))
+            gateway = make_single(target)
             gateway.update_instances([f'i{number}' for number in range(400)])
             await gateway.async_handle(make_request('first'))
             refused = await gateway.async_handle(make_request('second'))
--- a/tests/relay/test_delegated_rate_limits.py
+++ b/tests/relay/test_delegated_rate_limits.py
@@ -5,6 +5,7 @@
 
 from bitternturn.standins.platform_target import PlatformTarget
 from bitternturn.standins.rate_limit_check import WINDOW_S, allowed_requests
+from tests.gateway.helpers import async_ask_evenly
 from tests.gateway.test_gather import (
     answering_targets,
     make_patient_request,
@@ -15,20 +16,6 @@
 LIMIT_PER_S = 2.0
 
 
-async def async_ask(gateways, *, per_s, seconds):
-    """Let callers send requests to all instances; return the responses."""
-    requests = []
-    for number in range(int(per_s * seconds)):
-        gateway = gateways[number % len(gateways)]
-        requests.append(
-            asyncio.ensure_future(
-                gateway.async_handle(make_patient_request(f'q{number}'))
-            )
-        )
-        await asyncio.sleep(1 / per_s)
-    return await asyncio.gather(*requests)
-
-
 def with_spares(targets):
     """Return the targets and another one for each shard."""
     spares = [
@@ -54,8 +41,11 @@
             names = list(fleet.domains)
             for gateway in fleet.gateways:
                 gateway.update_instances(names)
-            responses = await async_ask(
-                fleet.gateways[:1], per_s=20, seconds=WINDOW_S + 1.5
+            responses = await async_ask_evenly(
+                fleet.gateways[:1],
+                per_s=20,
+                seconds=WINDOW_S + 1.5,
+                make=make_patient_request,
             )
         assert {it.status for it in responses} == {200, 503}
         for target in targets:
@@ -90,8 +80,11 @@
             names = list(fleet.domains)
             for gateway in fleet.gateways:
                 gateway.update_instances(names)
-            responses = await async_ask(
-                fleet.gateways, per_s=10, seconds=WINDOW_S + 1.5
+            responses = await async_ask_evenly(
+                fleet.gateways,
+                per_s=10,
+                seconds=WINDOW_S + 1.5,
+                make=make_patient_request,
             )
         assert all(it.status == 200 for it in responses)
         assert all(it.headers['x-missing-parts'] == '0' for it in responses)
