--- a/bench/report.py
+++ b/bench/report.py
@@ -39,6 +39,7 @@
         *_plot_tail(folder_path, results.get('tail', {})),
         *_plot_control(folder_path, results.get('control', {})),
         *_plot_domain(folder_path, results.get('domain', {})),
+        *_plot_limits(folder_path, results.get('limits', {})),
     ]
     parts = ['# Bench report', '', *plots]
     for name, result in results.items():
@@ -130,6 +131,26 @@
     yield _save(folder_path, 'overload', figure)
 
 
+def _plot_limits(folder_path: Path, result: Mapping[str, Any]) -> Iterator[str]:
+    """Plot the share of rate limits that fleets use, over their size."""
+    if 'rows' not in result:
+        return
+    figure, axes = _make_plot('Use of a limit of 7 requests a second')
+    for traffic in ('even', 'zipf', 'delegates'):
+        points = [
+            (row['instances'], row['used'])
+            for row in result['rows']
+            if row['traffic'] == traffic and row['limit_per_s'] == 7
+        ]
+        sizes, used = zip(*points, strict=True)
+        axes.plot(sizes, used, marker='o', label=traffic)
+    axes.legend()
+    axes.set_xlabel('instances')
+    axes.set_ylabel('sent / limit')
+    axes.set_ylim(0, 1)
+    yield _save(folder_path, 'limits', figure)
+
+
 def _plot_tail(folder_path: Path, result: Mapping[str, Any]) -> Iterator[str]:
     """Plot latencies with and without hedges and retries."""
     if 'plain_p99_ms' not in result:
