Give no share of a limit to instances that are no delegates

By reading, shown by a test: to targets of wide services an instance that is not among the delegates of the domain counted as the one after the last of them. Where a domain has fewer than three instances, or a restarted instance does not know its members yet, it so had a delegate's share, and all such instances together could exceed the bound.

test_instance_that_is_no_delegate_only_probes failed before.

--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -25,6 +25,7 @@
     SendReason,
     delegate_slack,
 )
+from bitternturn.policy.rate_shares import DELEGATE_RATE_PARTS
 from bitternturn.policy.relay_selection import RELAYS_PER_DOMAIN, rank_relays
 from bitternturn.relay import const
 from bitternturn.relay.outgoing_batch import OutgoingBatch
@@ -203,7 +204,18 @@
 
         Returns None if instances send to it on their own behalf.
         """
-        return None if self._sent_by_instances(entry) else self._own_rank(entry)
+        if self._sent_by_instances(entry):
+            return None
+        rank = self._own_rank(entry)
+        if rank < self._count_delegates(entry):
+            return rank
+        # Instances of other domains have no share, however few delegates the
+        # domain of the target has.
+        return max(rank, len(DELEGATE_RATE_PARTS))
+
+    def _count_delegates(self, entry: TargetEntry) -> int:
+        """Return the number of instances that may send to a target."""
+        return len(self.members.get(entry.failure_domain, ()))
 
     def _own_rank(self, entry: TargetEntry) -> int:
         """Return the rank of this instance among a target's delegates."""
--- a/tests/relay/test_delegated_rate_limits.py
+++ b/tests/relay/test_delegated_rate_limits.py
@@ -117,3 +117,11 @@
         assert response.headers['x-missing-parts'] == '1'
         assert len(targets[0].requests) == 1
         assert took_s < 1
+
+    async def test_instance_that_is_no_delegate_only_probes(self):
+        """Also if the domain has fewer members than delegates have shares."""
+        targets = make_targets(rate_limit='10')
+        async with fleet_over(targets) as fleet:
+            await fleet.entry.async_handle(make_patient_request())
+            bucket = fleet.entry.targets['t0'].announcement.rate_limit.bucket
+        assert bucket.share.probing
