Void the permit of a delegated send that waits too long as well

By reading, shown by a test: a send that waited for a connection longer than a quarter of a second lost its permit only at the instance that had taken it. A peer that made it kept it for as long as the connection took, up to a second, and several such sends then left at once.

The peer now counts from the start of the send. The function is named after what it does, take_permit. The test failed before for the peer's case.

--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -159,7 +159,7 @@
         )
 
     def has_spare(self, now: float) -> bool:
-        """Return whether its rate limit has a permit that would be lost."""
+        """Return whether a send takes no permit that later ones need."""
         return self.rate_limits.has_spare(
             self.entry, self.announcement.rate_limit, now
         )
@@ -173,13 +173,17 @@
             ),
         )
 
-    def permits(self, send: Send, now: float) -> bool:
-        """Return whether the rate limit permits a send; take its permit."""
+    def take_permit(self, send: Send, now: float) -> bool:
+        """Take a permit of the rate limit for a send, unless it has one.
+
+        Returns whether the send may be written now.
+        """
         limit = self.announcement.rate_limit
-        if limit.per_s is None or send.peer_permit:
+        if limit.per_s is None:
             return True
-        if send.permitted_at is not None:
-            return now - send.permitted_at <= const.PERMIT_TIMEOUT_S
+        taken_at = send.started_at if send.peer_permit else send.permitted_at
+        if taken_at is not None:
+            return now - taken_at <= const.PERMIT_TIMEOUT_S
         if not self.rate_limits.try_take(self.entry, limit, now):
             return False
         send.permitted_at = now
@@ -188,7 +192,7 @@
     def start(self, send: Send, now: float) -> None:
         """Send over an idle connection, or queue the send for one."""
         self.sends.add(send)
-        if not self.announcement.allows_send(now) or not self.permits(
+        if not self.announcement.allows_send(now) or not self.take_permit(
             send, now
         ):
             self.end_send(send, SendOutcome.UNWANTED, None)
@@ -246,7 +250,7 @@
 
     def _use_connection(self, connection: ClientConnection) -> None:
         """Use a new or free connection for a queued send, or keep it idle."""
-        while self.queued and not self.permits(self.queued[0], self.now()):
+        while self.queued and not self.take_permit(self.queued[0], self.now()):
             self.end_send(self.queued[0], SendOutcome.UNWANTED, None)
         if self.queued:
             self._write_request(self.queued.popleft(), connection)
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -123,7 +123,7 @@
             start_directly(send, now)
             return
         if self._sent_by_instances(send.target.entry) and (
-            not send.target.permits(send, now)
+            not send.target.take_permit(send, now)
         ):
             send.target.end_send(send, SendOutcome.UNWANTED, None)
             return
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -1,9 +1,11 @@
 """Tests of targets that name a limit for all instances together."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from bitternturn.gateway.const import PERMIT_TIMEOUT_S
 from bitternturn.gateway.rate_limits import MAX_RATE_PER_S, MIN_RATE_PER_S
 from bitternturn.standins.platform_target import PlatformTarget
 from bitternturn.standins.rate_limit_check import WINDOW_S, allowed_requests
@@ -174,6 +176,26 @@
         assert not gateway_target.allows_send(gateway.now())
 
 
+class TestQueuedSends:
+    """A send takes its permit some time before there is a connection."""
+
+    @pytest.mark.parametrize('by_peer', [True, False])
+    async def test_permit_of_a_send_that_waited_too_long_is_void(self, by_peer):
+        target = PlatformTarget(id='t')
+        async with running_targets(target):
+            gateway = make_single(target)
+        gateway_target = gateway.targets['t']
+        now = gateway.now()
+        gateway_target.announce_rate_limit(1, now)
+        send = SimpleNamespace(
+            peer_permit=by_peer,
+            permitted_at=None if by_peer else now,
+            started_at=now,
+        )
+        assert gateway_target.take_permit(send, now + PERMIT_TIMEOUT_S / 2)
+        assert not gateway_target.take_permit(send, now + 2 * PERMIT_TIMEOUT_S)
+
+
 class TestRefusals:
     """Guard against waiting for targets that are all at their limits."""
 
