--- a/bench/scenarios/limits.py
+++ b/bench/scenarios/limits.py
@@ -28,6 +28,8 @@
 MIN_TARGETS = 4
 # Time for which a restarted instance gets no requests.
 RESTART_S = 2.0
+# Part of the run after which the rolling restart begins; it ends after twice that.
+RESTARTS_FROM = 0.4
 SKEWS = {'even': 0.0, 'zipf': 1.0}
 MUTE = SimpleNamespace(write=lambda kind, **fields: None)
 
@@ -86,12 +88,10 @@
         yield now
 
 
-def _is_restarting(
-    index: int, instances: int, share: float, now: float, seconds: float
-) -> bool:
-    """Return whether an instance is down in the rolling restart."""
-    begins_at = seconds * share * (1 + index / instances)
-    return begins_at <= now < begins_at + RESTART_S
+def _is_up(index: int, instances: int, now: float, seconds: float) -> bool:
+    """Return whether an instance is up, outside its turn of the restart."""
+    stops_at = seconds * RESTARTS_FROM * (1 + index / instances)
+    return not stops_at <= now < stops_at + RESTART_S
 
 
 def simulate(
@@ -138,22 +138,24 @@
     fleet: Fleet, weights: Sequence[float], *, delegated: bool, seconds: float
 ) -> None:
     """Let callers ask instances, each of which is restarted once."""
-    rng = fleet.rng
-    down: set[str] = set()
+    instances = len(fleet.names)
+    stopped: set[str] = set()
     demand = OVERLOAD * fleet.rate * len(fleet.targets)
-    for now in _ask_at(rng, demand, seconds):
-        chosen = rng.choices(range(len(fleet.names)), weights)[0]
+    for now in _ask_at(fleet.rng, demand, seconds):
+        chosen = fleet.rng.choices(range(instances), weights)[0]
         if delegated:
             # All entry instances use the first delegate that is up.
-            chosen = 0
-            while _is_restarting(chosen, len(fleet.names), 0.4, now, seconds):
-                chosen += 1
+            chosen = next(
+                index
+                for index in range(instances)
+                if _is_up(index, instances, now, seconds)
+            )
         name = fleet.names[chosen]
-        if _is_restarting(chosen, len(fleet.names), 0.4, now, seconds):
-            down.add(name)
+        if not _is_up(chosen, instances, now, seconds):
+            stopped.add(name)
             continue
-        if name in down:
-            down.discard(name)
+        if name in stopped:
+            stopped.discard(name)
             fleet.start(name, now)
         fleet.ask(name, now)
 
