Let the tests of followers listen on ports that clients do not get

Cause, by the trace: the fixture took free ports from the range that the kernel gives to outgoing connections (32768 to 60999), closed them, and the test listened on one of them more than a second later; any connection on the machine may have got it in between. The ports now come from the allocator of the benches, 20000 to 32000, which no connection gets by itself.

test_dead_readers_are_done_without in KNOWN-RED.txt uses the same ports. That this was its cause is not shown, so its entry stays.

--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bench.processes import PortAllocator
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.models import Address
@@ -110,17 +111,10 @@
 
 
 @pytest.fixture
-async def ports():
-    """Return free ports on loopback."""
-    servers = [
-        await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
-        for _ in range(6)
-    ]
-    found = [server.sockets[0].getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-        await server.wait_closed()
-    return found
+def ports():
+    """Return free ports on loopback that no client gets for a connection."""
+    allocator = PortAllocator()
+    return [allocator.allocate() for _ in range(6)]
 
 
 class TestFollowing:
