Check every window of a limit in the soak, not only the first crowded one

The check stopped at the first window with too many requests. If its requests might have been held up on the way, it was excused, and with it all later windows of the same limit. Now each crowded window is looked at by itself; stricter.

--- a/bench/soak/invariants.py
+++ b/bench/soak/invariants.py
@@ -20,7 +20,7 @@
     STABILITY_S,
     LimitPeriod,
     allowed_requests,
-    find_crowded_window,
+    find_crowded_windows,
 )
 
 MAX_REQUESTS_IN_PAUSE = 2
@@ -198,16 +198,17 @@
             and received.arrived_at
             > told_at.get((answer.instance, answer.epoch), math.inf) + GRACE_S
         )
-        crowded = find_crowded_window(
+        for crowded in find_crowded_windows(
             arrivals,
             allowed=allowed_requests(float(period.text)),
             ends_from=period.since + STABILITY_S,
-        )
-        if crowded and not any(map(disturbed.was_disturbed, crowded)):
-            self.violations.append(
-                f'{target.id}: {len(crowded)} requests in 4 s until '
-                f'{crowded[-1]:.3f} with a limit of {period.text} per s'
-            )
+        ):
+            if not any(map(disturbed.was_disturbed, crowded)):
+                self.violations.append(
+                    f'{target.id}: {len(crowded)} requests in 4 s until '
+                    f'{crowded[-1]:.3f} with a limit of {period.text} per s'
+                )
+                break
 
     def _check_pauses(
         self, disturbed: SoakTarget, asked: Mapping[str, ObservedAnswer]
--- a/bitternturn/standins/rate_limit_check.py
+++ b/bitternturn/standins/rate_limit_check.py
@@ -1,7 +1,7 @@
 """Checks of the rate limits that emulated targets name."""
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -59,13 +59,13 @@
     return per_s * EXCESS_FACTOR * WINDOW_S + EXCESS_REQUESTS
 
 
-def find_crowded_window(
+def find_crowded_windows(
     arrivals: Iterable[float], *, allowed: float, ends_from: float
-) -> Sequence[float]:
-    """Return the requests of the first window that holds more than allowed.
+) -> Iterator[Sequence[float]]:
+    """Yield the requests of each window that holds more than allowed.
 
     `arrivals` are the times of the requests in seconds, in any order. Windows
-    that end before `ends_from` do not count. Returns nothing if there is none.
+    that end before `ends_from` do not count.
     """
     ordered = sorted(arrivals)
     first = 0
@@ -73,8 +73,7 @@
         while arrived_at - ordered[first] >= WINDOW_S:
             first += 1
         if arrived_at >= ends_from and last - first + 1 > allowed:
-            return ordered[first : last + 1]
-    return ()
+            yield ordered[first : last + 1]
 
 
 def count_worst_window(arrivals: Iterable[float]) -> int:
--- a/tests/gateway/test_rate_limit_machine.py
+++ b/tests/gateway/test_rate_limit_machine.py
@@ -17,7 +17,7 @@
 from bitternturn.gateway.rate_limits import RateLimit, RateLimits
 from bitternturn.standins.rate_limit_check import (
     allowed_requests,
-    find_crowded_window,
+    find_crowded_windows,
 )
 
 ENTRY = SimpleNamespace(id='t', service='s')
@@ -163,12 +163,15 @@
 
     @invariant()
     def no_window_exceeds_the_bound(self):
-        crowded = find_crowded_window(
-            self.sent_at,
-            allowed=allowed_requests(self.per_s) + 1e-6,
-            ends_from=0,
-        )
-        assert not crowded, (len(crowded), self.per_s, len(self.instances))
+        crowded = [
+            len(window)
+            for window in find_crowded_windows(
+                self.sent_at,
+                allowed=allowed_requests(self.per_s) + 1e-6,
+                ends_from=0,
+            )
+        ]
+        assert not crowded, (crowded, self.per_s, len(self.instances))
         self.sent_at = [it for it in self.sent_at if it > self.now - PERIOD_S]
 
 
