--- a/bitternturn/core/ids.py
+++ b/bitternturn/core/ids.py
@@ -10,6 +10,8 @@
 IndexName = NewType('IndexName', str)
 ProfileName = NewType('ProfileName', str)
 RequestId = NewType('RequestId', str)
+# Digest of what all attempts of a request have in common.
+RequestKey = NewType('RequestKey', str)
 Snapshot = NewType('Snapshot', int)
 Version = NewType('Version', int)
 ServiceName = NewType('ServiceName', str)
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -9,6 +9,7 @@
 
 from bitternturn.core.ids import (
     FailureDomain,
+    RequestKey,
     RouteName,
     ServiceName,
     TargetId,
@@ -216,6 +217,8 @@
     body: bytes
     # Whether this is the first request on its connection.
     first_on_connection: bool = False
+    # Key of the request, once it has been needed; see `identify_request`.
+    key: RequestKey | None = None
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -27,7 +27,10 @@
 )
 from bitternturn.gateway.rate_limits import RateLimits
 from bitternturn.gateway.send import Send
-from bitternturn.gateway.send_reporting import record_send_end
+from bitternturn.gateway.send_reporting import (
+    record_lost_send,
+    record_send_end,
+)
 from bitternturn.gateway.target import (
     Target,
     TargetHooks,
@@ -107,6 +110,7 @@
             now=self.now,
             paused_since=lambda since: self.pauses.paused_since(since),
             on_send_end=self._record_send_end,
+            on_send_lost=self._record_lost_send,
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
@@ -235,6 +239,10 @@
         elif outcome in REPLY_OUTCOMES:
             self.unresponsive_targets.record_answer(target.entry.id)
 
+    def _record_lost_send(self, send: Send, error: str) -> None:
+        """Log a send whose connection ended without an answer."""
+        record_lost_send(send, error, decisions=self.decisions)
+
     def _handle_leaving(self, target: Target) -> None:
         """Stop using a target that has announced that it leaves."""
         self.decisions.write(
--- a/bitternturn/gateway/request_log.py
+++ b/bitternturn/gateway/request_log.py
@@ -9,7 +9,7 @@
 from bitternturn.core.decoding import DECODE_ERRORS
 
 # Kinds of lines about single requests; all others report changes of state.
-REQUEST_KINDS: Final = frozenset(('request', 'refused'))
+REQUEST_KINDS: Final = frozenset(('request', 'refused', 'send_lost'))
 # Kinds of lines about the life of an instance.
 LIFE_KINDS: Final = frozenset(('start', 'leaving', 'stop', 'paused'))
 # Fields that are not repeated among the other fields of a rendered line.
--- a/bitternturn/gateway/send_reporting.py
+++ b/bitternturn/gateway/send_reporting.py
@@ -2,8 +2,10 @@
 
 from bitternturn.core.ids import FailureDomain
 from bitternturn.gateway.decision_log import DecisionLog
+from bitternturn.gateway.identity import identify_request
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import SendOutcome
+from bitternturn.gateway.send import Send
 from bitternturn.gateway.target import Target
 from bitternturn.policy.target_selection import EJECTION_FAILURES
 
@@ -45,3 +47,21 @@
             failures=target.record.consecutive_failures,
             last=outcome.value,
         )
+
+
+def record_lost_send(send: Send, error: str, *, decisions: DecisionLog) -> None:
+    """Log a send whose connection ended without an answer.
+
+    The key tells whether several such sends were attempts of one request, the
+    number of other sends whether the target was lost with these too.
+    """
+    decisions.write(
+        'send_lost',
+        request_id=send.caller.id,
+        request_key=identify_request(send.caller),
+        request_target=send.caller.request_target,
+        target=send.target.entry.id,
+        service=send.target.entry.service,
+        others_in_flight=len(send.target.sends) - 1,
+        error=error,
+    )
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -58,6 +58,8 @@
     # Returns whether this process was paused after a time.
     paused_since: Callable[[float], bool]
     on_send_end: SendRecorder
+    # Called with a send whose connection ended without an answer, and the error.
+    on_send_lost: Callable[[Send, str], None]
     # Called once a target has announced that it leaves.
     on_leaving: Callable[['Target'], None]
     # Called with a target and the length of the pause that it asks for, or if
@@ -292,6 +294,8 @@
     ) -> None:
         """End a send by the response or error of its exchange."""
         if isinstance(end, BitternturnError):
+            if not send.aborted:
+                self.hooks.on_send_lost(send, end.message)
             self.end_send(send, SendOutcome.LOST, None)
             return
         answer = self.wire.read_answer(end)
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -123,6 +123,13 @@
     return gateway
 
 
+def spy_on_log(gateway):
+    """Return a list that collects the fields of the lines from now on."""
+    lines = []
+    gateway.decisions.write = lambda kind, **fields: lines.append(fields)
+    return lines
+
+
 def configure(gateway, *routes, version=1, cold_rate=0):
     """Apply a configuration with some routes."""
     services = {}
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -19,6 +19,7 @@
     make_shard_route,
     register,
     running_targets,
+    spy_on_log,
 )
 
 NAMES = [f'instance-{number}' for number in range(1, 5)]
@@ -48,13 +49,6 @@
     return gateway
 
 
-def spy_on_log(gateway):
-    """Return a list that collects the fields of the lines from now on."""
-    lines = []
-    gateway.decisions.write = lambda kind, **fields: lines.append(fields)
-    return lines
-
-
 class TestRateLimits:
     async def test_instances_together_stay_within_the_limit_of_a_target(self):
         limited = PlatformTarget(id='limited', rate_limit='3.0')
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -7,6 +7,18 @@
     read_lines,
     render_line,
 )
+from bitternturn.standins.platform_target import ScriptedBehaviour
+from tests.gateway.helpers import (
+    configure,
+    make_entry,
+    make_gateway,
+    make_request,
+    make_route,
+    make_scripted_target,
+    register,
+    running_targets,
+    spy_on_log,
+)
 
 
 def line(time, kind, instance='i1', **fields):
@@ -61,3 +73,21 @@
         text = render_line(entry, entry.time)
         assert 'sent to t1 of s at 0.1 ms: lost after 700.2 ms' in text
         assert 'outcome=give_up' in text
+
+
+class TestLostSends:
+    async def test_attempts_of_one_request_can_be_told(self):
+        targets = [
+            make_scripted_target(name, ScriptedBehaviour.RESET)
+            for name in ('t1', 't2')
+        ]
+        async with running_targets(*targets):
+            gateway = make_gateway()
+            lines = spy_on_log(gateway)
+            configure(gateway, make_route(max_targets=1))
+            register(gateway, *(make_entry(target) for target in targets))
+            for request_id in ('q1', 'q2'):
+                await gateway.async_handle(make_request(request_id))
+        keys = [line['request_key'] for line in lines if 'request_key' in line]
+        assert len(keys) == 2
+        assert len(set(keys)) == 1
