--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -96,12 +96,28 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.shut_down)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.async_start()
+        await self.stopped.wait()
+        self.decisions.write('stop')
+
+    async def async_start(self) -> None:
+        """Listen and start the background jobs; raises BitternturnError."""
         await self._async_listen()
         self.follower.start()
         self.tasks.spawn(self._async_log_traffic())
         self.decisions.write('start', domain=self.settings.failure_domain)
-        await self.stopped.wait()
-        self.decisions.write('stop')
+
+    async def async_stop(self) -> None:
+        """Stop at once, without draining."""
+        await self.tasks.async_stop()
+        await self.gateway.tasks.async_stop()
+        self.relay_server.close()
+        for server in (
+            self.caller_server,
+            self.probe_server,
+            self.metrics_server,
+        ):
+            await server.async_stop()
 
     async def _async_listen(self) -> None:
         """Open all listeners; raises BitternturnError."""
--- a/bitternturn/standins/platform_target.py
+++ b/bitternturn/standins/platform_target.py
@@ -16,6 +16,7 @@
 
 from bitternturn.http import const as http
 from bitternturn.platform import wire_names
+from bitternturn.standins.crashing_request import CrashingRequest
 from bitternturn.standins.proxy import LINGER_RESET
 from bitternturn.standins.rate_limit_check import (
     GRACE_S,
@@ -138,6 +139,10 @@
     named_limits: NamedLimits = field(default_factory=NamedLimits)
     # Copies of answers that precede the next answer on a connection.
     late_copies: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
+    # Request that ends the target, shared by all targets, if there is one.
+    crashing: CrashingRequest | None = None
+    # Whether the target has ended by it, and has not been started again.
+    crashed: bool = False
 
     @property
     def run_request_ids(self) -> list[str]:
@@ -176,6 +181,7 @@
 
     async def async_start(self) -> None:
         """Start the listener; reuse its port after a stop."""
+        self.crashed = False
         self.server = await asyncio.start_server(
             self._async_serve,
             '127.0.0.1',
@@ -226,6 +232,8 @@
             ScriptedBehaviour.MISDIRECTED,
         }
         self.requests.append(received)
+        if received.run and await self._async_crash(received):
+            return False
         if behaviour is ScriptedBehaviour.HANG:
             await reader.read(http.READ_BYTES)
             return False
@@ -239,6 +247,19 @@
             return False
         return await self._async_answer(connection, writer, received, behaviour)
 
+    async def _async_crash(self, received: ReceivedRequest) -> bool:
+        """End if a request makes the target do so; return whether it did."""
+        crashing = self.crashing
+        if crashing is None or received.target != crashing.request_target:
+            return False
+        crashing.record_arrival()
+        await asyncio.sleep(crashing.run_s)
+        if not self.crashed:
+            self.crashed = True
+            crashing.record_end()
+            await self.async_stop()
+        return True
+
     async def _async_answer(
         self,
         connection: h11.Connection,
