--- /dev/null
+++ b/bitternturn/gateway/crash_suspects.py
@@ -0,0 +1,148 @@
+"""Requests that were under way when targets ended, and those it refuses."""
+
+from collections.abc import Callable, Collection, Mapping
+from typing import Final
+
+from bitternturn.core.ids import RequestKey, ServiceName
+from bitternturn.gateway.decision_log import DecisionLog
+from bitternturn.gateway.identity import identify_request
+from bitternturn.gateway.metrics import GatewayMetrics
+from bitternturn.gateway.models import CallerRequest, TargetEntry
+from bitternturn.policy.crash_evidence import (
+    EVIDENCE_MEMORY_S,
+    REFUSAL_S,
+    CrashEvidence,
+    TargetEnd,
+    find_crashing,
+    is_refused,
+)
+
+# Requests of which evidence is kept; that of the others is dropped, the oldest
+# first and requests that crash targets last.
+MAX_REQUESTS: Final = 256
+
+
+def _ignore_change(keys: Collection[RequestKey]) -> None:
+    """Do nothing: there is no other instance to notify."""
+
+
+class CrashSuspects:
+    """Evidence of this instance and its peers, and the decisions from it."""
+
+    def __init__(
+        self, *, decisions: DecisionLog, metrics: GatewayMetrics
+    ) -> None:
+        """Initialise without evidence."""
+        self.decisions = decisions
+        self.metrics = metrics
+        self.evidence: dict[RequestKey, CrashEvidence] = {}
+        # Requests that crash targets, and when each was last seen to.
+        self.crashing: Mapping[RequestKey, float] = {}
+        # Called with the requests of which this instance has new evidence.
+        self.on_change: Callable[[Collection[RequestKey]], None] = (
+            _ignore_change
+        )
+
+    def refuses(self, caller: CallerRequest, now: float) -> bool:
+        """Return whether a request is not sent, as it crashes targets."""
+        return self.refused_for_s(caller, now) > 0
+
+    def refused_for_s(self, caller: CallerRequest, now: float) -> float:
+        """Return for how long a request is refused, 0 if it is not."""
+        if not self.crashing:
+            return 0
+        crashed_at = self.crashing.get(identify_request(caller))
+        if crashed_at is None or not is_refused(crashed_at, now):
+            return 0
+        return crashed_at + REFUSAL_S - now
+
+    def record_end(
+        self,
+        entry: TargetEntry,
+        callers: Collection[CallerRequest],
+        now: float,
+    ) -> None:
+        """Record that a target has ended with some requests under way."""
+        end = TargetEnd(
+            life=(entry.id, entry.started_at_ms), service=entry.service, at=now
+        )
+        keys = {identify_request(caller) for caller in callers}
+        self.metrics.increment('target_ends')
+        self.decisions.write(
+            'target_ended',
+            target=entry.id,
+            service=entry.service,
+            requests=sorted(keys),
+        )
+        changed = [key for key in keys if self._get_or_add(key).add_end(end)]
+        if changed:
+            self._update(now)
+            self.on_change(changed)
+
+    def record_answer(
+        self, caller: CallerRequest, service: ServiceName, now: float
+    ) -> None:
+        """Record that a target has answered a request."""
+        if not self.evidence:
+            return
+        key = identify_request(caller)
+        known = self.evidence.get(key)
+        if known is not None and known.add_answer(service, now):
+            self._update(now)
+            self.on_change([key])
+
+    def merge(
+        self, reported: Mapping[RequestKey, CrashEvidence], now: float
+    ) -> Collection[RequestKey]:
+        """Add the evidence of a peer; return the requests with new evidence."""
+        changed = []
+        for key, report in reported.items():
+            known = self._get_or_add(key)
+            new_ends = [known.add_end(end) for end in report.ends.values()]
+            new_answers = [
+                known.add_answer(service, at)
+                for service, at in report.answers.items()
+            ]
+            if any(new_ends) or any(new_answers):
+                changed.append(key)
+        if changed:
+            self._update(now)
+        return changed
+
+    def _get_or_add(self, key: RequestKey) -> CrashEvidence:
+        """Return the evidence of a request."""
+        return self.evidence.setdefault(key, CrashEvidence())
+
+    def _update(self, now: float) -> None:
+        """Bound the evidence, decide from it, and log new decisions."""
+        self._drop_excess(now)
+        crashing = find_crashing(self.evidence)
+        for key in crashing.keys() - self.crashing.keys():
+            self.decisions.write(
+                'request_suspected',
+                request_key=key,
+                ends=[
+                    {
+                        'target': end.life[0],
+                        'service': end.service,
+                        'age_s': round(now - end.at, 3),
+                    }
+                    for end in self.evidence[key].ends.values()
+                ],
+            )
+        for key in self.crashing.keys() - crashing.keys():
+            self.decisions.write('request_cleared', request_key=key)
+        self.crashing = crashing
+
+    def _drop_excess(self, now: float) -> None:
+        """Forget old evidence, and the oldest if there is too much."""
+        oldest_first = sorted(self.evidence, key=self._retention_rank)
+        excess = max(0, len(oldest_first) - MAX_REQUESTS)
+        for position, key in enumerate(oldest_first):
+            age_s = now - self.evidence[key].updated_at
+            if position < excess or age_s > EVIDENCE_MEMORY_S:
+                del self.evidence[key]
+
+    def _retention_rank(self, key: RequestKey) -> tuple[bool, float]:
+        """Return the rank of a request; those with a low one are dropped."""
+        return key in self.crashing, self.evidence[key].updated_at
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -45,6 +45,7 @@
         SendOutcome.DECLINED,
         SendOutcome.OVER_BUDGET,
         SendOutcome.UNWANTED,
+        SendOutcome.SUSPECTED,
         SendOutcome.NOT_RUN,
         SendOutcome.MISDIRECTED,
     ),
@@ -76,6 +77,9 @@
     def may_sponsor(self, target: Target, now: float) -> bool:
         """Return whether a delegate may allow a send above the own budget."""
 
+    def crashes_targets(self, caller: CallerRequest, now: float) -> bool:
+        """Return whether a request crashes the targets that run it."""
+
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
 
@@ -172,6 +176,8 @@
         """Send a part to a target; return whether it was sent."""
         if self.deadline - now < const.MIN_SEND_TIME_S:
             return False
+        if self.dispatcher.crashes_targets(self.caller, now):
+            return False
         direct = part.not_sent_count >= MAX_UNSUCCESSFUL_PEERS
         if sponsored and (
             direct or not self.dispatcher.may_sponsor(target, now)
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -143,6 +143,11 @@
         route = self.route_table.match(caller.host, caller.path)
         if route is None:
             return self._refuse(caller, RefusalReason.NO_ROUTE, None)
+        refused_for_s = self.crash_suspects.refused_for_s(caller, arrived_at)
+        if refused_for_s > 0:
+            return self._refuse(
+                caller, RefusalReason.CRASHES_TARGETS, refused_for_s
+            )
         services = self._services(route)
         available = sum(bool(self.ready.get(service)) for service in services)
         if available < route.min_parts():
@@ -259,6 +264,15 @@
                     merged.body,
                 )
         if not result.maybe_run:
+            refused_for_s = self.crash_suspects.refused_for_s(
+                execution.caller, self.now()
+            )
+            if refused_for_s > 0:
+                return self.wire.write_refusal(
+                    execution.caller,
+                    RefusalReason.CRASHES_TARGETS,
+                    refused_for_s,
+                )
             return_delay_s = self.return_delay_s(
                 [part.service for part in execution.parts],
                 execution.min_parts,
@@ -344,6 +358,7 @@
         'further_sends': lambda: sum(
             budget.further_sends for budget in gateway.retry_budgets.values()
         ),
+        'suspected_requests': lambda: len(gateway.crash_suspects.crashing),
         'limited_targets': lambda: len(gateway.rate_limits.limited),
         'limit_share': lambda: sum(
             target.announcement.rate_limit.share_per_s
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -318,6 +318,8 @@
     OVER_BUDGET = 'over_budget'
     # Not sent: the target leaves, has asked for a pause or has named a limit.
     UNWANTED = 'unwanted'
+    # Not sent: the request crashes the targets that run it.
+    SUSPECTED = 'suspected'
     # The request was not sent, for a reason other than the target.
     NOT_SENT = 'not_sent'
     # The request was sent, but no valid answer was received.
@@ -338,6 +340,7 @@
         SendOutcome.DECLINED,
         SendOutcome.OVER_BUDGET,
         SendOutcome.UNWANTED,
+        SendOutcome.SUSPECTED,
     )
 )
 
@@ -356,6 +359,8 @@
     PAUSED_TARGETS = 'paused_targets'
     # Too few services have a target that is below its rate limit.
     LIMITED_TARGETS = 'limited_targets'
+    # The request crashes the targets that run it.
+    CRASHES_TARGETS = 'crashes_targets'
     BUSY = 'busy'
     NOT_RUN = 'not_run'
     # For the remaining reasons, targets may have run the request.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -15,11 +15,13 @@
     assign_targets,
     choose_preferred_domain,
 )
+from bitternturn.gateway.crash_suspects import CrashSuspects
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.fleet_state import FleetState
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import (
     REPLY_OUTCOMES,
+    CallerRequest,
     InstanceSettings,
     SendOutcome,
     Service,
@@ -104,6 +106,9 @@
             metrics=self.metrics,
             rng=rng,
         )
+        self.crash_suspects = CrashSuspects(
+            decisions=decisions, metrics=self.metrics
+        )
         # End of the last pause that a target has asked for.
         self.pauses_end_at: float = 0
         self.target_hooks = TargetHooks(
@@ -111,6 +116,9 @@
             paused_since=lambda since: self.pauses.paused_since(since),
             on_send_end=self._record_send_end,
             on_send_lost=self._record_lost_send,
+            on_end=self._handle_target_end,
+            on_answer=self._handle_answer,
+            crashes_targets=self.crashes_targets,
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
@@ -243,6 +251,22 @@
         """Log a send whose connection ended without an answer."""
         record_lost_send(send, error, decisions=self.decisions)
 
+    def _handle_target_end(
+        self, entry: TargetEntry, callers: Sequence[CallerRequest]
+    ) -> None:
+        """Record the end of a target with some requests under way."""
+        self.crash_suspects.record_end(entry, callers, self.now())
+
+    def _handle_answer(self, send: Send) -> None:
+        """Record that a target has answered a request."""
+        self.crash_suspects.record_answer(
+            send.caller, send.target.entry.service, self.now()
+        )
+
+    def crashes_targets(self, caller: CallerRequest, now: float) -> bool:
+        """Return whether a request crashes the targets that run it."""
+        return self.crash_suspects.refuses(caller, now)
+
     def _handle_leaving(self, target: Target) -> None:
         """Stop using a target that has announced that it leaves."""
         self.decisions.write(
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -3,19 +3,21 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 
 import h11
 
-from bitternturn.core.errors import BitternturnError
+from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway import const
 from bitternturn.gateway.announcements import Announcement
+from bitternturn.gateway.end_detection import EndDetector
 from bitternturn.gateway.models import (
     UNDELIVERED_OUTCOMES,
     Address,
+    CallerRequest,
     SendOutcome,
     TargetAnswer,
     TargetEntry,
@@ -42,6 +44,7 @@
         SendOutcome.PEER_LOST,
         SendOutcome.OVER_BUDGET,
         SendOutcome.UNWANTED,
+        SendOutcome.SUSPECTED,
     )
 )
 
@@ -60,6 +63,12 @@
     on_send_end: SendRecorder
     # Called with a send whose connection ended without an answer, and the error.
     on_send_lost: Callable[[Send, str], None]
+    # Called with the requests that were under way when a target ended.
+    on_end: Callable[[TargetEntry, Sequence[CallerRequest]], None]
+    # Called with an answered send.
+    on_answer: Callable[[Send], None]
+    # Returns whether a request is not sent, as it crashes targets.
+    crashes_targets: Callable[[CallerRequest, float], bool]
     # Called once a target has announced that it leaves.
     on_leaving: Callable[['Target'], None]
     # Called with a target and the length of the pause that it asks for, or if
@@ -99,9 +108,13 @@
             address=Address(host=entry.host, port=entry.port),
             tasks=tasks,
             now=hooks.now,
-            on_open=self._use_connection,
+            on_open=self._handle_connected,
             on_failure=self._handle_connect_failure,
         )
+        self.end_detector = EndDetector(
+            connections=self.connections,
+            on_end=partial(hooks.on_end, entry),
+        )
         self.queued: deque[Send] = deque()
         self.sends: set[Send] = set()
         # Those of `sends` that peers make.
@@ -194,10 +207,9 @@
     def start(self, send: Send, now: float) -> None:
         """Send over an idle connection, or queue the send for one."""
         self.sends.add(send)
-        if not self.announcement.allows_send(now) or not self.take_permit(
-            send, now
-        ):
-            self.end_send(send, SendOutcome.UNWANTED, None)
+        rejection = self._find_rejection(send, now)
+        if rejection is not None:
+            self.end_send(send, rejection, None)
             return
         connection = self.connections.take_idle(
             now, fresh=send.require_fresh_connection
@@ -208,6 +220,15 @@
         self.queued.append(send)
         self._open_connections()
 
+    def _find_rejection(self, send: Send, now: float) -> SendOutcome | None:
+        """Return why a send may not be written now, None if it may."""
+        if self.hooks.crashes_targets(send.caller, now):
+            return SendOutcome.SUSPECTED
+        permitted = self.announcement.allows_send(now) and self.take_permit(
+            send, now
+        )
+        return None if permitted else SendOutcome.UNWANTED
+
     def register_delegated(self, send: Send, relay_delay_s: float) -> None:
         """Register a send that a peer makes."""
         self.sends.add(send)
@@ -232,18 +253,31 @@
 
     def _open_connections(self) -> None:
         """Open a connection for a queued send, within the limit."""
-        direct_count = len(self.sends) - len(self.delegated)
         self.connections.open(
-            queued_count=len(self.queued),
-            busy_count=direct_count - len(self.queued),
+            queued_count=len(self.queued), busy_count=self._busy_count()
         )
 
+    def _busy_count(self) -> int:
+        """Return the number of connections that carry a send."""
+        return len(self.sends) - len(self.delegated) - len(self.queued)
+
+    def _handle_connected(
+        self, connection: ClientConnection, started_at: float
+    ) -> None:
+        """Use a new connection; the target has not ended."""
+        self.end_detector.record_connected(started_at)
+        self._use_connection(connection)
+
     def _handle_connect_failure(self, started_at: float) -> None:
         """End the first queued send as unreachable, else record a failure.
 
         A failure during a pause of this process says nothing of the target.
         """
         paused = self.hooks.paused_since(started_at)
+        if paused:
+            self.end_detector.discard()
+        else:
+            self.end_detector.record_unreachable(self.now())
         outcome = SendOutcome.NOT_SENT if paused else SendOutcome.UNREACHABLE
         if self.queued:
             self.end_send(self.queued[0], outcome, None)
@@ -252,8 +286,11 @@
 
     def _use_connection(self, connection: ClientConnection) -> None:
         """Use a new or free connection for a queued send, or keep it idle."""
-        while self.queued and not self.take_permit(self.queued[0], self.now()):
-            self.end_send(self.queued[0], SendOutcome.UNWANTED, None)
+        while self.queued:
+            rejection = self._find_rejection(self.queued[0], self.now())
+            if rejection is None:
+                break
+            self.end_send(self.queued[0], rejection, None)
         if self.queued:
             self._write_request(self.queued.popleft(), connection)
         elif self.closed:
@@ -294,9 +331,7 @@
     ) -> None:
         """End a send by the response or error of its exchange."""
         if isinstance(end, BitternturnError):
-            if not send.aborted:
-                self.hooks.on_send_lost(send, end.message)
-            self.end_send(send, SendOutcome.LOST, None)
+            self._handle_loss(send, end)
             return
         answer = self.wire.read_answer(end)
         connection = send.connection
@@ -311,10 +346,23 @@
             self._apply_announcement(answer, send.started_at)
         if answer.idle_timeout_s is not None:
             self.connections.idle_timeout_s = answer.idle_timeout_s
-        self.end_send(send, _classify(answer), answer)
+        outcome = _classify(answer)
+        if outcome is SendOutcome.ANSWERED:
+            self.hooks.on_answer(send)
+        self.end_send(send, outcome, answer)
         if connection.usable:
             self._use_connection(connection)
 
+    def _handle_loss(self, send: Send, error: BitternturnError) -> None:
+        """End a send without an answer; find out whether the target ended."""
+        if not send.aborted:
+            self.hooks.on_send_lost(send, error.message)
+        self.end_send(send, SendOutcome.LOST, None)
+        if not send.aborted and error.code is ErrorCode.CONNECTION_LOST:
+            self.end_detector.record_loss(
+                send.caller, self.now(), busy_count=self._busy_count()
+            )
+
     def _apply_announcement(
         self, answer: TargetAnswer, started_at: float
     ) -> None:
--- a/bitternturn/gateway/target_connections.py
+++ b/bitternturn/gateway/target_connections.py
@@ -19,12 +19,13 @@
         address: Address,
         tasks: TaskSet,
         now: Callable[[], float],
-        on_open: Callable[[ClientConnection], None],
+        on_open: Callable[[ClientConnection, float], None],
         on_failure: Callable[[float], None],
     ) -> None:
         """Initialise without connections.
 
-        `on_failure` is called with the time at which an attempt started.
+        `on_open` and `on_failure` are called with the time at which the attempt
+        started.
         """
         self.address = address
         self.tasks = tasks
@@ -93,4 +94,4 @@
         if failed:
             self.on_failure(started_at)
         else:
-            self.on_open(connection)
+            self.on_open(connection, started_at)
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -24,6 +24,7 @@
 from bitternturn.platform.store_follower import StoreFollower
 from bitternturn.platform.transport import ObjectTransport
 from bitternturn.relay.delegation import Delegation
+from bitternturn.relay.observations import ObservationExchange
 from bitternturn.relay.server import RelayServer
 
 # Timeout of a call to the store; slow responses take a few hundred ms.
@@ -88,6 +89,10 @@
             tasks=self.tasks,
             traffic=delegation.traffic,
         )
+        self.observations = ObservationExchange(
+            gateway=self.gateway, delegation=delegation, tasks=self.tasks
+        )
+        self.relay_server.observations = self.observations
         self.shutting_down = False
         self.stopped = asyncio.Event()
 
@@ -104,6 +109,7 @@
         """Listen and start the background jobs; raises BitternturnError."""
         await self._async_listen()
         self.follower.start()
+        self.observations.start()
         self.tasks.spawn(self._async_log_traffic())
         self.decisions.write('start', domain=self.settings.failure_domain)
 
--- /dev/null
+++ b/bitternturn/policy/crash_evidence.py
@@ -0,0 +1,154 @@
+"""Decides which requests crash the targets that run them.
+
+Guards against a request that ends every target to which it is sent, and that
+callers repeat at any instance until no target is left.
+
+A target may end for many reasons, and a popular request is under way at most
+ends. So what counts is what tells the two apart:
+
+- A request that crashes its targets is never answered. An answer of a service
+  clears a request of all earlier ends in that service.
+- Ends at the same time may have one cause, such as the loss of a failure domain,
+  so that the ends have to be spread over several occasions.
+- A request that shares all of its ends with one that was present at more of
+  them was only a bystander.
+
+All instances come to the same decision from the same evidence, in whatever order
+it arrives.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from bitternturn.core.ids import RequestKey, ServiceName, TargetId
+
+# Ends of targets, and occasions, after which a request is suspected.
+MIN_ENDS: Final = 3
+MIN_OCCASIONS: Final = 2
+# Time after the first end of an occasion within which ends belong to it.
+OCCASION_S: Final = 0.5
+# Time since the last end for which a request is refused. After it the request
+# is tried again, and one more end is enough to refuse it again.
+REFUSAL_S: Final = 600.0
+# Time since the last end or answer after which the evidence is forgotten.
+EVIDENCE_MEMORY_S: Final = 86_400.0
+
+# Ends of one request that are kept, the newest ones.
+MAX_ENDS: Final = 16
+
+# Id and start, in Unix milliseconds, of one life of a target.
+EndedLife = tuple[TargetId, int]
+
+
+@dataclass(kw_only=True, frozen=True, slots=True)
+class TargetEnd:
+    """End of one life of a target, with a request under way."""
+
+    life: EndedLife
+    service: ServiceName
+    # When it was noticed, on the clock of this instance.
+    at: float
+
+
+class CrashEvidence:
+    """What is known of one request: ends of targets, and answers."""
+
+    __slots__ = ('answers', 'ends')
+
+    def __init__(self) -> None:
+        """Initialise without evidence."""
+        self.ends: dict[EndedLife, TargetEnd] = {}
+        # Last answer of each service.
+        self.answers: dict[ServiceName, float] = {}
+
+    @property
+    def updated_at(self) -> float:
+        """When the last end or answer was noticed."""
+        ended_at = (end.at for end in self.ends.values())
+        return max((*ended_at, *self.answers.values()), default=0)
+
+    def add_end(self, end: TargetEnd) -> bool:
+        """Add an end unless it is known; return whether it counts."""
+        if end.life in self.ends or self._is_cleared(end):
+            return False
+        if len(self.ends) >= MAX_ENDS:
+            oldest = min(self.ends.values(), key=_get_time)
+            if end.at <= oldest.at:
+                return False
+            del self.ends[oldest.life]
+        self.ends[end.life] = end
+        return True
+
+    def add_answer(self, service: ServiceName, at: float) -> bool:
+        """Add an answer; return whether it clears any end."""
+        known_at = self.answers.get(service)
+        if known_at is not None and at <= known_at:
+            return False
+        self.answers[service] = at
+        cleared = [
+            life for life, end in self.ends.items() if self._is_cleared(end)
+        ]
+        for life in cleared:
+            del self.ends[life]
+        return bool(cleared)
+
+    def _is_cleared(self, end: TargetEnd) -> bool:
+        """Return whether a later answer of the service contradicts an end."""
+        answered_at = self.answers.get(end.service)
+        return answered_at is not None and end.at <= answered_at
+
+
+def _get_time(end: TargetEnd) -> float:
+    """Return when an end was noticed."""
+    return end.at
+
+
+def find_crashing(
+    evidence: Mapping[RequestKey, CrashEvidence],
+) -> dict[RequestKey, float]:
+    """Return the requests that crash targets, and when each was last seen to."""
+    by_life: dict[EndedLife, list[CrashEvidence]] = {}
+    for known in evidence.values():
+        for life in known.ends:
+            by_life.setdefault(life, []).append(known)
+    return {
+        key: max(end.at for end in known.ends.values())
+        for key, known in evidence.items()
+        if _is_conclusive(known.ends.values())
+        and not _is_bystander(known, by_life)
+    }
+
+
+def is_refused(crashed_at: float, now: float) -> bool:
+    """Return whether a request is refused that crashed a target at a time."""
+    return now < crashed_at + REFUSAL_S
+
+
+def _is_conclusive(ends: Collection[TargetEnd]) -> bool:
+    """Return whether there are enough ends on enough occasions."""
+    if len(ends) < MIN_ENDS:
+        return False
+    return _count_occasions(end.at for end in ends) >= MIN_OCCASIONS
+
+
+def _count_occasions(times: Iterable[float]) -> int:
+    """Return the number of occasions that some times belong to."""
+    count = 0
+    began_at = float('-inf')
+    for at in sorted(times):
+        if at - began_at >= OCCASION_S:
+            count += 1
+            began_at = at
+    return count
+
+
+def _is_bystander(
+    known: CrashEvidence,
+    by_life: Mapping[EndedLife, Collection[CrashEvidence]],
+) -> bool:
+    """Return whether another request explains each of the ends better."""
+    return all(
+        any(len(other.ends) > len(known.ends) for other in by_life[life])
+        for life in known.ends
+    )
--- a/bitternturn/relay/outcomes.py
+++ b/bitternturn/relay/outcomes.py
@@ -18,6 +18,7 @@
     SendOutcome.PEER_LOST: relay_pb2.SEND_OUTCOME_PEER_LOST,
     SendOutcome.OVER_BUDGET: relay_pb2.SEND_OUTCOME_OVER_BUDGET,
     SendOutcome.UNWANTED: relay_pb2.SEND_OUTCOME_UNWANTED,
+    SendOutcome.SUSPECTED: relay_pb2.SEND_OUTCOME_SUSPECTED,
 }
 _OUTCOMES: Final[Mapping[int, SendOutcome]] = {
     number: outcome for outcome, number in _VALUES.items()
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -9,6 +9,7 @@
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.incoming_batch import IncomingBatch
+from bitternturn.relay.observations import ObservationExchange
 from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Leaving
 
@@ -31,6 +32,8 @@
         self.gateway = gateway
         self.connections: dict[RelayConnection, dict[int, IncomingBatch]] = {}
         self.server: asyncio.Server | None = None
+        # Applies what peers have observed, None if it is ignored.
+        self.observations: ObservationExchange | None = None
 
     async def async_start(self, address: Address) -> int:
         """Start listening and return the port."""
@@ -85,6 +88,9 @@
             for index in frame.cancel.indexes:
                 if known is not None:
                     known.cancel(index)
+        elif frame.HasField('observations') and self.observations is not None:
+            reply = self.observations.receive(frame.observations)
+            connection.send(Frame(number=frame.number, observations=reply))
 
     async def _async_follow(
         self,
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -5,8 +5,9 @@
 import pytest
 
 from bitternturn.standins.crashing_request import CrashingRequest
+from bitternturn.standins.platform_target import ScriptedBehaviour
 from tests.platform.documents import configuration_document
-from tests.platform.fleet import DaemonFleet
+from tests.platform.fleet import DaemonFleet, async_wait_until
 
 INSTANCES = 4
 # Targets of the service `s`, to which the route `split` leads.
@@ -65,3 +66,60 @@
         crashing = fleet.targets[0].crashing
         assert len(crashing.ends) >= 3
         assert crashing.count_late_arrivals() <= MAX_LATE_ARRIVALS
+
+    async def test_instance_that_starts_later_refuses_it_at_once(self, fleet):
+        await async_repeat(fleet)
+        crashing = fleet.targets[0].crashing
+        for _ in range(3):
+            await fleet.async_add_target('s', crashing=crashing)
+        started = await fleet.async_add_instance('late')
+        await fleet.async_settle()
+        await async_wait_until(lambda: started.gateway.crash_suspects.crashing)
+        arrived = len(crashing.arrivals)
+        response = await fleet.async_ask(CRASHING_PATH, started)
+        assert (response.status, response.body) == (503, b'crashes_targets')
+        assert float(response.headers['retry-after']) > 1
+        assert len(crashing.arrivals) == arrived
+
+
+class TestOrdinaryRequests:
+    async def test_they_are_served_beside_it(self, fleet):
+        await async_repeat(fleet)
+        response = await fleet.async_ask('/split/ordinary')
+        assert response.status == 200
+
+    async def test_popular_one_is_not_refused_when_targets_crash(self, fleet):
+        """Targets crash by themselves with the same request under way."""
+        for target in fleet.targets:
+            target.delay_s = 0.05
+        responses = []
+        for target in fleet.targets[:6]:
+            asked = [
+                asyncio.ensure_future(fleet.async_ask('/split/popular'))
+                for _ in range(2 * TARGETS)
+            ]
+            await asyncio.sleep(0.03)
+            await target.async_stop()
+            responses.extend(await asyncio.gather(*asked))
+            await asyncio.sleep(INTERVAL_S)
+        refused = [it for it in responses if it.body == b'crashes_targets']
+        ends = sum(
+            daemon.gateway.decisions.counts['target_ended']
+            for daemon in fleet.daemons
+        )
+        assert ends >= 6
+        assert not refused
+
+    async def test_reset_connections_are_no_ends(self, fleet):
+        """The targets still accept connections."""
+        for target in fleet.targets:
+            target.script = lambda _count: ScriptedBehaviour.RESET
+        for _ in range(10):
+            await fleet.async_ask('/split/reset')
+        for target in fleet.targets:
+            target.script = lambda _count: ScriptedBehaviour.ANSWER
+        response = await fleet.async_ask('/split/reset')
+        assert response.status == 200
+        assert not any(
+            daemon.gateway.crash_suspects.evidence for daemon in fleet.daemons
+        )
