--- a/bitternturn/gateway/crash_suspects.py
+++ b/bitternturn/gateway/crash_suspects.py
@@ -56,6 +56,13 @@
             return 0
         return crashed_at + REFUSAL_S - now
 
+    def doubted_services(self, caller: CallerRequest) -> frozenset[ServiceName]:
+        """Return the services in which a request may have ended targets."""
+        if not self.evidence:
+            return frozenset()
+        known = self.evidence.get(identify_request(caller))
+        return frozenset() if known is None else known.doubted_services
+
     def record_end(
         self,
         entry: TargetEntry,
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -18,6 +18,7 @@
     TargetAnswer,
 )
 from bitternturn.gateway.parts import Deadlines, Part, RequestResult
+from bitternturn.gateway.probing import ProbedParts
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.target import Target
 from bitternturn.policy.answer_timing import (
@@ -80,6 +81,9 @@
     def crashes_targets(self, caller: CallerRequest, now: float) -> bool:
         """Return whether a request crashes the targets that run it."""
 
+    def doubted_services(self, caller: CallerRequest) -> frozenset[ServiceName]:
+        """Return the services in which a request may have ended targets."""
+
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
 
@@ -129,6 +133,8 @@
         # Log entries of failed, unanswered and further sends.
         self.logged_sends: list[dict[str, Any]] = []
         self.retries = 0
+        # Order of the parts if the request may crash targets.
+        self.probed: ProbedParts | None = None
         # Time from which targets that have not answered count as unresponsive.
         self.unresponsive_at = math.inf
 
@@ -143,10 +149,40 @@
             self.unresponsive_at = max(
                 self.soft_deadline, now + unresponsive_delay_s
             )
-        for part in self.parts:
+        doubted = self.dispatcher.doubted_services(self.caller)
+        if doubted:
+            self.probed = ProbedParts(parts=self.parts, doubted=doubted)
+            self._send_probe(self.probed, now)
+        else:
+            self._send_parts(self.parts, now)
+        self._evaluate(now)
+
+    def _send_parts(self, parts: Sequence[Part], now: float) -> None:
+        """Start the first send of some parts."""
+        for part in parts:
             part.started_at = now
             self._send_part(part, now)
-        self._evaluate(now)
+
+    def _send_probe(self, probed: ProbedParts, now: float) -> None:
+        """Send the next part alone; skip those that can't be sent."""
+        part = probed.next_probe()
+        while part is not None:
+            part.started_at = now
+            if self._send_part(part, now):
+                return
+            part = probed.next_probe()
+
+    def _handle_probe_end(
+        self, probed: ProbedParts, part: Part, now: float
+    ) -> None:
+        """Send the other parts if the probe was answered, else give them up."""
+        if part.answer is not None:
+            self._send_parts(probed.release(), now)
+        elif part.maybe_run:
+            for held in probed.release():
+                held.closed = True
+        else:
+            self._send_probe(probed, now)
 
     def cancel(self) -> None:
         """Cancel the request because its caller has disconnected."""
@@ -276,8 +312,14 @@
                 part.closed = not part.in_flight
             else:
                 self._retry_part(part, send, outcome, now)
+        if part.closed and self._is_probe(part) and self.probed is not None:
+            self._handle_probe_end(self.probed, part, now)
         self._evaluate(now)
 
+    def _is_probe(self, part: Part) -> bool:
+        """Return whether a part is sent alone and only once."""
+        return self.probed is not None and self.probed.is_probe(part)
+
     def _handle_silence(self, part: Part) -> None:
         """Hedge a part at once, as the delegate of its send may be lost."""
         if part.closed or self.on_end is None or not self.repeatable:
@@ -341,7 +383,8 @@
         An undelivered send is replaced without further budget, but that of a
         sponsored one has not been spent.
         """
-        if self.repeatable or outcome in NOT_RUN_OUTCOMES:
+        repeatable = self.repeatable and not self._is_probe(part)
+        if repeatable or outcome in NOT_RUN_OUTCOMES:
             budget = self.dispatcher.retry_budget(part.service)
             undelivered = outcome in UNDELIVERED_OUTCOMES
             paid = (undelivered and not send.sponsored) or budget.try_spend(
@@ -365,7 +408,7 @@
 
     def _hedge_part(self, part: Part, now: float) -> None:
         """Send a hedge for a part if there is a target and budget for it."""
-        target = self._find_target(part)
+        target = None if self._is_probe(part) else self._find_target(part)
         if target is None or not self.dispatcher.may_hedge(target, now):
             return
         budget = self.dispatcher.retry_budget(part.service)
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -267,6 +267,10 @@
         """Return whether a request crashes the targets that run it."""
         return self.crash_suspects.refuses(caller, now)
 
+    def doubted_services(self, caller: CallerRequest) -> frozenset[ServiceName]:
+        """Return the services in which a request may have ended targets."""
+        return self.crash_suspects.doubted_services(caller)
+
     def _handle_leaving(self, target: Target) -> None:
         """Stop using a target that has announced that it leaves."""
         self.decisions.write(
--- a/bitternturn/policy/crash_evidence.py
+++ b/bitternturn/policy/crash_evidence.py
@@ -26,6 +26,8 @@
 # Ends of targets, and occasions, after which a request is suspected.
 MIN_ENDS: Final = 3
 MIN_OCCASIONS: Final = 2
+# Ends of targets after which a request is sent to one target at a time.
+MIN_DOUBTED_ENDS: Final = 2
 # Time after the first end of an occasion within which ends belong to it.
 OCCASION_S: Final = 0.5
 # Time since the last end for which a request is refused. After it the request
@@ -68,6 +70,17 @@
         ended_at = (end.at for end in self.ends.values())
         return max((*ended_at, *self.answers.values()), default=0)
 
+    @property
+    def doubted_services(self) -> frozenset[ServiceName]:
+        """Services of which one target is tried before any other one.
+
+        All parts of a request would otherwise end their targets at once, before
+        there is evidence of a second occasion.
+        """
+        if len(self.ends) < MIN_DOUBTED_ENDS:
+            return frozenset()
+        return frozenset(end.service for end in self.ends.values())
+
     def add_end(self, end: TargetEnd) -> bool:
         """Add an end unless it is known; return whether it counts."""
         if end.life in self.ends or self._is_cleared(end):
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Tests of requests that crash the targets that run them."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -13,6 +14,7 @@
 # Targets of the service `s`, to which the route `split` leads.
 TARGETS = 12
 CRASHING_PATH = '/split/crash'
+WIDE_PATH = '/all/crash'
 # Arrivals of the crashing request, and the time between two of them.
 ARRIVALS = 16
 INTERVAL_S = 0.3
@@ -20,41 +22,71 @@
 MAX_LATE_ARRIVALS = 3
 
 
-@pytest.fixture
-async def fleet(tmp_path):
-    """Provide a fleet of which one request ends the targets."""
-    fleet = DaemonFleet(tmp_path)
-    crashing = CrashingRequest(request_target=CRASHING_PATH)
-    for _ in range(TARGETS):
-        await fleet.async_add_target('s', crashing=crashing)
+SHARDS = tuple(f's{number}' for number in range(8))
+
+
+def make_route(**fields):
+    """Return a route of the configuration."""
+    return {
+        'hostname': 'search.example',
+        'type': 'idempotent',
+        'timeout-ms': 3000,
+        'target-latency-ms': 500,
+        'priority': 2,
+        'attempts': 1,
+        **fields,
+    }
+
+
+ROUTES = [
+    make_route(name='one', **{'path-prefix': '/split/', 'service': 's'}),
+    make_route(
+        name='all',
+        gather=SHARDS,
+        attempts=2,
+        **{'path-prefix': '/all/', 'top-k': 5, 'min-coverage': 0.5},
+    ),
+]
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(folder, services, crashing_path):
+    """Provide a fleet with a target for each service, and a crashing request."""
+    fleet = DaemonFleet(folder)
+    crashing = CrashingRequest(request_target=crashing_path)
+    for service in services:
+        await fleet.async_add_target(service, crashing=crashing)
     await fleet.async_start(
         instances=INSTANCES,
-        configuration=configuration_document(
-            routes=[
-                {
-                    'name': 'split',
-                    'hostname': 'search.example',
-                    'path-prefix': '/split/',
-                    'type': 'idempotent',
-                    'timeout-ms': 3000,
-                    'target-latency-ms': 500,
-                    'priority': 2,
-                    'service': 's',
-                    'attempts': 1,
-                },
-            ],
-        ),
+        configuration=configuration_document(routes=ROUTES),
     )
-    yield fleet
-    await fleet.async_stop()
+    try:
+        yield fleet
+    finally:
+        await fleet.async_stop()
+
 
+@pytest.fixture
+async def fleet(tmp_path):
+    """Provide a fleet of which one request ends the targets of a service."""
+    services = ['s'] * TARGETS
+    async with running_fleet(tmp_path, services, CRASHING_PATH) as running:
+        yield running
+
+
+@pytest.fixture
+async def wide_fleet(tmp_path):
+    """Provide a fleet of which one request ends the targets of all shards."""
+    async with running_fleet(tmp_path, SHARDS * 3, WIDE_PATH) as running:
+        yield running
 
-async def async_repeat(fleet, arrivals=ARRIVALS):
+
+async def async_repeat(fleet, path=CRASHING_PATH, *, interval_s=INTERVAL_S):
     """Let callers send the crashing request again and again."""
     responses = []
-    for _ in range(arrivals):
-        responses.append(await fleet.async_ask(CRASHING_PATH))
-        await asyncio.sleep(INTERVAL_S)
+    for _ in range(ARRIVALS):
+        responses.append(await fleet.async_ask(path))
+        await asyncio.sleep(interval_s)
     return responses
 
 
@@ -82,6 +114,17 @@
         assert len(crashing.arrivals) == arrived
 
 
+class TestCrashingWideRequest:
+    """The parts of a request run at the same time, each at one target."""
+
+    async def test_it_reaches_few_targets_when_it_comes_again(self, wide_fleet):
+        await async_repeat(wide_fleet, WIDE_PATH)
+        crashing = wide_fleet.targets[0].crashing
+        assert len(crashing.ends) >= len(SHARDS)
+        late = crashing.count_late_arrivals(grace_s=INTERVAL_S / 2)
+        assert late <= MAX_LATE_ARRIVALS
+
+
 class TestOrdinaryRequests:
     async def test_they_are_served_beside_it(self, fleet):
         await async_repeat(fleet)
