--- a/bitternturn/gateway/crash_suspects.py
+++ b/bitternturn/gateway/crash_suspects.py
@@ -1,7 +1,7 @@
 """Requests that were under way when targets ended, and those it refuses."""
 
 from collections.abc import Callable, Collection, Mapping
-from typing import Final
+from typing import Final, Protocol
 
 from bitternturn.core.ids import RequestKey, ServiceName
 from bitternturn.gateway.decision_log import DecisionLog
@@ -22,6 +22,17 @@
 MAX_REQUESTS: Final = 256
 
 
+class DecisionListener(Protocol):
+    """Called when a request becomes a suspect or is cleared."""
+
+    def __call__(self, key: RequestKey, *, deciding: bool) -> None:
+        """Handle it; `deciding` is whether the last evidence is the own."""
+
+
+def _ignore_decision(key: RequestKey, *, deciding: bool) -> None:
+    """Do nothing: decisions are not kept."""
+
+
 def _ignore_change(keys: Collection[RequestKey]) -> None:
     """Do nothing: there is no other instance to notify."""
 
@@ -42,6 +53,8 @@
         self.on_change: Callable[[Collection[RequestKey]], None] = (
             _ignore_change
         )
+        # Called with each request that becomes a suspect or is cleared.
+        self.on_decision: DecisionListener = _ignore_decision
 
     def refuses(self, caller: CallerRequest, now: float) -> bool:
         """Return whether a request is not sent, as it crashes targets."""
@@ -83,7 +96,7 @@
         )
         changed = [key for key in keys if self._get_or_add(key).add_end(end)]
         if changed:
-            self._update(now)
+            self._update(now, deciding=True)
             self.on_change(changed)
 
     def record_answer(
@@ -95,7 +108,7 @@
         key = identify_request(caller)
         known = self.evidence.get(key)
         if known is not None and known.add_answer(service, now):
-            self._update(now)
+            self._update(now, deciding=True)
             self.on_change([key])
 
     def merge(
@@ -113,18 +126,19 @@
             if any(new_ends) or any(new_answers):
                 changed.append(key)
         if changed:
-            self._update(now)
+            self._update(now, deciding=False)
         return changed
 
     def _get_or_add(self, key: RequestKey) -> CrashEvidence:
         """Return the evidence of a request."""
         return self.evidence.setdefault(key, CrashEvidence())
 
-    def _update(self, now: float) -> None:
-        """Bound the evidence, decide from it, and log new decisions."""
+    def _update(self, now: float, *, deciding: bool) -> None:
+        """Bound the evidence, decide from it, and report new decisions."""
         self._drop_excess(now)
-        crashing = find_crashing(self.evidence)
-        for key in crashing.keys() - self.crashing.keys():
+        before = self.crashing
+        self.crashing = find_crashing(self.evidence)
+        for key in self.crashing.keys() - before.keys():
             self.decisions.write(
                 'request_suspected',
                 request_key=key,
@@ -137,9 +151,10 @@
                     for end in self.evidence[key].ends.values()
                 ],
             )
-        for key in self.crashing.keys() - crashing.keys():
+        for key in before.keys() - self.crashing.keys():
             self.decisions.write('request_cleared', request_key=key)
-        self.crashing = crashing
+        for key in before.keys() ^ self.crashing.keys():
+            self.on_decision(key, deciding=deciding)
 
     def _drop_excess(self, now: float) -> None:
         """Forget old evidence, and the oldest if there is too much."""
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -5,6 +5,7 @@
 import signal
 from pathlib import Path
 
+from bitternturn.core.clock import wall_ms
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.pauses import PauseMonitor
 from bitternturn.core.tasks import TaskSet
@@ -22,6 +23,7 @@
 from bitternturn.platform.settings_file import load_settings
 from bitternturn.platform.store import PlatformStore
 from bitternturn.platform.store_follower import StoreFollower
+from bitternturn.platform.suspect_store import SuspectStore
 from bitternturn.platform.transport import ObjectTransport
 from bitternturn.relay.delegation import Delegation
 from bitternturn.relay.observations import ObservationExchange
@@ -93,6 +95,12 @@
             gateway=self.gateway, delegation=delegation, tasks=self.tasks
         )
         self.relay_server.observations = self.observations
+        self.suspect_store = SuspectStore(
+            gateway=self.gateway,
+            store=store,
+            tasks=self.tasks,
+            wall_ms=wall_ms,
+        )
         self.shutting_down = False
         self.stopped = asyncio.Event()
 
@@ -110,6 +118,7 @@
         await self._async_listen()
         self.follower.start()
         self.observations.start()
+        self.suspect_store.start()
         self.tasks.spawn(self._async_log_traffic())
         self.decisions.write('start', domain=self.settings.failure_domain)
 
--- a/bitternturn/platform/store.py
+++ b/bitternturn/platform/store.py
@@ -64,9 +64,13 @@
         """Initialise with the transport of the calls."""
         self.transport = transport
 
-    async def async_list(self, kind: str) -> tuple[list[PlatformObject], int]:
+    async def async_list(
+        self, kind: str, *, allow_stale: bool = False
+    ) -> tuple[list[PlatformObject], int]:
         """Return all objects of a kind and the position to watch from.
 
+        A list that may be seconds old costs less.
+
         That is the position of the first page, so that a watch also yields
         what changed while the other pages were read. Begins again when the
         era changes between pages.
@@ -75,7 +79,10 @@
         position = 0
         after = ''
         while True:
-            path = _path(kind, {'after': after} if after else {})
+            arguments: dict[str, object] = {'after': after} if after else {}
+            if allow_stale:
+                arguments['allow-stale'] = 1
+            path = _path(kind, arguments)
             response = await self._async_get(path)
             page = self._decode(response, ListPage, path)
             _place_in_era(page.items, response.era)
@@ -141,6 +148,11 @@
         if replaced.status != http.STATUS_OK or not same_era:
             raise self.transport.make_error(ErrorCode.CONFLICT, path)
 
+    async def async_remove(self, kind: str, name: str) -> None:
+        """Delete an object if it exists."""
+        path = f'{_path(kind, {})}/{quote(name, safe="")}'
+        await self.transport.async_call('DELETE', path)
+
     async def _async_send(
         self,
         method: str,
--- a/bitternturn/platform/wire_names.py
+++ b/bitternturn/platform/wire_names.py
@@ -51,6 +51,8 @@
 KIND_DOMAINS_OUT: Final = 'evacuations'
 # Private kind: one object for each instance that ever started.
 KIND_INSTANCES: Final = 'bitternturn-instances'
+# Objects in which our instances keep requests that crash targets.
+KIND_SUSPECTS: Final = 'bitternturn-suspects'
 
 # Environment variable with the path of the settings file of this instance.
 SETTINGS_VARIABLE: Final = 'BITTERNTURN_NODE_FILE'
--- a/bitternturn/standins/platform_store.py
+++ b/bitternturn/standins/platform_store.py
@@ -175,6 +175,9 @@
         ).partition('/')
         if request.method == 'POST':
             return self._create(kind, request)
+        if request.method == 'DELETE' and (kind, name) in self.objects:
+            self.delete(kind, name)
+            return make_json_response({})
         if name:
             return self._get(kind, name)
         if request.query_parameter('watch'):
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -13,6 +13,7 @@
 from bitternturn.gateway.decision_log import DecisionLog, LineWriter
 from bitternturn.platform.gateway_daemon import GatewayDaemon
 from bitternturn.platform.settings_file import decode_settings
+from bitternturn.platform.wire_names import KIND_INSTANCES
 from bitternturn.standins.platform_store import EmulatedPlatformStore
 from bitternturn.standins.platform_target import PlatformTarget
 from tests.gateway.helpers import make_request
@@ -79,7 +80,7 @@
         """Kill an instance and remove its registration."""
         self.daemons.remove(daemon)
         await daemon.async_stop()
-        self.store.delete('instances', daemon.settings.name)
+        self.store.delete(KIND_INSTANCES, daemon.settings.name)
 
     async def async_settle(self):
         """Wait until all instances know each other and all targets."""
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bitternturn.platform.wire_names import KIND_SUSPECTS
 from bitternturn.standins.crashing_request import CrashingRequest
 from bitternturn.standins.platform_target import ScriptedBehaviour
 from tests.platform.documents import configuration_document
@@ -113,6 +114,29 @@
         assert float(response.headers['retry-after']) > 1
         assert len(crashing.arrivals) == arrived
 
+    async def test_restart_of_all_instances_does_not_forget_it(self, fleet):
+        await async_repeat(fleet)
+        crashing = fleet.targets[0].crashing
+        await async_wait_until(
+            lambda: any(
+                kind == KIND_SUSPECTS for kind, _ in fleet.store.objects
+            )
+        )
+        for daemon in list(fleet.daemons):
+            await fleet.async_remove_instance(daemon)
+        for number in range(INSTANCES):
+            await fleet.async_add_instance(f'new{number}')
+        await fleet.async_settle()
+        await async_wait_until(
+            lambda: all(
+                daemon.gateway.crash_suspects.crashing
+                for daemon in fleet.daemons
+            )
+        )
+        arrived = len(crashing.arrivals)
+        await async_repeat(fleet)
+        assert len(crashing.arrivals) == arrived
+
 
 class TestCrashingWideRequest:
     """The parts of a request run at the same time, each at one target."""
