--- a/bitternturn/relay/observations.py
+++ b/bitternturn/relay/observations.py
@@ -113,7 +113,7 @@
     def _merge(self, observations: Observations) -> None:
         """Add the evidence of a peer to that of this instance."""
         now = self.gateway.now()
-        if self.suspects.merge(_decode(observations.crashes, now), now):
+        if self.suspects.merge(decode_reports(observations.crashes, now), now):
             self._record_change(now)
 
     async def _async_run(self) -> None:
@@ -197,13 +197,13 @@
     ) -> list[CrashReport]:
         """Return the evidence of some requests as messages."""
         return [
-            _encode_report(key, self.suspects.evidence[key], now)
+            encode_report(key, self.suspects.evidence[key], now)
             for key in keys
             if key in self.suspects.evidence
         ]
 
 
-def _encode_report(
+def encode_report(
     key: RequestKey, known: CrashEvidence, now: float
 ) -> CrashReport:
     """Return the evidence of a request as a message."""
@@ -225,7 +225,7 @@
     )
 
 
-def _decode(
+def decode_reports(
     crashes: Iterable[CrashReport], now: float
 ) -> Mapping[RequestKey, CrashEvidence]:
     """Return the evidence in messages."""
