--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -8,7 +8,12 @@
 import h11
 
 from bench.soak.environment import SoakEnvironment, SoakInstance
-from bench.soak.invariants import InvariantChecker, ObservedAnswer, read_headers
+from bench.soak.invariants import (
+    CRASHING,
+    InvariantChecker,
+    ObservedAnswer,
+    read_headers,
+)
 
 DEADLINE_MS = 1500
 ANSWER_TIMEOUT_S = 2.5
@@ -59,6 +64,10 @@
 ) -> bool:
     """Send one request; return whether the connection can be reused."""
     kind = environment.rng.choice(tuple(PATHS))
+    path = PATHS[kind]
+    if environment.rng.random() < environment.crashing_share:
+        kind = CRASHING
+        path = environment.crashing.request_target
     method = 'POST' if kind == 'once' else 'GET'
     headers = [
         ('host', 'search.example'),
@@ -68,7 +77,7 @@
     if method == 'POST':
         headers.append(('content-length', '0'))
     request = connection.send(
-        h11.Request(method=method, target=PATHS[kind], headers=headers)
+        h11.Request(method=method, target=path, headers=headers)
     )
     writer.write(
         (request or b'') + (connection.send(h11.EndOfMessage()) or b'')
@@ -79,6 +88,7 @@
         status=0,
         instance=instance.number,
         epoch=instance.epoch,
+        epoch_began_at=instance.epoch_began_at,
         sent_at=time.monotonic(),
     )
     try:
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -15,11 +15,13 @@
 from pathlib import Path
 
 from bench.processes import PortAllocator
+from bitternturn.core.tasks import TaskSet
 from bitternturn.platform.document_builders import (
     make_settings_document,
     make_target_document,
 )
 from bitternturn.platform.wire_names import SETTINGS_VARIABLE
+from bitternturn.standins.crashing_request import CrashingRequest
 from bitternturn.standins.platform_store import EmulatedPlatformStore
 from bitternturn.standins.platform_target import (
     PlatformTarget,
@@ -109,6 +111,13 @@
     stop_requested: bool = False
     # Number of starts and pauses, after which it need not know what it was told.
     epoch: int = 0
+    # When the last epoch began, on the monotonic clock.
+    epoch_began_at: float = 0
+
+    def begin_epoch(self) -> None:
+        """Record that the process starts, is paused or goes on."""
+        self.epoch += 1
+        self.epoch_began_at = time.monotonic()
 
     @property
     def host(self) -> str:
@@ -143,7 +152,7 @@
         path.write_text(json.dumps(self.to_settings()), encoding='utf-8')
         self.stop_requested = False
         self.starts += 1
-        self.epoch += 1
+        self.begin_epoch()
         self.started_at = time.monotonic()
         with (self.folder / f'i{self.number}.log').open('ab') as log:
             self.log_offset = log.tell()
@@ -205,12 +214,20 @@
     configuration_version: int = 0
     started_targets: int = 0
     faulty_share: float = 0.0
+    # Share of the requests that crash each target that runs them.
+    crashing_share: float = 0.0
+    crashing: CrashingRequest = field(init=False)
+    tasks: TaskSet = field(default_factory=TaskSet)
     # Share of the requests that targets reject and ask for a pause.
     pausing_share: float = 0.0
     bodies: dict[str, bytes] = field(default_factory=dict)
 
     async def async_start(self, instances: int) -> None:
         """Start store, targets and instances."""
+        self.crashing = CrashingRequest(
+            request_target=self.rng.choice(('/all/crash', '/one/crash')),
+            run_s=self.rng.uniform(0, 0.05),
+        )
         await self.store.async_start()
         for shard in range(SHARDS):
             for replica in range(REPLICAS):
@@ -239,6 +256,7 @@
 
     async def async_stop(self) -> None:
         """Stop all instances, proxies, targets and the store."""
+        await self.tasks.async_stop()
         for instance in self.instances:
             instance.send_signal(signal.SIGCONT)
             await instance.async_stop(signal.SIGKILL)
@@ -260,17 +278,32 @@
             retry_after=f'{self.rng.uniform(0.6, 3):.2f}',
         )
         standin.script = lambda _count: self._draw_behaviour()
+        standin.crashing = self.crashing
         await standin.async_start()
         proxy = FaultProxy(host='127.0.0.1', port=standin.port)
         await proxy.async_start(host='127.0.0.1')
         target = SoakTarget(
             standin=standin, proxy=proxy, service=service, domain=domain
         )
+        standin.on_crash = lambda: self._handle_crash(target)
         self.bodies[name] = standin.body
         self.targets.append(target)
         self.store.put('servers', name, target.to_entry())
         return target
 
+    def _handle_crash(self, target: SoakTarget) -> None:
+        """Let a target end and another one start in its place."""
+        target.proxy.refuse_connections()
+        target.disturb(0)
+        target.state = 'crashed'
+        self.tasks.spawn(self._async_replace_crashed(target))
+
+    async def _async_replace_crashed(self, target: SoakTarget) -> None:
+        """Start a target in place of a crashed one, whose entry expires."""
+        await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+        self.delete_entry('servers', target.standin.id)
+        await self.async_add_target(target.service, target.domain)
+
     def delete_entry(self, kind: str, name: str) -> None:
         """Delete an object, unless the store has lost it."""
         if (kind, name) in self.store.objects:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -45,10 +45,10 @@
 ) -> None:
     """Suspend the process of an instance for a time."""
     instance = environment.rng.choice(environment.instances)
-    instance.epoch += 1
+    instance.begin_epoch()
     instance.send_signal(signal.SIGSTOP)
     await asyncio.sleep(duration_s)
-    instance.epoch += 1
+    instance.begin_epoch()
     instance.send_signal(signal.SIGCONT)
 
 
@@ -131,6 +131,15 @@
     environment.pausing_share = 0.0
 
 
+async def async_send_crashing_request(
+    environment: SoakEnvironment, duration_s: float
+) -> None:
+    """Let callers send a request that crashes each target that runs it."""
+    environment.crashing_share = environment.rng.uniform(0.002, 0.02)
+    await asyncio.sleep(duration_s)
+    environment.crashing_share = 0.0
+
+
 async def async_limit_targets(
     environment: SoakEnvironment, duration_s: float
 ) -> None:
@@ -244,6 +253,7 @@
     async_drop_store_history,
     async_restore_store,
     async_pause_targets,
+    async_send_crashing_request,
     async_limit_targets,
     async_leave_target,
     async_delay_target,
--- a/bench/soak/invariants.py
+++ b/bench/soak/invariants.py
@@ -24,6 +24,11 @@
 )
 
 MAX_REQUESTS_IN_PAUSE = 2
+# Sends of a request that are allowed after it has ended three targets.
+MAX_LATE_CRASHING = 3
+# Kind of the request that crashes targets, and the body of its refusal.
+CRASHING = 'crashing'
+SUSPECT_BODY = b'crashes_targets'
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
@@ -39,6 +44,8 @@
     # Instance that was asked, its epoch, and when, on the monotonic clock.
     instance: int = 0
     epoch: int = 0
+    # When the epoch of the instance began.
+    epoch_began_at: float = 0
     sent_at: float = 0
     received_at: float = 0
 
@@ -55,6 +62,10 @@
     ) -> None:
         """Record an answer and check it on its own."""
         self.answers.append(answer)
+        if answer.kind != CRASHING and answer.body == SUSPECT_BODY:
+            self.violations.append(
+                f'{answer.id}: refused as if it crashed targets'
+            )
         if answer.status != 200:
             return
         if answer.headers.get('x-request-id') not in {None, answer.id}:
@@ -143,6 +154,7 @@
                     f'{answer.id}: status {answer.status}, but the request ran'
                 )
         self._check_announcements(environment)
+        self._check_crashes(environment)
         for request in runs:
             if request not in request_ids:
                 self.violations.append(
@@ -162,6 +174,25 @@
             for period in target.standin.named_limits.periods:
                 self._check_rate_limit(target, period, asked)
 
+    def _check_crashes(self, environment: SoakEnvironment) -> None:
+        """Check how often the crashing request reached targets too late.
+
+        Not from instances that started or were paused shortly before.
+        """
+        asked = {answer.id: answer for answer in self.answers}
+        late = [
+            request_id
+            for request_id, arrived_at in environment.crashing.late_arrivals(
+                STABILITY_S
+            )
+            if (answer := asked.get(request_id)) is not None
+            and arrived_at - answer.epoch_began_at > STABILITY_S
+        ]
+        if len(late) > MAX_LATE_CRASHING:
+            self.violations.append(
+                f'{late}: reached targets after three of them had ended'
+            )
+
     def _check_leaving(
         self, target: PlatformTarget, asked: Mapping[str, ObservedAnswer]
     ) -> None:
--- a/bitternturn/standins/crashing_request.py
+++ b/bitternturn/standins/crashing_request.py
@@ -18,20 +18,23 @@
     request_target: str
     # Time for which a target runs it before it ends.
     run_s: float = 0.02
-    arrivals: list[float] = field(default_factory=list)
+    # Request id and time of each arrival at a target.
+    arrivals: list[tuple[str, float]] = field(default_factory=list)
     ends: list[float] = field(default_factory=list)
 
-    def record_arrival(self) -> None:
-        """Record that the request has reached a target."""
-        self.arrivals.append(time.monotonic())
+    def record_arrival(self, request_id: str) -> None:
+        """Record that an attempt of the request has reached a target."""
+        self.arrivals.append((request_id, time.monotonic()))
 
     def record_end(self) -> None:
         """Record that a target has ended."""
         self.ends.append(time.monotonic())
 
-    def count_late_arrivals(self, grace_s: float = 0) -> int:
+    def late_arrivals(self, grace_s: float = 0) -> list[tuple[str, float]]:
         """Return the arrivals later than a time after the third end."""
         if len(self.ends) < COUNTED_FROM_ENDS:
-            return 0
+            return []
         counted_from = self.ends[COUNTED_FROM_ENDS - 1] + grace_s
-        return sum(at > counted_from for at in self.arrivals)
+        return [
+            arrival for arrival in self.arrivals if arrival[1] > counted_from
+        ]
--- a/bitternturn/standins/platform_target.py
+++ b/bitternturn/standins/platform_target.py
@@ -143,6 +143,8 @@
     crashing: CrashingRequest | None = None
     # Whether the target has ended by it, and has not been started again.
     crashed: bool = False
+    # Called just before the target ends.
+    on_crash: Callable[[], None] = lambda: None
 
     @property
     def run_request_ids(self) -> list[str]:
@@ -252,11 +254,12 @@
         crashing = self.crashing
         if crashing is None or received.target != crashing.request_target:
             return False
-        crashing.record_arrival()
+        crashing.record_arrival(received.id)
         await asyncio.sleep(crashing.run_s)
         if not self.crashed:
             self.crashed = True
             crashing.record_end()
+            self.on_crash()
             await self.async_stop()
         return True
 
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -98,7 +98,7 @@
         await async_repeat(fleet)
         crashing = fleet.targets[0].crashing
         assert len(crashing.ends) >= 3
-        assert crashing.count_late_arrivals() <= MAX_LATE_ARRIVALS
+        assert len(crashing.late_arrivals()) <= MAX_LATE_ARRIVALS
 
     async def test_instance_that_starts_later_refuses_it_at_once(self, fleet):
         await async_repeat(fleet)
@@ -145,8 +145,8 @@
         await async_repeat(wide_fleet, WIDE_PATH)
         crashing = wide_fleet.targets[0].crashing
         assert len(crashing.ends) >= len(SHARDS)
-        late = crashing.count_late_arrivals(grace_s=INTERVAL_S / 2)
-        assert late <= MAX_LATE_ARRIVALS
+        late = crashing.late_arrivals(grace_s=INTERVAL_S / 2)
+        assert len(late) <= MAX_LATE_ARRIVALS
 
 
 class TestOrdinaryRequests:
