--- a/bitternturn/gateway/crash_suspects.py
+++ b/bitternturn/gateway/crash_suspects.py
@@ -80,11 +80,15 @@
         self,
         entry: TargetEntry,
         callers: Collection[CallerRequest],
+        *,
+        ended_at: float,
         now: float,
     ) -> None:
         """Record that a target has ended with some requests under way."""
         end = TargetEnd(
-            life=(entry.id, entry.started_at_ms), service=entry.service, at=now
+            life=(entry.id, entry.started_at_ms),
+            service=entry.service,
+            at=ended_at,
         )
         keys = {identify_request(caller) for caller in callers}
         self.metrics.increment('target_ends')
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -171,10 +171,12 @@
         )
         for target_id in list(self.targets):
             entry = entries.get(target_id)
-            if entry is None or _is_replaced(
-                self.targets[target_id].entry, entry
-            ):
+            if entry is None:
                 self.targets.pop(target_id).close()
+            elif _is_replaced(self.targets[target_id].entry, entry):
+                target = self.targets.pop(target_id)
+                target.end_detector.record_replaced(self.now())
+                target.close()
         for entry in entries.values():
             self._update_target(entry)
         self.preferred_domain = choose_preferred_domain(
@@ -239,6 +241,7 @@
             decisions=self.decisions,
         )
         if outcome is SendOutcome.MISDIRECTED:
+            target.end_detector.record_replaced(self.now())
             self.displace(target)
         elif outcome is SendOutcome.UNREACHABLE:
             self.unresponsive_targets.record_unanswered(
@@ -252,10 +255,15 @@
         record_lost_send(send, error, decisions=self.decisions)
 
     def _handle_target_end(
-        self, entry: TargetEntry, callers: Sequence[CallerRequest]
+        self,
+        entry: TargetEntry,
+        callers: Sequence[CallerRequest],
+        ended_at: float,
     ) -> None:
         """Record the end of a target with some requests under way."""
-        self.crash_suspects.record_end(entry, callers, self.now())
+        self.crash_suspects.record_end(
+            entry, callers, ended_at=ended_at, now=self.now()
+        )
 
     def _handle_answer(self, send: Send) -> None:
         """Record that a target has answered a request."""
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -63,8 +63,9 @@
     on_send_end: SendRecorder
     # Called with a send whose connection ended without an answer, and the error.
     on_send_lost: Callable[[Send, str], None]
-    # Called with the requests that were under way when a target ended.
-    on_end: Callable[[TargetEntry, Sequence[CallerRequest]], None]
+    # Called with a target that has ended, the requests that were under way there
+    # and when the first of them was lost.
+    on_end: Callable[[TargetEntry, Sequence[CallerRequest], float], None]
     # Called with an answered send.
     on_answer: Callable[[Send], None]
     # Returns whether a request is not sent, as it crashes targets.
--- a/tests/relay/test_observation_machine.py
+++ b/tests/relay/test_observation_machine.py
@@ -67,7 +67,9 @@
     def end_target(self, number, callers):
         """Let a target end with some requests of one instance."""
         entry = make_entry(FakeTarget(next(self.numbers)), SERVICE)
-        self.instances[number].record_end(entry, callers, self.now)
+        self.instances[number].record_end(
+            entry, callers, ended_at=self.now, now=self.now
+        )
         self.send_evidence(number)
 
     def send_evidence(self, number):
