--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -6,6 +6,7 @@
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.execution import RequestExecution
+from bitternturn.gateway.identity import identify_request
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import CallerRequest, RefusalReason
 
@@ -103,6 +104,9 @@
 ) -> None:
     """Count and log a request that was refused without any send."""
     now = gateway.now()
+    evidence = {}
+    if reason is RefusalReason.CRASHES_TARGETS:
+        evidence['request_key'] = identify_request(caller)
     gateway.metrics.increment('refused', reason=reason.value)
     gateway.decisions.write(
         'refused',
@@ -114,6 +118,7 @@
         version_age_s=round(now - gateway.configured_at, 1),
         confirmed_age_s=gateway.confirmed_age_s(now),
         retry_after_s=retry_after_s,
+        **evidence,
     )
 
 
--- a/bitternturn/gateway/request_log.py
+++ b/bitternturn/gateway/request_log.py
@@ -12,6 +12,8 @@
 REQUEST_KINDS: Final = frozenset(('request', 'refused', 'send_lost'))
 # Kinds of lines about the life of an instance.
 LIFE_KINDS: Final = frozenset(('start', 'leaving', 'stop', 'paused'))
+# Kinds of lines about requests that crash targets, named by their key.
+SUSPICION_KINDS: Final = frozenset(('request_suspected', 'request_cleared'))
 # Fields that are not repeated among the other fields of a rendered line.
 LEADING_FIELDS: Final = frozenset(('time', 'instance', 'kind', 'request_id'))
 
@@ -60,7 +62,8 @@
     """Return the lines of a request and the state changes that may matter.
 
     Those are changes from a given time before the request until its last line,
-    at the instances that handled it or of targets that it was sent to.
+    at the instances that handled it or of targets that it was sent to, and all
+    earlier evidence that the request crashes targets.
     """
     sorted_lines = sorted(lines, key=_time)
     request_lines = [
@@ -76,6 +79,7 @@
         for line in request_lines
         for sent in line.fields.get('sends', ())
     }
+    keys = {line.fields.get('request_key') for line in request_lines} - {None}
     begin_time = (
         request_lines[0].time - _duration_s(request_lines[0]) - lookback_s
     )
@@ -83,6 +87,7 @@
         line
         for line in sorted_lines
         if line in request_lines
+        or (line.time <= request_lines[-1].time and _is_evidence(line, keys))
         or (
             line.kind not in REQUEST_KINDS
             and begin_time <= line.time <= request_lines[-1].time
@@ -142,6 +147,15 @@
     return line.instance in instances
 
 
+def _is_evidence(line: LogLine, keys: set[Any]) -> bool:
+    """Return whether a line is evidence that a request crashes targets."""
+    if line.kind == 'target_ended':
+        return not keys.isdisjoint(line.fields.get('requests', ()))
+    return line.kind in SUSPICION_KINDS and (
+        line.fields.get('request_key') in keys
+    )
+
+
 def _duration_s(line: LogLine) -> float:
     """Return the latency of a request by its log line."""
     return float(line.fields.get('ms', 0)) / 1000
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -75,6 +75,20 @@
         assert 'outcome=give_up' in text
 
 
+class TestCrashingRequests:
+    def test_refusal_is_explained_by_the_ends_at_other_instances(self):
+        log = [
+            line(10.0, 'target_ended', 'i2', target='t1', requests=['k', 'm']),
+            line(11.0, 'target_ended', 'i3', target='t2', requests=['m']),
+            line(12.0, 'request_suspected', 'i2', request_key='k'),
+            line(13.0, 'request_suspected', 'i2', request_key='m'),
+            line(99.0, 'refused', request_id='q', request_key='k'),
+            line(99.5, 'request_cleared', 'i2', request_key='k'),
+        ]
+        found = find_request_lines(read_lines(log), 'q', lookback_s=5)
+        assert [it.time for it in found] == [10.0, 12.0, 99.0]
+
+
 class TestLostSends:
     async def test_attempts_of_one_request_can_be_told(self):
         targets = [
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -112,6 +112,7 @@
         response = await fleet.async_ask(CRASHING_PATH, started)
         assert (response.status, response.body) == (503, b'crashes_targets')
         assert float(response.headers['retry-after']) > 1
+        assert started.gateway.decisions.counts['refused'] == 1
         assert len(crashing.arrivals) == arrived
 
     async def test_restart_of_all_instances_does_not_forget_it(self, fleet):
