--- a/bitternturn/gateway/crash_suspects.py
+++ b/bitternturn/gateway/crash_suspects.py
@@ -1,5 +1,8 @@
 """Requests that were under way when targets ended, and those it refuses."""
 
+import asyncio
+import contextlib
+import math
 from collections.abc import Callable, Collection, Mapping
 from typing import Final, Protocol
 
@@ -49,6 +52,8 @@
         self.evidence: dict[RequestKey, CrashEvidence] = {}
         # Requests that crash targets, and when each was last seen to.
         self.crashing: Mapping[RequestKey, float] = {}
+        # Set, and replaced, when there is new evidence.
+        self.changed = asyncio.Event()
         # Called with the requests of which this instance has new evidence.
         self.on_change: Callable[[Collection[RequestKey]], None] = (
             _ignore_change
@@ -76,6 +81,25 @@
         known = self.evidence.get(identify_request(caller))
         return frozenset() if known is None else known.doubted_services
 
+    def begin_probe(self, caller: CallerRequest, now: float) -> None:
+        """Record that this instance tries a request at one target."""
+        key = identify_request(caller)
+        known = self.evidence.get(key)
+        if known is not None and known.add_probe(now):
+            self.on_change([key])
+
+    def probe_ends_at(self, caller: CallerRequest) -> float:
+        """Return until when the result of a probe may be awaited."""
+        known = self.evidence.get(identify_request(caller))
+        return -math.inf if known is None else known.probe_ends_at()
+
+    async def async_wait_for_change(self, timeout_s: float) -> None:
+        """Wait for new evidence, or until a time has elapsed."""
+        changed = self.changed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
+
     def record_end(
         self,
         entry: TargetEntry,
@@ -127,7 +151,8 @@
                 known.add_answer(service, at)
                 for service, at in report.answers.items()
             ]
-            if any(new_ends) or any(new_answers):
+            new_probe = known.add_probe(report.probed_at)
+            if any(new_ends) or any(new_answers) or new_probe:
                 changed.append(key)
         if changed:
             self._update(now, deciding=False)
@@ -140,6 +165,8 @@
     def _update(self, now: float, *, deciding: bool) -> None:
         """Bound the evidence, decide from it, and report new decisions."""
         self._drop_excess(now)
+        self.changed.set()
+        self.changed = asyncio.Event()
         before = self.crashing
         self.crashing = find_crashing(self.evidence)
         for key in self.crashing.keys() - before.keys():
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -84,6 +84,9 @@
     def doubted_services(self, caller: CallerRequest) -> frozenset[ServiceName]:
         """Return the services in which a request may have ended targets."""
 
+    def begin_probe(self, caller: CallerRequest, now: float) -> None:
+        """Record that a request is tried at one target."""
+
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
 
@@ -151,6 +154,7 @@
             )
         doubted = self.dispatcher.doubted_services(self.caller)
         if doubted:
+            self.dispatcher.begin_probe(self.caller, now)
             self.probed = ProbedParts(parts=self.parts, doubted=doubted)
             self._send_probe(self.probed, now)
         else:
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -8,6 +8,7 @@
 from bitternturn.gateway import const
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.execution import RequestExecution
+from bitternturn.gateway.identity import identify_request
 from bitternturn.gateway.merge import merge_answers
 from bitternturn.gateway.models import (
     CallerLimits,
@@ -36,6 +37,7 @@
     LatencyEstimate,
     Verdict,
 )
+from bitternturn.policy.crash_evidence import PROBE_S, probe_delay_s
 
 
 def _ignore_limits(limits: CallerLimits) -> None:
@@ -143,11 +145,10 @@
         route = self.route_table.match(caller.host, caller.path)
         if route is None:
             return self._refuse(caller, RefusalReason.NO_ROUTE, None)
-        refused_for_s = self.crash_suspects.refused_for_s(caller, arrived_at)
-        if refused_for_s > 0:
-            return self._refuse(
-                caller, RefusalReason.CRASHES_TARGETS, refused_for_s
-            )
+        if self.crash_suspects.doubted_services(caller):
+            refusal = await self._async_check_suspicion(caller)
+            if refusal is not None:
+                return refusal
         services = self._services(route)
         available = sum(bool(self.ready.get(service)) for service in services)
         if available < route.min_parts():
@@ -180,6 +181,35 @@
         finally:
             self.in_flight -= 1
 
+    async def _async_check_suspicion(
+        self, caller: CallerRequest
+    ) -> Response | None:
+        """Refuse a request that crashes targets; let only one attempt try it.
+
+        Returns None if it may be sent.
+        """
+        suspects = self.crash_suspects
+        begun_at = self.now()
+        probe_at = begun_at + probe_delay_s(
+            identify_request(caller), self.settings.name, self.rate_limits.names
+        )
+        while suspects.doubted_services(caller):
+            now = self.now()
+            refused_for_s = suspects.refused_for_s(caller, now)
+            if refused_for_s > 0:
+                return self._refuse(
+                    caller, RefusalReason.CRASHES_TARGETS, refused_for_s
+                )
+            wait_until = max(probe_at, suspects.probe_ends_at(caller))
+            if now >= wait_until:
+                return None
+            if now - begun_at >= PROBE_S:
+                return self._refuse(
+                    caller, RefusalReason.TRIED_ELSEWHERE, PROBE_S
+                )
+            await suspects.async_wait_for_change(wait_until - now)
+        return None
+
     def _services(self, route: Route) -> Sequence[ServiceName]:
         """Return the shards of a route, or the next service of a split."""
         if route.shards:
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -361,6 +361,8 @@
     LIMITED_TARGETS = 'limited_targets'
     # The request crashes the targets that run it.
     CRASHES_TARGETS = 'crashes_targets'
+    # Another attempt is tried first, as the request may crash targets.
+    TRIED_ELSEWHERE = 'tried_elsewhere'
     BUSY = 'busy'
     NOT_RUN = 'not_run'
     # For the remaining reasons, targets may have run the request.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -279,6 +279,10 @@
         """Return the services in which a request may have ended targets."""
         return self.crash_suspects.doubted_services(caller)
 
+    def begin_probe(self, caller: CallerRequest, now: float) -> None:
+        """Record that a request is tried at one target."""
+        self.crash_suspects.begin_probe(caller, now)
+
     def _handle_leaving(self, target: Target) -> None:
         """Stop using a target that has announced that it leaves."""
         self.decisions.write(
--- a/bitternturn/policy/crash_evidence.py
+++ b/bitternturn/policy/crash_evidence.py
@@ -17,11 +17,13 @@
 it arrives.
 """
 
+import math
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
 from bitternturn.core.ids import RequestKey, ServiceName, TargetId
+from bitternturn.policy.rendezvous import hash_share
 
 # Ends of targets, and occasions, after which a request is suspected.
 MIN_ENDS: Final = 3
@@ -36,6 +38,14 @@
 # Time since the last end or answer after which the evidence is forgotten.
 EVIDENCE_MEMORY_S: Final = 86_400.0
 
+# Time for which other attempts of a request wait for the result of a probe.
+PROBE_S: Final = 0.4
+# Distance of two probes, beyond errors of the age that a peer states.
+MIN_PROBE_DISTANCE_S: Final = 0.05
+# Instances begin probes one after the other, by their rank for the request, so
+# that those behind hear of the first one. Time between two, and ranks.
+PROBE_STAGGER_S: Final = 0.02
+MAX_PROBE_RANK: Final = 5
 # Ends of one request that are kept, the newest ones.
 MAX_ENDS: Final = 16
 
@@ -56,13 +66,15 @@
 class CrashEvidence:
     """What is known of one request: ends of targets, and answers."""
 
-    __slots__ = ('answers', 'ends')
+    __slots__ = ('answers', 'ends', 'probed_at')
 
     def __init__(self) -> None:
         """Initialise without evidence."""
         self.ends: dict[EndedLife, TargetEnd] = {}
         # Last answer of each service.
         self.answers: dict[ServiceName, float] = {}
+        # When an instance has last begun to try it at one target.
+        self.probed_at = -math.inf
 
     @property
     def updated_at(self) -> float:
@@ -70,6 +82,23 @@
         ended_at = (end.at for end in self.ends.values())
         return max((*ended_at, *self.answers.values()), default=0)
 
+    def probe_ends_at(self) -> float:
+        """Return until when the result of the last probe may be awaited."""
+        results = (
+            *(end.at for end in self.ends.values()),
+            *self.answers.values(),
+        )
+        if any(at > self.probed_at for at in results):
+            return -math.inf
+        return self.probed_at + PROBE_S
+
+    def add_probe(self, at: float) -> bool:
+        """Add the start of a probe; return whether it is a new one."""
+        is_new = at > self.probed_at + MIN_PROBE_DISTANCE_S
+        if is_new:
+            self.probed_at = at
+        return is_new
+
     @property
     def doubted_services(self) -> frozenset[ServiceName]:
         """Services of which one target is tried before any other one.
@@ -133,6 +162,18 @@
     }
 
 
+def probe_delay_s(
+    key: RequestKey, own_name: str, names: Iterable[str]
+) -> float:
+    """Return the time after which an instance may begin a probe.
+
+    `names` are those of all instances.
+    """
+    own_share = hash_share(key, own_name)
+    rank = sum(hash_share(key, name) > own_share for name in names)
+    return min(rank, MAX_PROBE_RANK) * PROBE_STAGGER_S
+
+
 def is_refused(crashed_at: float, now: float) -> bool:
     """Return whether a request is refused that crashed a target at a time."""
     return now < crashed_at + REFUSAL_S
--- a/bitternturn/relay/observations.py
+++ b/bitternturn/relay/observations.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from functools import partial
 from typing import Final
@@ -207,7 +208,7 @@
     key: RequestKey, known: CrashEvidence, now: float
 ) -> CrashReport:
     """Return the evidence of a request as a message."""
-    return CrashReport(
+    report = CrashReport(
         request_key=key,
         ends=[
             relay_pb2.TargetEnd(
@@ -223,6 +224,9 @@
             for service, at in known.answers.items()
         },
     )
+    if known.probed_at > -math.inf:
+        report.probe_age_ms = _to_age_ms(known.probed_at, now)
+    return report
 
 
 def decode_reports(
@@ -234,6 +238,8 @@
         known = evidence.setdefault(
             RequestKey(report.request_key), CrashEvidence()
         )
+        if report.HasField('probe_age_ms'):
+            known.add_probe(now - report.probe_age_ms / MS_PER_SECOND)
         for service, age_ms in report.answer_ages_ms.items():
             known.add_answer(ServiceName(service), now - age_ms / MS_PER_SECOND)
         for end in report.ends:
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -5,9 +5,14 @@
 
 import pytest
 
+from bitternturn.core.ids import ServiceName, TargetId
+from bitternturn.gateway.identity import identify_request
+from bitternturn.platform.http_messages import read_request
 from bitternturn.platform.wire_names import KIND_SUSPECTS
+from bitternturn.policy.crash_evidence import CrashEvidence, TargetEnd
 from bitternturn.standins.crashing_request import CrashingRequest
 from bitternturn.standins.platform_target import ScriptedBehaviour
+from tests.gateway.helpers import make_request
 from tests.platform.documents import configuration_document
 from tests.platform.fleet import DaemonFleet, async_wait_until
 
@@ -139,6 +144,48 @@
         assert len(crashing.arrivals) == arrived
 
 
+class TestDoubtedRequest:
+    """The ends of a request may all have had one other cause."""
+
+    def doubt(self, fleet, path):
+        """Let all instances know of three ends at the same time."""
+        key = identify_request(read_request(make_request(path=path)))
+        for daemon in fleet.daemons:
+            now = daemon.gateway.now()
+            known = CrashEvidence()
+            for number in range(3):
+                known.add_end(
+                    TargetEnd(
+                        life=(TargetId(f'ended{number}'), 1),
+                        service=ServiceName('s'),
+                        at=now - 5,
+                    )
+                )
+            daemon.gateway.crash_suspects.merge({key: known}, now)
+
+    async def test_attempts_at_the_same_time_reach_few_targets(self, fleet):
+        self.doubt(fleet, CRASHING_PATH)
+        crashing = fleet.targets[0].crashing
+        responses = await asyncio.gather(
+            *(
+                fleet.async_ask(CRASHING_PATH, daemon)
+                for daemon in fleet.daemons * 3
+            )
+        )
+        assert 1 <= len(crashing.arrivals) <= MAX_LATE_ARRIVALS
+        assert {it.status for it in responses} == {502, 503}
+
+    async def test_ordinary_ones_are_all_served_after_the_first(self, fleet):
+        self.doubt(fleet, '/split/popular')
+        responses = await asyncio.gather(
+            *(
+                fleet.async_ask('/split/popular', daemon)
+                for daemon in fleet.daemons * 3
+            )
+        )
+        assert {it.status for it in responses} == {200}
+
+
 class TestCrashingWideRequest:
     """The parts of a request run at the same time, each at one target."""
 
--- a/tests/policy/test_crash_evidence.py
+++ b/tests/policy/test_crash_evidence.py
@@ -6,13 +6,17 @@
 
 from bitternturn.core.ids import RequestKey, ServiceName, TargetId
 from bitternturn.policy.crash_evidence import (
+    MAX_PROBE_RANK,
     MIN_ENDS,
     OCCASION_S,
+    PROBE_S,
+    PROBE_STAGGER_S,
     REFUSAL_S,
     CrashEvidence,
     TargetEnd,
     find_crashing,
     is_refused,
+    probe_delay_s,
 )
 
 SUSPECT = RequestKey('suspect')
@@ -127,3 +131,36 @@
         tried_at = 3 + REFUSAL_S
         known.add_end(make_end('t4', tried_at))
         assert find_crashing({SUSPECT: known}) == {SUSPECT: tried_at}
+
+
+class TestProbes:
+    def test_result_is_awaited_for_a_time(self):
+        known = make_evidence(*THREE_ENDS)
+        known.add_probe(10)
+        assert known.probe_ends_at() == 10 + PROBE_S
+
+    def test_end_or_answer_is_the_result(self):
+        ended = make_evidence(*THREE_ENDS)
+        ended.add_probe(10)
+        ended.add_end(make_end('t4', 10.1))
+        assert ended.probe_ends_at() < 0
+        answered = make_evidence(*THREE_ENDS)
+        answered.add_probe(10)
+        answered.add_answer(ServiceName('s'), 10.1)
+        assert answered.probe_ends_at() < 0
+
+    def test_report_of_a_known_probe_is_not_new(self):
+        known = CrashEvidence()
+        assert known.add_probe(10)
+        assert not known.add_probe(10.01)
+        assert known.add_probe(10 + PROBE_S)
+
+    def test_instances_begin_one_after_the_other(self):
+        names = [f'i{number}' for number in range(3)]
+        delays = {probe_delay_s(SUSPECT, name, names) for name in names}
+        assert delays == {0, PROBE_STAGGER_S, 2 * PROBE_STAGGER_S}
+
+    def test_large_fleets_do_not_wait_longer(self):
+        names = [f'i{number}' for number in range(440)]
+        delays = [probe_delay_s(SUSPECT, name, names) for name in names]
+        assert max(delays) == MAX_PROBE_RANK * PROBE_STAGGER_S
