--- a/bitternturn/policy/crash_evidence.py
+++ b/bitternturn/policy/crash_evidence.py
@@ -46,8 +46,10 @@
 # that those behind hear of the first one. Time between two, and ranks.
 PROBE_STAGGER_S: Final = 0.02
 MAX_PROBE_RANK: Final = 5
-# Ends of one request that are kept, the newest ones.
-MAX_ENDS: Final = 16
+# Ends of one request that are kept: so many of each occasion, so that those of
+# one over many shards do not displace earlier occasions, and the newest ones.
+MAX_ENDS_PER_OCCASION: Final = 16
+MAX_ENDS: Final = 64
 
 # Id and start, in Unix milliseconds, of one life of a target.
 EndedLife = tuple[TargetId, int]
@@ -114,6 +116,11 @@
         """Add an end unless it is known; return whether it counts."""
         if end.life in self.ends or self._is_cleared(end):
             return False
+        close_count = sum(
+            abs(known.at - end.at) < OCCASION_S for known in self.ends.values()
+        )
+        if close_count >= MAX_ENDS_PER_OCCASION:
+            return False
         if len(self.ends) >= MAX_ENDS:
             oldest = min(self.ends.values(), key=_get_time)
             if end.at <= oldest.at:
--- a/tests/policy/test_crash_evidence.py
+++ b/tests/policy/test_crash_evidence.py
@@ -64,6 +64,16 @@
         ]
         assert not find_crashing({ORDINARY: make_evidence(*ends)})
 
+    def test_many_ends_on_each_of_two_occasions_are_enough(self):
+        """All parts of a request over many shards end their targets at once."""
+        ends = [
+            make_end(f't{occasion}-{number}', occasion + number / 1000)
+            for occasion in (1, 5)
+            for number in range(100)
+        ]
+        assert find_crashing({SUSPECT: make_evidence(*ends)})
+        assert find_crashing({SUSPECT: make_evidence(*reversed(ends))})
+
     def test_services_count_together(self):
         ends = [make_end(f't{it}', it, service=f's{it}') for it in range(3)]
         assert find_crashing({SUSPECT: make_evidence(*ends)})
