--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from functools import partial
 from typing import Any, Protocol
 
@@ -29,6 +29,9 @@
 )
 from bitternturn.policy.further_send_budget import FurtherSendBudget, SendReason
 
+# Time in which an instance finds out, and tells its peers, that targets have
+# ended after connections to them were lost.
+END_CHECK_S = 0.02
 # Maximum number of sends listed in the log line of a request.
 MAX_LOGGED_SENDS = 12
 # Log entry of a part for which rate limits left no target.
@@ -138,6 +141,10 @@
         self.retries = 0
         # Order of the parts if the request may crash targets.
         self.probed: ProbedParts | None = None
+        # Number of sends that were lost, and parts that are retried once it is
+        # known whether targets have ended.
+        self.lost_count = 0
+        self.suspended: list[Part] = []
         # Time from which targets that have not answered count as unresponsive.
         self.unresponsive_at = math.inf
 
@@ -154,39 +161,56 @@
             )
         doubted = self.dispatcher.doubted_services(self.caller)
         if doubted:
-            self.dispatcher.begin_probe(self.caller, now)
-            self.probed = ProbedParts(parts=self.parts, doubted=doubted)
-            self._send_probe(self.probed, now)
+            self._start_probing(self.parts, doubted, now)
         else:
             self._send_parts(self.parts, now)
         self._evaluate(now)
 
+    def _start_probing(
+        self,
+        parts: Sequence[Part],
+        doubted: Collection[ServiceName],
+        now: float,
+    ) -> None:
+        """Send one of some parts; the others wait until it has ended."""
+        self.dispatcher.begin_probe(self.caller, now)
+        self.probed = ProbedParts(parts=parts, doubted=doubted)
+        self._send_probe(self.probed, now)
+
     def _send_parts(self, parts: Sequence[Part], now: float) -> None:
-        """Start the first send of some parts."""
+        """Send parts that have not been sent, or whose send was lost."""
         for part in parts:
-            part.started_at = now
-            self._send_part(part, now)
+            self._send_or_retry(part, now)
+
+    def _send_or_retry(self, part: Part, now: float) -> bool:
+        """Send a part that is not under way; return whether it was sent."""
+        if part.send_count:
+            return self._send_again(part, now)
+        part.started_at = now
+        return self._send_part(part, now)
 
     def _send_probe(self, probed: ProbedParts, now: float) -> None:
         """Send the next part alone; skip those that can't be sent."""
         part = probed.next_probe()
         while part is not None:
-            part.started_at = now
-            if self._send_part(part, now):
+            if self._send_or_retry(part, now):
                 return
             part = probed.next_probe()
 
     def _handle_probe_end(
-        self, probed: ProbedParts, part: Part, now: float
+        self, probed: ProbedParts, part: Part, now: float, *, not_run: bool
     ) -> None:
-        """Send the other parts if the probe was answered, else give them up."""
+        """Send the other parts if the probe was answered, else give them up.
+
+        `not_run` is whether the probe has not reached a target.
+        """
         if part.answer is not None:
             self._send_parts(probed.release(), now)
-        elif part.maybe_run:
+        elif not_run:
+            self._send_probe(probed, now)
+        else:
             for held in probed.release():
                 held.closed = True
-        else:
-            self._send_probe(probed, now)
 
     def cancel(self) -> None:
         """Cancel the request because its caller has disconnected."""
@@ -311,13 +335,56 @@
             part.declined |= outcome is SendOutcome.DECLINED
             part.not_sent_count += outcome is SendOutcome.NOT_SENT
             part.undelivered_count += outcome in UNDELIVERED_OUTCOMES
+            self.lost_count += outcome is SendOutcome.LOST
             if outcome is SendOutcome.OVER_BUDGET:
                 self.denied_hedges += 1
                 part.closed = not part.in_flight
+            elif self._suspends_retry(part, outcome):
+                self._suspend_retry(part)
             else:
                 self._retry_part(part, send, outcome, now)
-        if part.closed and self._is_probe(part) and self.probed is not None:
-            self._handle_probe_end(self.probed, part, now)
+        if part.closed and self.probed is not None and self._is_probe(part):
+            self._handle_probe_end(self.probed, part, now, not_run=not_run)
+        self._evaluate(now)
+
+    def _suspends_retry(self, part: Part, outcome: SendOutcome) -> bool:
+        """Return whether to find out first if targets have ended.
+
+        If several parts are lost before any is answered, the request may have
+        ended their targets, and would end the others as well.
+        """
+        if outcome is not SendOutcome.LOST or self.lost_count < 2:
+            return False
+        if part.in_flight or self._is_probe(part):
+            return False
+        several = self.repeatable and len(self.parts) > 1
+        return several and not self._has_answer()
+
+    def _has_answer(self) -> bool:
+        """Return whether a part has been answered."""
+        return any(part.answer is not None for part in self.parts)
+
+    def _suspend_retry(self, part: Part) -> None:
+        """Retry a part once it is known whether targets have ended."""
+        if not self.suspended:
+            loop = asyncio.get_running_loop()
+            loop.call_later(END_CHECK_S, self._resume_retries)
+        self.suspended.append(part)
+
+    def _resume_retries(self) -> None:
+        """Retry the suspended parts, one at first if targets have ended."""
+        parts = [part for part in self.suspended if not part.closed]
+        self.suspended = []
+        if self.on_end is None or not parts:
+            return
+        now = self.dispatcher.now()
+        doubted = self.dispatcher.doubted_services(self.caller)
+        if self.probed is not None and self.probed.probe is not None:
+            self.probed.held.extend(parts)
+        elif doubted and not self._has_answer():
+            self._start_probing(parts, doubted, now)
+        else:
+            self._send_parts(parts, now)
         self._evaluate(now)
 
     def _is_probe(self, part: Part) -> bool:
@@ -389,16 +456,24 @@
         """
         repeatable = self.repeatable and not self._is_probe(part)
         if repeatable or outcome in NOT_RUN_OUTCOMES:
-            budget = self.dispatcher.retry_budget(part.service)
             undelivered = outcome in UNDELIVERED_OUTCOMES
-            paid = (undelivered and not send.sponsored) or budget.try_spend(
-                SendReason.RETRY, now
-            )
-            self.retries += paid
-            if self._send_part(part, now, sponsored=not paid):
+            free = undelivered and not send.sponsored
+            if self._send_again(part, now, free=free):
                 return
         part.closed = not part.in_flight
 
+    def _send_again(
+        self, part: Part, now: float, *, free: bool = False
+    ) -> bool:
+        """Send a part again within the budget; return whether it was sent.
+
+        `free` is whether the send needs no budget.
+        """
+        budget = self.dispatcher.retry_budget(part.service)
+        paid = free or budget.try_spend(SendReason.RETRY, now)
+        self.retries += paid
+        return self._send_part(part, now, sponsored=not paid)
+
     def _hedge_late_parts(self, now: float) -> None:
         """Send a hedge for each part that is late."""
         delay_s = self.latency_estimate.hedge_delay_s()
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -196,6 +196,11 @@
         late = crashing.late_arrivals(grace_s=INTERVAL_S / 2)
         assert len(late) <= MAX_LATE_ARRIVALS
 
+    async def test_first_attempt_leaves_the_other_replicas(self, wide_fleet):
+        await wide_fleet.async_ask(WIDE_PATH)
+        crashing = wide_fleet.targets[0].crashing
+        assert len(SHARDS) <= len(crashing.ends) <= len(SHARDS) + 3
+
 
 class TestOrdinaryRequests:
     async def test_they_are_served_beside_it(self, fleet):
