--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -51,7 +51,7 @@
             host='',
             remaining_s=None,
             headers=[(it.name, it.value) for it in request.headers],
-            body=b'',
+            body=request.body,
         )
         self.sends: dict[int, Send] = {}
         # Targets of the sends that have not started, by index.
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -92,6 +92,7 @@
                     Header(name=name, value=content)
                     for name, content in first.caller.headers
                 ],
+                body=first.caller.body,
                 left_ms=max(1, int(left_s * MS_PER_SECOND)),
                 report_ms=int(report_delay_s * MS_PER_SECOND),
                 limit=first.max_records,
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -30,6 +30,7 @@
     configure,
     make_entry,
     make_gateway,
+    make_request,
     make_scripted_target,
     make_shard_route,
     register,
@@ -169,6 +170,18 @@
 
 
 class TestAnswers:
+    async def test_body_is_forwarded_unchanged(self):
+        targets = make_targets()
+        async with fleet_over(targets) as fleet:
+            await fleet.entry.async_handle(
+                make_request(
+                    method='POST', body=b'content', left_ms=int(LONG_S * 1000)
+                )
+            )
+        assert {it.body for target in targets for it in target.requests} == {
+            b'content'
+        }
+
     async def test_parts_from_peers_are_merged(self):
         async with fleet_over(make_targets()) as fleet:
             response = await fleet.entry.async_handle(make_patient_request())
