--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,6 +28,7 @@
     'timeline',
     'fuzz',
     'limits',
+    'suspects',
 )
 
 flags.DEFINE_boolean('quick', False, 'Run with short phases, 50 s at most.')
--- a/bitternturn/relay/observations.py
+++ b/bitternturn/relay/observations.py
@@ -86,17 +86,16 @@
                     Observations(crashes=crashes, forward=receivers.forward),
                 )
 
-    def receive(self, observations: Observations) -> Observations:
-        """Apply what a peer has sent and return the reply."""
+    def receive(self, observations: Observations) -> Observations | None:
+        """Apply what a peer has sent; return the reply, if it wants one."""
         self._merge(observations)
         if observations.forward:
             self._forward(observations.crashes)
-        reply = Observations()
-        if observations.want_all:
-            reply.crashes.extend(
-                self._encode(self._newest(), self.gateway.now())
-            )
-        return reply
+        if not observations.want_all:
+            return None
+        return Observations(
+            crashes=self._encode(self._newest(), self.gateway.now())
+        )
 
     def _forward(self, crashes: Iterable[CrashReport]) -> None:
         """Pass on observations to the other instances of the domain."""
@@ -121,14 +120,14 @@
         """Ask some peers at the start, then exchange evidence while any is new."""
         asked = 0
         while True:
-            asked = asked or self._ask(PEERS_ASKED_AT_START)
+            asked = asked or self.ask(PEERS_ASKED_AT_START)
             await self._async_wait(
                 self._gossip_delay_s() if asked else START_INTERVAL_S
             )
             paused = self.pause_count != self.gateway.pauses.count
             self.pause_count = self.gateway.pauses.count
             if paused or self.suspects.evidence:
-                self._ask(1)
+                self.ask(1)
 
     def _gossip_delay_s(self) -> float:
         """Return the time until the next exchange with a random peer."""
@@ -147,7 +146,7 @@
         self.changed_at = now
         self.changed.set()
 
-    def _ask(self, count: int) -> int:
+    def ask(self, count: int) -> int:
         """Exchange all evidence with random peers; return their number."""
         now = self.gateway.now()
         own_name = self.gateway.settings.name
@@ -172,7 +171,7 @@
         return self.delegation.peers[name].is_available(now)
 
     def _send(self, peer: Peer, observations: Observations) -> None:
-        """Send observations to a peer and apply its reply."""
+        """Send observations to a peer and apply its reply, if one comes."""
         frame = Frame(observations=observations)
 
         def handle_reply(reply: Frame | PeerFailure) -> None:
@@ -182,6 +181,9 @@
                 self._merge(reply.observations)
 
         number = peer.send_request(lambda: frame, handle_reply)
+        if not observations.want_all:
+            peer.drop_handler(number)
+            return
         asyncio.get_running_loop().call_later(
             REPLY_TIMEOUT_S, peer.drop_handler, number
         )
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -89,7 +89,17 @@
                 if known is not None:
                     known.cancel(index)
         elif frame.HasField('observations') and self.observations is not None:
-            reply = self.observations.receive(frame.observations)
+            self._handle_observations(self.observations, connection, frame)
+
+    def _handle_observations(
+        self,
+        exchange: ObservationExchange,
+        connection: RelayConnection,
+        frame: Frame,
+    ) -> None:
+        """Apply what a peer has observed, and reply if it wants that."""
+        reply = exchange.receive(frame.observations)
+        if reply is not None:
             connection.send(Frame(number=frame.number, observations=reply))
 
     async def _async_follow(
