--- a/bitternturn/policy/crash_evidence.py
+++ b/bitternturn/policy/crash_evidence.py
@@ -106,10 +106,14 @@
         """Services of which one target is tried before any other one.
 
         All parts of a request would otherwise end their targets at once, before
-        there is evidence of a second occasion.
+        there is evidence of a second occasion. None once any service has
+        answered since: at most one shard ends its targets then.
         """
         if len(self.ends) < MIN_DOUBTED_ENDS:
             return frozenset()
+        last_end_at = max(end.at for end in self.ends.values())
+        if any(at > last_end_at for at in self.answers.values()):
+            return frozenset()
         return frozenset(end.service for end in self.ends.values())
 
     def add_end(self, end: TargetEnd) -> bool:
@@ -130,17 +134,18 @@
         return True
 
     def add_answer(self, service: ServiceName, at: float) -> bool:
-        """Add an answer; return whether it clears any end."""
+        """Add an answer; return whether it clears an end or lifts the doubt."""
         known_at = self.answers.get(service)
         if known_at is not None and at <= known_at:
             return False
+        doubted = bool(self.doubted_services)
         self.answers[service] = at
         cleared = [
             life for life, end in self.ends.items() if self._is_cleared(end)
         ]
         for life in cleared:
             del self.ends[life]
-        return bool(cleared)
+        return bool(cleared) or (doubted and not self.doubted_services)
 
     def _is_cleared(self, end: TargetEnd) -> bool:
         """Return whether a later answer of the service contradicts an end."""
--- a/tests/policy/test_crash_evidence.py
+++ b/tests/policy/test_crash_evidence.py
@@ -143,6 +143,28 @@
         assert find_crashing({SUSPECT: known}) == {SUSPECT: tried_at}
 
 
+class TestDoubt:
+    def test_two_ends_are_enough(self):
+        assert not make_evidence(THREE_ENDS[0]).doubted_services
+        assert make_evidence(*THREE_ENDS[:2]).doubted_services == {'s'}
+
+    def test_answer_of_any_service_lifts_it(self):
+        """All targets of one shard may be down for other reasons."""
+        known = make_evidence(*THREE_ENDS[:2])
+        assert known.add_answer(ServiceName('other'), 2.5)
+        assert not known.doubted_services
+        assert len(known.ends) == 2
+
+    def test_later_end_brings_it_back(self):
+        known = make_evidence(*THREE_ENDS[:2], answers=[('other', 2.5)])
+        known.add_end(THREE_ENDS[2])
+        assert known.doubted_services == {'s'}
+
+    def test_only_the_first_answer_is_news(self):
+        known = make_evidence(*THREE_ENDS[:2], answers=[('other', 2.5)])
+        assert not known.add_answer(ServiceName('other'), 2.6)
+
+
 class TestProbes:
     def test_result_is_awaited_for_a_time(self):
         known = make_evidence(*THREE_ENDS)
