--- /dev/null
+++ b/bitternturn/gateway/dispatcher.py
@@ -0,0 +1,48 @@
+"""What the execution of a request needs of its instance."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from bitternturn.core.ids import ServiceName, TargetId
+from bitternturn.gateway.crash_suspects import CrashSuspects
+from bitternturn.gateway.send import Send
+from bitternturn.gateway.target import Target
+from bitternturn.policy.further_send_budget import FurtherSendBudget
+
+
+class Dispatcher(Protocol):
+    """Clock, target selection, retry budgets and sends for a request."""
+
+    # Evidence that requests crash targets.
+    crash_suspects: CrashSuspects
+
+    def now(self) -> float:
+        """Return the current time in seconds, including suspended time."""
+
+    def select_target(
+        self,
+        service: ServiceName,
+        avoided: Sequence[TargetId],
+        typical_latency_s: float,
+    ) -> Target | None:
+        """Return the best available target of a service, None without one."""
+
+    def retry_budget(self, service: ServiceName) -> FurtherSendBudget:
+        """Return the retry budget of a service."""
+
+    def may_sponsor(self, target: Target, now: float) -> bool:
+        """Return whether a delegate may allow a send above the own budget."""
+
+    def start_send(self, send: Send, now: float) -> None:
+        """Start a send, directly or through a peer."""
+
+    def is_limited(self, service: ServiceName, now: float) -> bool:
+        """Return whether rate limits alone keep all targets of a service."""
+
+    def may_hedge(self, target: Target, now: float) -> bool:
+        """Return whether a hedge takes no permit that a first send needs."""
+
+    def record_unanswered(
+        self, targets: Sequence[TargetId], now: float
+    ) -> None:
+        """Record that targets have not answered a request in time."""
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -4,11 +4,10 @@
 import math
 from collections.abc import Callable, Collection, Sequence
 from functools import partial
-from typing import Any, Protocol
 
-from bitternturn.core.clock import MS_PER_SECOND
-from bitternturn.core.ids import ServiceName, TargetId
+from bitternturn.core.ids import ServiceName
 from bitternturn.gateway import const
+from bitternturn.gateway.dispatcher import Dispatcher
 from bitternturn.gateway.models import (
     UNDELIVERED_OUTCOMES,
     CallerRequest,
@@ -20,6 +19,7 @@
 from bitternturn.gateway.parts import Deadlines, Part, RequestResult
 from bitternturn.gateway.probing import ProbedParts
 from bitternturn.gateway.send import Send
+from bitternturn.gateway.send_log import SendLog
 from bitternturn.gateway.target import Target
 from bitternturn.policy.answer_timing import (
     LatencyEstimate,
@@ -27,13 +27,11 @@
     Verdict,
     evaluate_progress,
 )
-from bitternturn.policy.further_send_budget import FurtherSendBudget, SendReason
+from bitternturn.policy.further_send_budget import SendReason
 
 # Time in which an instance finds out, and tells its peers, that targets have
 # ended after connections to them were lost.
 END_CHECK_S = 0.02
-# Maximum number of sends listed in the log line of a request.
-MAX_LOGGED_SENDS = 12
 # Log entry of a part for which rate limits left no target.
 LIMITED_PART = 'limited'
 # Number of hedge delays after which targets that have not answered a request
@@ -61,50 +59,6 @@
 )
 
 
-class Dispatcher(Protocol):
-    """Clock, target selection, retry budgets and sends for a request."""
-
-    def now(self) -> float:
-        """Return the current time in seconds, including suspended time."""
-
-    def select_target(
-        self,
-        service: ServiceName,
-        avoided: Sequence[TargetId],
-        typical_latency_s: float,
-    ) -> Target | None:
-        """Return the best available target of a service, None without one."""
-
-    def retry_budget(self, service: ServiceName) -> FurtherSendBudget:
-        """Return the retry budget of a service."""
-
-    def may_sponsor(self, target: Target, now: float) -> bool:
-        """Return whether a delegate may allow a send above the own budget."""
-
-    def crashes_targets(self, caller: CallerRequest, now: float) -> bool:
-        """Return whether a request crashes the targets that run it."""
-
-    def doubted_services(self, caller: CallerRequest) -> frozenset[ServiceName]:
-        """Return the services in which a request may have ended targets."""
-
-    def begin_probe(self, caller: CallerRequest, now: float) -> None:
-        """Record that a request is tried at one target."""
-
-    def start_send(self, send: Send, now: float) -> None:
-        """Start a send, directly or through a peer."""
-
-    def is_limited(self, service: ServiceName, now: float) -> bool:
-        """Return whether rate limits alone keep all targets of a service."""
-
-    def may_hedge(self, target: Target, now: float) -> bool:
-        """Return whether a hedge takes no permit that a first send needs."""
-
-    def record_unanswered(
-        self, targets: Sequence[TargetId], now: float
-    ) -> None:
-        """Record that targets have not answered a request in time."""
-
-
 class RequestExecution:
     """Sends the parts of a request until it is answered or given up."""
 
@@ -136,8 +90,7 @@
         self.denied_hedges = 0
         # When the timer is due, on the clock of `Dispatcher.now`.
         self.timer_due_at: float = 0
-        # Log entries of failed, unanswered and further sends.
-        self.logged_sends: list[dict[str, Any]] = []
+        self.send_log = SendLog()
         self.retries = 0
         # Order of the parts if the request may crash targets.
         self.probed: ProbedParts | None = None
@@ -159,7 +112,7 @@
             self.unresponsive_at = max(
                 self.soft_deadline, now + unresponsive_delay_s
             )
-        doubted = self.dispatcher.doubted_services(self.caller)
+        doubted = self.dispatcher.crash_suspects.doubted_services(self.caller)
         if doubted:
             self._start_probing(self.parts, doubted, now)
         else:
@@ -173,7 +126,7 @@
         now: float,
     ) -> None:
         """Send one of some parts; the others wait until it has ended."""
-        self.dispatcher.begin_probe(self.caller, now)
+        self.dispatcher.crash_suspects.begin_probe(self.caller, now)
         self.probed = ProbedParts(parts=parts, doubted=doubted)
         self._send_probe(self.probed, now)
 
@@ -240,7 +193,7 @@
         """Send a part to a target; return whether it was sent."""
         if self.deadline - now < const.MIN_SEND_TIME_S:
             return False
-        if self.dispatcher.crashes_targets(self.caller, now):
+        if self.dispatcher.crash_suspects.refuses(self.caller, now):
             return False
         direct = part.not_sent_count >= MAX_UNSUCCESSFUL_PEERS
         if sponsored and (
@@ -322,7 +275,7 @@
         if part.closed or self.on_end is None:
             return
         now = self.dispatcher.now()
-        self._log_unusual_send(part, send, outcome, now)
+        self.send_log.add_unusual(part, send, outcome, now)
         if outcome is SendOutcome.ANSWERED:
             self._close_part(part, answer)
         else:
@@ -378,7 +331,7 @@
         if self.on_end is None or not parts:
             return
         now = self.dispatcher.now()
-        doubted = self.dispatcher.doubted_services(self.caller)
+        doubted = self.dispatcher.crash_suspects.doubted_services(self.caller)
         if self.probed is not None and self.probed.probe is not None:
             self.probed.held.extend(parts)
         elif doubted and not self._has_answer():
@@ -400,45 +353,6 @@
             self._hedge_part(part, now)
         self._evaluate(now)
 
-    def _log_unusual_send(
-        self,
-        part: Part,
-        send: Send,
-        outcome: SendOutcome,
-        now: float,
-    ) -> None:
-        """Add a failed or further send to the log entries."""
-        if outcome is not SendOutcome.ANSWERED or part.send_count > 1:
-            self._log_send(part, send, outcome.value, now)
-
-    def _log_open_sends(self, now: float) -> None:
-        """Add the sends that are in flight to the log entries."""
-        for part in self.parts:
-            if part.closed:
-                continue
-            for send in part.in_flight:
-                self._log_send(part, send, 'unanswered', now)
-
-    def _log_send(
-        self,
-        part: Part,
-        send: Send,
-        outcome: str,
-        now: float,
-    ) -> None:
-        """Add one send to the log entries unless there are too many."""
-        if len(self.logged_sends) >= MAX_LOGGED_SENDS:
-            return
-        self.logged_sends.append(
-            {
-                'service': part.service,
-                'target': send.target.entry.id,
-                'outcome': outcome,
-                'at_ms': send.started_at,
-                'took_ms': round((now - send.started_at) * MS_PER_SECOND, 1),
-            },
-        )
-
     def _close_part(self, part: Part, answer: TargetAnswer | None) -> None:
         """Store the answer of a part and detach its remaining sends."""
         part.closed = True
@@ -518,7 +432,7 @@
             return
         on_end = self.on_end
         self.on_end = None
-        self._log_open_sends(now)
+        self.send_log.add_open(self.parts, now)
         self._detach_sends()
         on_end(
             RequestResult(
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -106,11 +106,11 @@
             metrics=self.metrics,
             rng=rng,
         )
+        # End of the last pause that a target has asked for.
+        self.pauses_end_at: float = 0
         self.crash_suspects = CrashSuspects(
             decisions=decisions, metrics=self.metrics
         )
-        # End of the last pause that a target has asked for.
-        self.pauses_end_at: float = 0
         self.target_hooks = TargetHooks(
             now=self.now,
             paused_since=lambda since: self.pauses.paused_since(since),
@@ -118,7 +118,7 @@
             on_send_lost=self._record_lost_send,
             on_end=self._handle_target_end,
             on_answer=self._handle_answer,
-            crashes_targets=self.crashes_targets,
+            crashes_targets=self.crash_suspects.refuses,
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
@@ -271,18 +271,6 @@
             send.caller, send.target.entry.service, self.now()
         )
 
-    def crashes_targets(self, caller: CallerRequest, now: float) -> bool:
-        """Return whether a request crashes the targets that run it."""
-        return self.crash_suspects.refuses(caller, now)
-
-    def doubted_services(self, caller: CallerRequest) -> frozenset[ServiceName]:
-        """Return the services in which a request may have ended targets."""
-        return self.crash_suspects.doubted_services(caller)
-
-    def begin_probe(self, caller: CallerRequest, now: float) -> None:
-        """Record that a request is tried at one target."""
-        self.crash_suspects.begin_probe(caller, now)
-
     def _handle_leaving(self, target: Target) -> None:
         """Stop using a target that has announced that it leaves."""
         self.decisions.write(
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -83,7 +83,7 @@
         retries=execution.retries,
         sends=[
             {**line, 'at_ms': _to_ms(line['at_ms'] - arrived_at)}
-            for line in execution.logged_sends
+            for line in execution.send_log.entries
         ],
         missing=[
             part.service for part in execution.parts if part.answer is None
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -13,6 +13,7 @@
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway import const
 from bitternturn.gateway.announcements import Announcement
+from bitternturn.gateway.answers import classify_answer, max_answer_bytes
 from bitternturn.gateway.end_detection import EndDetector
 from bitternturn.gateway.models import (
     UNDELIVERED_OUTCOMES,
@@ -26,7 +27,6 @@
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.target_connections import TargetConnections
 from bitternturn.gateway.wire import Wire
-from bitternturn.http import const as http
 from bitternturn.http.client import ClientConnection
 from bitternturn.http.models import Response
 from bitternturn.http.response_size import BodyBuffers
@@ -307,7 +307,7 @@
             self.entry, self.announcement.rate_limit, send.kind, now
         )
         connection.buffers = self.buffers
-        connection.size.max_body_bytes = _max_answer_bytes(
+        connection.size.max_body_bytes = max_answer_bytes(
             send.max_records, self.wire.record_bytes
         )
         remaining_s = max(const.MIN_SEND_TIME_S, send.deadline - now)
@@ -347,7 +347,7 @@
             self._apply_announcement(answer, send.started_at)
         if answer.idle_timeout_s is not None:
             self.connections.idle_timeout_s = answer.idle_timeout_s
-        outcome = _classify(answer)
+        outcome = classify_answer(answer)
         if outcome is SendOutcome.ANSWERED:
             self.hooks.on_answer(send)
         self.end_send(send, outcome, answer)
@@ -476,28 +476,6 @@
         self.hooks.on_send_end(self, outcome, latency_s, exchange_bytes)
 
 
-def _max_answer_bytes(max_records: int, record_bytes: int) -> int:
-    """Return the limit of an answer's body; 0 records for other routes."""
-    if not max_records:
-        return const.MAX_ANSWER_BYTES
-    return max(
-        const.MIN_PART_LIMIT_BYTES,
-        max_records * record_bytes * const.MAX_PART_RECORDS_FACTOR,
-    )
-
-
-def _classify(answer: TargetAnswer) -> SendOutcome:
-    """Return the outcome of a send by the target's answer."""
-    if answer.misdirected:
-        return SendOutcome.MISDIRECTED
-    if answer.not_run:
-        return SendOutcome.NOT_RUN
-    is_success = http.STATUS_OK <= answer.status < http.STATUS_MULTIPLE_CHOICES
-    if is_success and answer.stamp and not answer.encoded:
-        return SendOutcome.ANSWERED
-    return SendOutcome.FAILED
-
-
 def start_directly(send: Send, now: float) -> None:
     """Start a send over a connection of this instance."""
     send.target.start(send, now)
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -140,7 +140,7 @@
         """Return why not to send to a target, None to send."""
         if target is None or self.deadline - now < MIN_SEND_TIME_S:
             return SendOutcome.NOT_SENT
-        if self.gateway.crashes_targets(self.caller, now):
+        if self.gateway.crash_suspects.refuses(self.caller, now):
             return SendOutcome.SUSPECTED
         if not target.announcement.allows_send(now):
             return SendOutcome.UNWANTED
--- a/tests/relay/test_observation_machine.py
+++ b/tests/relay/test_observation_machine.py
@@ -23,6 +23,7 @@
 COUNT = 4
 SERVICE = ServiceName('s')
 NUMBERS = st.integers(0, COUNT - 1)
+WRITER = LineWriter(descriptor=os.open(os.devnull, os.O_WRONLY))
 CRASHING = read_request(make_request(path='/a/crashing'))
 POPULAR = read_request(make_request(path='/a/popular'))
 
@@ -39,10 +40,8 @@
 
 def make_suspects():
     """Return the suspects of an instance."""
-    descriptor = os.open(os.devnull, os.O_WRONLY)
-    writer = LineWriter(descriptor=descriptor)
     return CrashSuspects(
-        decisions=DecisionLog(instance='i', writer=writer),
+        decisions=DecisionLog(instance='i', writer=WRITER),
         metrics=GatewayMetrics(),
     )
 
