--- a/bitternturn/gateway/crash_suspects.py
+++ b/bitternturn/gateway/crash_suspects.py
@@ -8,7 +8,10 @@
 
 from bitternturn.core.ids import RequestKey, ServiceName
 from bitternturn.gateway.decision_log import DecisionLog
-from bitternturn.gateway.identity import identify_request
+from bitternturn.gateway.identity import (
+    fingerprint_request,
+    identify_request,
+)
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import CallerRequest, TargetEntry
 from bitternturn.policy.crash_evidence import (
@@ -20,6 +23,12 @@
     is_refused,
 )
 
+# Time after an answer to a request in which the end of a target is not held
+# against it: a popular request has just been answered when a target ends, while
+# one that crashes targets is not answered at all.
+RECENT_ANSWER_S: Final = 2.0
+# Requests whose last answers are remembered.
+MAX_RECENT_ANSWERS: Final = 2048
 # Requests of which evidence is kept; that of the others is dropped, the oldest
 # first and requests that crash targets last.
 MAX_REQUESTS: Final = 256
@@ -54,6 +63,8 @@
         self.crashing: Mapping[RequestKey, float] = {}
         # Set, and replaced, when there is new evidence.
         self.changed = asyncio.Event()
+        # When requests were last answered, the earliest first, by fingerprint.
+        self.recent_answers: dict[int, float] = {}
         # Called with the requests of which this instance has new evidence.
         self.on_change: Callable[[Collection[RequestKey]], None] = (
             _ignore_change
@@ -114,7 +125,11 @@
             service=entry.service,
             at=ended_at,
         )
-        keys = {identify_request(caller) for caller in callers}
+        keys = {
+            identify_request(caller)
+            for caller in callers
+            if not self._has_recent_answer(caller, ended_at)
+        }
         self.metrics.increment('target_ends')
         self.decisions.write(
             'target_ended',
@@ -127,10 +142,20 @@
             self._update(now, deciding=True)
             self.on_change(changed)
 
+    def _has_recent_answer(self, caller: CallerRequest, at: float) -> bool:
+        """Return whether a request was answered shortly before a time."""
+        answered_at = self.recent_answers.get(fingerprint_request(caller))
+        return answered_at is not None and at - answered_at < RECENT_ANSWER_S
+
     def record_answer(
         self, caller: CallerRequest, service: ServiceName, now: float
     ) -> None:
         """Record that a target has answered a request."""
+        fingerprint = fingerprint_request(caller)
+        self.recent_answers.pop(fingerprint, None)
+        self.recent_answers[fingerprint] = now
+        if len(self.recent_answers) > MAX_RECENT_ANSWERS:
+            del self.recent_answers[next(iter(self.recent_answers))]
         if not self.evidence:
             return
         key = identify_request(caller)
--- a/bitternturn/gateway/identity.py
+++ b/bitternturn/gateway/identity.py
@@ -23,6 +23,27 @@
     return caller.key
 
 
+def fingerprint_request(caller: CallerRequest) -> int:
+    """Return a short hash of the same fields, cheap but valid here only."""
+    if caller.fingerprint is None:
+        caller.fingerprint = hash(
+            (
+                caller.method,
+                caller.request_target,
+                caller.body,
+                *_caller_headers(caller),
+            )
+        )
+    return caller.fingerprint
+
+
+def _caller_headers(caller: CallerRequest) -> list[tuple[bytes, bytes]]:
+    """Return the headers that tell callers apart, in a fixed order."""
+    return sorted(
+        header for header in caller.headers if header[0] in CALLER_HEADERS
+    )
+
+
 def _compute_key(caller: CallerRequest) -> RequestKey:
     """Return the digest of method, request target, caller and body."""
     return _digest(
@@ -30,12 +51,7 @@
             caller.method.encode(),
             caller.request_target.encode(),
             caller.body,
-            *(
-                field
-                for name, content in sorted(caller.headers)
-                if name in CALLER_HEADERS
-                for field in (name, content)
-            ),
+            *(field for header in _caller_headers(caller) for field in header),
         )
     )
 
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -219,6 +219,8 @@
     first_on_connection: bool = False
     # Key of the request, once it has been needed; see `identify_request`.
     key: RequestKey | None = None
+    # The same as a hash of this process; see `fingerprint_request`.
+    fingerprint: int | None = None
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/bitternturn/policy/crash_evidence.py
+++ b/bitternturn/policy/crash_evidence.py
@@ -31,7 +31,7 @@
 # Ends of targets after which a request is sent to one target at a time.
 MIN_DOUBTED_ENDS: Final = 2
 # Time after the first end of an occasion within which ends belong to it.
-OCCASION_S: Final = 0.15
+OCCASION_S: Final = 0.5
 # Time since the last end for which a request is refused. After it the request
 # is tried again, and one more end is enough to refuse it again.
 REFUSAL_S: Final = 600.0
