--- a/bitternturn/gateway/crash_suspects.py
+++ b/bitternturn/gateway/crash_suspects.py
@@ -15,7 +15,6 @@
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import CallerRequest, TargetEntry
 from bitternturn.policy.crash_evidence import (
-    EVIDENCE_MEMORY_S,
     REFUSAL_S,
     CrashEvidence,
     TargetEnd,
@@ -27,8 +26,8 @@
 # against it: a popular request has just been answered when a target ends, while
 # one that crashes targets is not answered at all.
 RECENT_ANSWER_S: Final = 2.0
-# Requests whose last answers are remembered.
-MAX_RECENT_ANSWERS: Final = 2048
+# Answers that are remembered; one for each shard of a request.
+MAX_RECENT_ANSWERS: Final = 8192
 # Requests of which evidence is kept; that of the others is dropped, the oldest
 # first and requests that crash targets last.
 MAX_REQUESTS: Final = 256
@@ -63,8 +62,9 @@
         self.crashing: Mapping[RequestKey, float] = {}
         # Set, and replaced, when there is new evidence.
         self.changed = asyncio.Event()
-        # When requests were last answered, the earliest first, by fingerprint.
-        self.recent_answers: dict[int, float] = {}
+        # When a service last answered a request, by its fingerprint, the earliest
+        # first.
+        self.recent_answers: dict[tuple[int, ServiceName], float] = {}
         # Called with the requests of which this instance has new evidence.
         self.on_change: Callable[[Collection[RequestKey]], None] = (
             _ignore_change
@@ -128,7 +128,7 @@
         keys = {
             identify_request(caller)
             for caller in callers
-            if not self._has_recent_answer(caller, ended_at)
+            if not self._has_recent_answer(caller, end)
         }
         self.metrics.increment('target_ends')
         self.decisions.write(
@@ -142,18 +142,22 @@
             self._update(now, deciding=True)
             self.on_change(changed)
 
-    def _has_recent_answer(self, caller: CallerRequest, at: float) -> bool:
-        """Return whether a request was answered shortly before a time."""
-        answered_at = self.recent_answers.get(fingerprint_request(caller))
-        return answered_at is not None and at - answered_at < RECENT_ANSWER_S
+    def _has_recent_answer(self, caller: CallerRequest, end: TargetEnd) -> bool:
+        """Return whether the service answered a request shortly before an end."""
+        answered_at = self.recent_answers.get(
+            (fingerprint_request(caller), end.service)
+        )
+        if answered_at is None:
+            return False
+        return end.at - answered_at < RECENT_ANSWER_S
 
     def record_answer(
         self, caller: CallerRequest, service: ServiceName, now: float
     ) -> None:
         """Record that a target has answered a request."""
-        fingerprint = fingerprint_request(caller)
-        self.recent_answers.pop(fingerprint, None)
-        self.recent_answers[fingerprint] = now
+        answered = (fingerprint_request(caller), service)
+        self.recent_answers.pop(answered, None)
+        self.recent_answers[answered] = now
         if len(self.recent_answers) > MAX_RECENT_ANSWERS:
             del self.recent_answers[next(iter(self.recent_answers))]
         if not self.evidence:
@@ -183,6 +187,11 @@
             self._update(now, deciding=False)
         return changed
 
+    def forget_old(self, now: float) -> None:
+        """Forget old evidence, so that no key is computed for it."""
+        if any(known.is_outdated(now) for known in self.evidence.values()):
+            self._update(now, deciding=False)
+
     def _get_or_add(self, key: RequestKey) -> CrashEvidence:
         """Return the evidence of a request."""
         return self.evidence.setdefault(key, CrashEvidence())
@@ -217,8 +226,7 @@
         oldest_first = sorted(self.evidence, key=self._retention_rank)
         excess = max(0, len(oldest_first) - MAX_REQUESTS)
         for position, key in enumerate(oldest_first):
-            age_s = now - self.evidence[key].updated_at
-            if position < excess or age_s > EVIDENCE_MEMORY_S:
+            if position < excess or self.evidence[key].is_outdated(now):
                 del self.evidence[key]
 
     def _retention_rank(self, key: RequestKey) -> tuple[bool, float]:
--- a/bitternturn/policy/crash_evidence.py
+++ b/bitternturn/policy/crash_evidence.py
@@ -37,6 +37,9 @@
 REFUSAL_S: Final = 600.0
 # Time since the last end or answer after which the evidence is forgotten.
 EVIDENCE_MEMORY_S: Final = 86_400.0
+# The same for a request of which all ends are cleared, so that late reports of
+# these do not count.
+CLEARED_MEMORY_S: Final = 60.0
 
 # Time for which other attempts of a request wait for the result of a probe.
 PROBE_S: Final = 0.4
@@ -84,6 +87,11 @@
         ended_at = (end.at for end in self.ends.values())
         return max((*ended_at, *self.answers.values()), default=0)
 
+    def is_outdated(self, now: float) -> bool:
+        """Return whether the evidence may be forgotten."""
+        memory_s = EVIDENCE_MEMORY_S if self.ends else CLEARED_MEMORY_S
+        return now - self.updated_at > memory_s
+
     def probe_ends_at(self) -> float:
         """Return until when the result of the last probe may be awaited."""
         results = (
--- a/bitternturn/relay/observations.py
+++ b/bitternturn/relay/observations.py
@@ -124,6 +124,7 @@
             await self._async_wait(
                 self._gossip_delay_s() if asked else START_INTERVAL_S
             )
+            self.suspects.forget_old(self.gateway.now())
             paused = self.pause_count != self.gateway.pauses.count
             self.pause_count = self.gateway.pauses.count
             if paused or self.suspects.evidence:
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -91,6 +91,16 @@
     return make_route(**fields)
 
 
+class FakeTarget:
+    """Identity and address of a target that does not run."""
+
+    host = '127.0.0.1'
+    port = 1
+
+    def __init__(self, number):
+        self.id = TargetId(f't{number}')
+
+
 def make_entry(target, service='s', **changes):
     """Return the store entry of a target."""
     fields = {
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bitternturn.core.ids import ServiceName, TargetId
+from bitternturn.core.ids import ServiceName
 from bitternturn.gateway.crash_suspects import (
     MAX_RECENT_ANSWERS,
     RECENT_ANSWER_S,
@@ -13,22 +13,13 @@
 from bitternturn.gateway.decision_log import DecisionLog, LineWriter
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.platform.http_messages import read_request
-from tests.gateway.helpers import make_entry, make_request
+from bitternturn.policy.crash_evidence import CLEARED_MEMORY_S
+from tests.gateway.helpers import FakeTarget, make_entry, make_request
 
 WRITER = LineWriter(descriptor=os.open(os.devnull, os.O_WRONLY))
 SERVICE = ServiceName('s')
 
 
-class FakeTarget:
-    """Identity and address of a target."""
-
-    host = '127.0.0.1'
-    port = 1
-
-    def __init__(self, number):
-        self.id = TargetId(f't{number}')
-
-
 def make_caller(path='/a/x', **changes):
     """Return a request of a caller."""
     return read_request(make_request(path=path, **changes))
@@ -77,9 +68,36 @@
         )
         assert suspects.refuses(make_caller(body=b'bad'), 102)
 
+    def test_answers_of_other_shards_do_not_count(self, suspects):
+        """A request may crash the targets of one shard, and get the others."""
+        for number, at in enumerate((100, 101, 102)):
+            suspects.record_answer(make_caller(), ServiceName('other'), at)
+            suspects.record_end(
+                make_entry(FakeTarget(number), SERVICE),
+                [make_caller()],
+                ended_at=at + 0.1,
+                now=at + 0.1,
+            )
+        assert suspects.refuses(make_caller(), 103)
+
     def test_memory_is_bounded(self, suspects):
         for number in range(2 * MAX_RECENT_ANSWERS):
             suspects.record_answer(
                 make_caller(f'/a/{number}'), SERVICE, 100 + number
             )
         assert len(suspects.recent_answers) == MAX_RECENT_ANSWERS
+
+
+class TestForgetting:
+    def test_cleared_request_costs_nothing_after_a_time(self, suspects):
+        end_targets(suspects, (100, 101))
+        suspects.record_answer(make_caller(), SERVICE, 102)
+        suspects.forget_old(102 + CLEARED_MEMORY_S)
+        assert suspects.evidence
+        suspects.forget_old(103 + CLEARED_MEMORY_S)
+        assert not suspects.evidence
+
+    def test_ends_are_remembered_longer(self, suspects):
+        end_targets(suspects, (100, 101))
+        suspects.forget_old(103 + CLEARED_MEMORY_S)
+        assert suspects.evidence
--- a/tests/relay/test_observation_machine.py
+++ b/tests/relay/test_observation_machine.py
@@ -11,14 +11,14 @@
     rule,
 )
 
-from bitternturn.core.ids import ServiceName, TargetId
+from bitternturn.core.ids import ServiceName
 from bitternturn.gateway.crash_suspects import CrashSuspects
 from bitternturn.gateway.decision_log import DecisionLog, LineWriter
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.platform.http_messages import read_request
 from bitternturn.policy.crash_evidence import MIN_ENDS, OCCASION_S
 from bitternturn.relay.observations import decode_reports, encode_report
-from tests.gateway.helpers import make_entry, make_request
+from tests.gateway.helpers import FakeTarget, make_entry, make_request
 
 COUNT = 4
 SERVICE = ServiceName('s')
@@ -28,16 +28,6 @@
 POPULAR = read_request(make_request(path='/a/popular'))
 
 
-class FakeTarget:
-    """Identity and address of a target."""
-
-    host = '127.0.0.1'
-    port = 1
-
-    def __init__(self, number):
-        self.id = TargetId(f't{number}')
-
-
 def make_suspects():
     """Return the suspects of an instance."""
     return CrashSuspects(
