--- a/bitternturn/policy/rate_shares.py
+++ b/bitternturn/policy/rate_shares.py
@@ -131,7 +131,7 @@
     """Return the share of an instance if one of them sends for all others.
 
     `rank` is its rank among the candidates for that. The parts of the first
-    ranks add up to less than the bound, so that two of them may send at once.
+    ranks add up to less than the bound, so that all of them may send at once.
     """
     if rank >= len(DELEGATE_RATE_PARTS):
         others = max(1, instances - len(DELEGATE_RATE_PARTS))
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -231,7 +231,7 @@
         Asks the budget of this instance if it is the delegate; a peer decides
         when it receives the send.
         """
-        if entry.service not in self.gateway.wide_services:
+        if self._sent_by_instances(entry):
             return False
         name = self._find_delegate(
             entry.failure_domain, self._group_key(entry), now
@@ -277,8 +277,8 @@
         sends = [send for send in queued if not send.ended]
         if not sends:
             return
-        wide = sends[0].target.entry.service in self.gateway.wide_services
-        if not wide and len(sends) < const.MIN_DELEGATED_PARTS:
+        direct = self._sent_by_instances(sends[0].target.entry)
+        if direct and len(sends) < const.MIN_DELEGATED_PARTS:
             now = self.gateway.now()
             for send in sends:
                 send.target.start_undelegated(send, now)
