--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -145,7 +145,7 @@
         route = self.route_table.match(caller.host, caller.path)
         if route is None:
             return self._refuse(caller, RefusalReason.NO_ROUTE, None)
-        if self.crash_suspects.doubted_services(caller):
+        if self.crash_suspects.evidence:
             refusal = await self._async_check_suspicion(caller)
             if refusal is not None:
                 return refusal
@@ -189,11 +189,14 @@
         Returns None if it may be sent.
         """
         suspects = self.crash_suspects
+        key = identify_request(caller)
+        if key not in suspects.evidence:
+            return None
         begun_at = self.now()
         probe_at = begun_at + probe_delay_s(
-            identify_request(caller), self.settings.name, self.rate_limits.names
+            key, self.settings.name, self.rate_limits.names
         )
-        while suspects.doubted_services(caller):
+        while True:
             now = self.now()
             refused_for_s = suspects.refused_for_s(caller, now)
             if refused_for_s > 0:
@@ -201,14 +204,13 @@
                     caller, RefusalReason.CRASHES_TARGETS, refused_for_s
                 )
             wait_until = max(probe_at, suspects.probe_ends_at(caller))
-            if now >= wait_until:
+            if now >= wait_until or not suspects.doubted_services(caller):
                 return None
             if now - begun_at >= PROBE_S:
                 return self._refuse(
                     caller, RefusalReason.TRIED_ELSEWHERE, PROBE_S
                 )
             await suspects.async_wait_for_change(wait_until - now)
-        return None
 
     def _services(self, route: Route) -> Sequence[ServiceName]:
         """Return the shards of a route, or the next service of a split."""
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -186,6 +186,30 @@
         assert {it.status for it in responses} == {200}
 
 
+class TestSuspectedRequest:
+    async def test_it_is_refused_before_any_send_though_others_answered(
+        self, fleet
+    ):
+        """It may end the targets of one shard only, and get the others."""
+        gateway = fleet.daemons[0].gateway
+        caller = read_request(make_request(path=CRASHING_PATH))
+        now = gateway.now()
+        known = CrashEvidence()
+        for number in range(3):
+            known.add_end(
+                TargetEnd(
+                    life=(TargetId(f'ended{number}'), 1),
+                    service=ServiceName('s'),
+                    at=now - 5 + number,
+                )
+            )
+        known.add_answer(ServiceName('other'), now - 1)
+        gateway.crash_suspects.merge({identify_request(caller): known}, now)
+        response = await fleet.async_ask(CRASHING_PATH, fleet.daemons[0])
+        assert response.body == b'crashes_targets'
+        assert gateway.decisions.counts['refused'] == 1
+
+
 class TestCrashingWideRequest:
     """The parts of a request run at the same time, each at one target."""
 
