--- a/bitternturn/gateway/crash_suspects.py
+++ b/bitternturn/gateway/crash_suspects.py
@@ -37,7 +37,7 @@
     """Called when a request becomes a suspect or is cleared."""
 
     def __call__(self, key: RequestKey, *, deciding: bool) -> None:
-        """Handle it; `deciding` is whether the last evidence is the own."""
+        """Handle it; `deciding` is whether this instance had the last evidence."""
 
 
 def _ignore_decision(key: RequestKey, *, deciding: bool) -> None:
--- a/bitternturn/policy/crash_evidence.py
+++ b/bitternturn/policy/crash_evidence.py
@@ -35,7 +35,7 @@
 # Time since the last end for which a request is refused. After it the request
 # is tried again, and one more end is enough to refuse it again.
 REFUSAL_S: Final = 600.0
-# Time since the last end or answer after which the evidence is forgotten.
+# Time since the last end after which the evidence against a request is forgotten.
 EVIDENCE_MEMORY_S: Final = 86_400.0
 # The same for a request of which all ends are cleared, so that late reports of
 # these do not count.
@@ -83,7 +83,7 @@
 
     @property
     def updated_at(self) -> float:
-        """When the last end or answer was noticed."""
+        """Time of the last end or answer."""
         ended_at = (end.at for end in self.ends.values())
         return max((*ended_at, *self.answers.values()), default=0)
 
@@ -125,7 +125,7 @@
         return frozenset(end.service for end in self.ends.values())
 
     def add_end(self, end: TargetEnd) -> bool:
-        """Add an end unless it is known; return whether it counts."""
+        """Add an end unless it is known or cleared; return whether it counts."""
         if end.life in self.ends or self._is_cleared(end):
             return False
         close_count = sum(
@@ -162,7 +162,7 @@
 
 
 def _get_time(end: TargetEnd) -> float:
-    """Return when an end was noticed."""
+    """Return the time of an end."""
     return end.at
 
 
