Log over which path each send of a request went

Each send in a request line now names the peer, or that it was direct; explain prints it. No decision is changed.

--- a/bitternturn/gateway/request_log.py
+++ b/bitternturn/gateway/request_log.py
@@ -132,7 +132,7 @@
     head = f'{line.time - since:+8.3f} s  {line.instance}  {line.kind}'
     sends = [
         f'              sent to {sent["target"]} of {sent["service"]} '
-        f'at {sent["at_ms"]} ms: {sent["outcome"]} '
+        f'via {sent.get("via", "unknown path")} at {sent["at_ms"]} ms: {sent["outcome"]} '
         f'after {sent["took_ms"]} ms'
         for sent in line.fields.get('sends', ())
     ]
--- a/bitternturn/gateway/send.py
+++ b/bitternturn/gateway/send.py
@@ -53,6 +53,7 @@
         'started_at',
         'target',
         'latency_estimate',
+        'via',
     )
 
     def __init__(
@@ -81,6 +82,8 @@
         self.on_silence: Callable[[], None] | None = None
         # Whether the delegate has not confirmed it in time.
         self.silent = False
+        # Name of the peer that makes the send, None for a direct one.
+        self.via: str | None = None
         self.connection: SendCarrier | None = None
         # Additional time until a peer reports the answer, 0 for a direct send.
         self.relay_delay_s: float = 0
--- a/bitternturn/gateway/send_log.py
+++ b/bitternturn/gateway/send_log.py
@@ -10,6 +10,8 @@
 
 # Maximum number of sends listed in the log line of a request.
 MAX_LOGGED_SENDS: Final = 12
+# Path of a send over a connection of this instance, in place of a peer's name.
+DIRECT: Final = 'direct'
 
 
 class SendLog:
@@ -42,6 +44,7 @@
             {
                 'service': part.service,
                 'target': send.target.entry.id,
+                'via': send.via or DIRECT,
                 'outcome': outcome,
                 'at_ms': send.started_at,
                 'took_ms': round((now - send.started_at) * MS_PER_SECOND, 1),
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -134,6 +134,7 @@
             self.outbox[key] = queued
             asyncio.get_running_loop().call_soon(self._flush, key)
         queued.append(send)
+        send.via = peer.name
         send.target.register_delegated(send, const.REPORT_LATENCY_S)
 
     def _choose_peer(self, send: Send, now: float) -> Peer | None:
@@ -281,6 +282,7 @@
         if direct and len(sends) < const.MIN_DELEGATED_PARTS:
             now = self.gateway.now()
             for send in sends:
+                send.via = None
                 send.target.start_undelegated(send, now)
             return
         OutgoingBatch(
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -46,6 +46,7 @@
             {
                 'service': 's',
                 'target': 't1',
+                'via': 'i2',
                 'outcome': 'lost',
                 'at_ms': 0.1,
                 'took_ms': 700.2,
@@ -71,7 +72,7 @@
     def test_sends_are_rendered(self):
         entry = find_request_lines(read_lines(LOG), 'q1', lookback_s=0)[-1]
         text = render_line(entry, entry.time)
-        assert 'sent to t1 of s at 0.1 ms: lost after 700.2 ms' in text
+        assert 'sent to t1 of s via i2 at 0.1 ms: lost after 700.2 ms' in text
         assert 'outcome=give_up' in text
 
 
