--- a/bitternturn/standins/proxy.py
+++ b/bitternturn/standins/proxy.py
@@ -19,6 +19,8 @@
 # SO_LINGER with a timeout of 0 s: closing sends a reset and discards unsent
 # data.
 LINGER_RESET = struct.pack('ii', 1, 0)
+# Connections that fill the queue of a listener with a backlog of 0.
+QUEUED_CONNECTIONS = 2
 
 
 @unique
@@ -46,6 +48,8 @@
         self.port = 0
         self.tasks = TaskSet()
         self._listener: asyncio.Server | None = None
+        # Sockets that keep the queue of new connections full.
+        self._blocking: list[socket.socket] = []
 
     async def async_start(self, *, host: str, port: int = 0) -> None:
         """Start the listener; port 0 selects a free port."""
@@ -58,6 +62,7 @@
     async def async_stop(self) -> None:
         """Close the listener and all connections."""
         self.refuse_connections()
+        self._unblock()
         for connection in list(self.connections):
             connection.close()
         await self.tasks.async_stop()
@@ -67,10 +72,37 @@
         if self._listener is not None:
             self._listener.close()
 
+    def ignore_connections(self) -> None:
+        """Let new connections hang, as behind a partition.
+
+        The kernel drops the opening packet while the queue of a listener is
+        full.
+        """
+        self.refuse_connections()
+        address = (self.host, self.port)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(0)
+        self._blocking.append(listener)
+        for _ in range(QUEUED_CONNECTIONS):
+            client = socket.socket()
+            client.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                client.connect(address)
+            self._blocking.append(client)
+
     async def async_accept_connections(self) -> None:
         """Accept new connections again, on the same port."""
+        self._unblock()
         await self.async_start(host=self.host, port=self.port)
 
+    def _unblock(self) -> None:
+        """Close the sockets that keep the queue full."""
+        for blocking in self._blocking:
+            blocking.close()
+        self._blocking.clear()
+
     def set_faults(self, faults: ProxyFaults) -> None:
         """Set the faults of all open and future connections."""
         self.faults = faults
