Send over peers while the links to targets are cut off

In large fleets the others failed as well, as delegates that reached no target kept their rank.

Cause: an instance took every failure of its links for one of the targets. It then ejected the targets and refused what peers could have served.

Sends then go over a peer that reaches the domain, also those to single targets, whose answers travel whole; sends in flight move at once if they may be repeated. A delegate that is cut off declines with an outcome of its own, or reports that its sends are silent, and the next one is asked. Failures of a link mark no target and accuse no request.

--- a/bitternturn/gateway/const.py
+++ b/bitternturn/gateway/const.py
@@ -28,6 +28,11 @@
 EXTRA_SENDS: Final = 1
 # A part is sent again after at most this many sends that reached no target.
 MAX_UNDELIVERED_SENDS: Final = 3
+# A part is sent again after at most this many sends that found no path to their
+# targets; each of them was tried over another instance.
+MAX_PATHS: Final = 6
+# Lateness of a timer from which on answers may be waiting to be read.
+MAX_TIMER_LATENESS_S: Final = 0.02
 # Time before the caller's deadline at which a request ends without an answer,
 # so that the error response arrives in time, in seconds.
 DEADLINE_MARGIN_S: Final = 0.015
--- a/bitternturn/gateway/dispatcher.py
+++ b/bitternturn/gateway/dispatcher.py
@@ -42,7 +42,8 @@
     def may_hedge(self, target: Target, now: float) -> bool:
         """Return whether a hedge takes no permit that a first send needs."""
 
-    def record_unanswered(
-        self, targets: Sequence[TargetId], now: float
-    ) -> None:
+    def record_unanswered(self, sends: Sequence[Send], now: float) -> None:
         """Record that targets have not answered a request in time."""
+
+    def record_overdue(self, send: Send, now: float) -> None:
+        """Record that a send has not been answered within the usual time."""
--- a/bitternturn/gateway/end_detection.py
+++ b/bitternturn/gateway/end_detection.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from bitternturn.gateway.links import LinkVerdict
 from bitternturn.gateway.models import CallerRequest
 from bitternturn.gateway.target_connections import TargetConnections
 
@@ -16,6 +17,8 @@
 # Called with the requests that were under way when a target ended, and when the
 # first of their connections was lost.
 EndListener = Callable[[Sequence[CallerRequest], float], None]
+# Finds out whether the link to a target has worked after a time.
+LinkCheck = Callable[[float, LinkVerdict], None]
 
 
 @dataclass(kw_only=True, slots=True)
@@ -32,14 +35,20 @@
     """Tells the end of a target from the loss of single connections.
 
     A lost connection may have been reset on the way. The target counts as ended
-    if no connection can be opened either, or if another one has its address.
+    if no connection can be opened either, although other targets in its failure
+    domain can be reached, or if another one has its address.
     """
 
     def __init__(
-        self, *, connections: TargetConnections, on_end: EndListener
+        self,
+        *,
+        connections: TargetConnections,
+        verify_link: LinkCheck,
+        on_end: EndListener,
     ) -> None:
         """Initialise without lost requests."""
         self.connections = connections
+        self.verify_link = verify_link
         self.on_end = on_end
         self.lost: list[LostRequest] = []
 
@@ -64,7 +73,16 @@
     def record_unreachable(self, now: float) -> None:
         """Record that an attempt to connect has failed."""
         self._drop_old(now)
-        self._end([it for it in self.lost if not it.reconnected])
+        if self.lost:
+            first_lost_at = min(it.lost_at for it in self.lost)
+            self.verify_link(first_lost_at, self._handle_link_verdict)
+
+    def _handle_link_verdict(self, connected: bool) -> None:
+        """Report the end of the target unless its link is cut off."""
+        if connected:
+            self._end([it for it in self.lost if not it.reconnected])
+        else:
+            self.discard()
 
     def record_replaced(self, now: float) -> None:
         """Record that another target, or another life of it, has its address."""
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -43,6 +43,7 @@
 NOT_RUN_OUTCOMES = frozenset(
     (
         SendOutcome.NOT_SENT,
+        SendOutcome.NO_PATH,
         SendOutcome.UNREACHABLE,
         SendOutcome.DECLINED,
         SendOutcome.OVER_BUDGET,
@@ -231,6 +232,8 @@
             return None
         if part.not_sent_count > const.MAX_UNDELIVERED_SENDS:
             return None
+        if part.no_path_count > const.MAX_PATHS:
+            return None
         typical_latency_s = self.latency_estimate.mean_s
         target: Target | None = None
         # Targets that may be used again.
@@ -243,7 +246,8 @@
             )
         if target is not None:
             return target
-        if part.undelivered_count > const.MAX_UNDELIVERED_SENDS:
+        undelivered_count = part.undelivered_count - part.no_path_count
+        if undelivered_count > const.MAX_UNDELIVERED_SENDS:
             return None
         avoided = [
             *(
@@ -287,6 +291,7 @@
                 part.unusable_targets.add(send.target.entry.id)
             part.declined |= outcome is SendOutcome.DECLINED
             part.not_sent_count += outcome is SendOutcome.NOT_SENT
+            part.no_path_count += outcome is SendOutcome.NO_PATH
             part.undelivered_count += outcome in UNDELIVERED_OUTCOMES
             self.lost_count += outcome is SendOutcome.LOST
             if outcome is SendOutcome.OVER_BUDGET:
@@ -388,15 +393,22 @@
         self.retries += paid
         return self._send_part(part, now, sponsored=not paid)
 
-    def _hedge_late_parts(self, now: float) -> None:
-        """Send a hedge for each part that is late."""
+    def _handle_late_parts(self, now: float) -> None:
+        """Report the sends that are late, and hedge their parts.
+
+        On a busy host answers may wait to be read when the timer fires late.
+        """
         delay_s = self.latency_estimate.hedge_delay_s()
+        on_time = now - self.timer_due_at < const.MAX_TIMER_LATENESS_S
         for part in self.parts:
             if part.closed or not part.in_flight:
                 continue
             newest = part.in_flight[-1]
             late = now - newest.started_at >= delay_s + newest.relay_delay_s
-            if late and len(part.tried_targets) < self.route.max_targets:
+            if late and on_time:
+                self.dispatcher.record_overdue(newest, now)
+            tried_all = len(part.tried_targets) >= self.route.max_targets
+            if late and self.repeatable and not tried_all:
                 self._hedge_part(part, now)
 
     def _hedge_part(self, part: Part, now: float) -> None:
@@ -449,7 +461,7 @@
         started_before = now - self.latency_estimate.hedge_delay_s()
         self.dispatcher.record_unanswered(
             [
-                send.target.entry.id
+                send
                 for part in self.parts
                 for send in part.in_flight
                 if send.started_at <= started_before
@@ -477,8 +489,7 @@
             due_at = min(due_at, self.unresponsive_at)
             if now < self.soft_deadline:
                 due_at = min(due_at, self.soft_deadline)
-        if self.repeatable:
-            due_at = min(due_at, self._next_hedge_at(now))
+        due_at = min(due_at, self._next_hedge_at(now))
         self.timer_due_at = due_at
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(
@@ -492,12 +503,14 @@
         for part in self.parts:
             if part.closed or not part.in_flight:
                 continue
-            if len(part.tried_targets) < self.route.max_targets:
-                newest = part.in_flight[-1]
-                due = newest.started_at + delay_s + newest.relay_delay_s
+            newest = part.in_flight[-1]
+            due = newest.started_at + delay_s + newest.relay_delay_s
+            if due > now:
+                due_at = min(due_at, due)
+            elif len(part.tried_targets) < self.route.max_targets:
                 # A hedge that is overdue found no target or budget; it is
                 # tried again after another hedge delay.
-                due_at = min(due_at, due if due > now else now + delay_s)
+                due_at = min(due_at, now + delay_s)
         return due_at
 
     def _handle_timer(self) -> None:
@@ -506,8 +519,7 @@
         if self.on_end is None:
             return
         now = self.dispatcher.now()
-        if self.repeatable:
-            self._hedge_late_parts(now)
+        self._handle_late_parts(now)
         self._evaluate(now, due=min(now, self.timer_due_at))
 
     def _detach_sends(self) -> None:
--- /dev/null
+++ b/bitternturn/gateway/links.py
@@ -0,0 +1,271 @@
+"""Links of this instance to the targets of each failure domain."""
+
+import asyncio
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from enum import Enum, unique
+from typing import Final, Protocol
+
+from bitternturn.core.errors import BitternturnError
+from bitternturn.core.ids import FailureDomain, TargetId
+from bitternturn.core.tasks import TaskSet
+from bitternturn.gateway.decision_log import DecisionLog
+from bitternturn.gateway.metrics import GatewayMetrics
+from bitternturn.gateway.models import Address, TargetEntry
+from bitternturn.http.client import async_connect
+from bitternturn.policy.link_health import LinkHealth
+
+# Time within which a target that can be reached accepts a connection, unless
+# its queue of new ones is full.
+PROBE_TIMEOUT_S: Final = 0.05
+# Targets to which a suspect link is tried; one that accepts is enough.
+PROBED_TARGETS: Final = 3
+# Interval at which a link that is cut off is tried again.
+RETURN_INTERVAL_S: Final = 0.25
+# Minimum time from a probe that succeeded to the next one: targets that hang
+# accept connections.
+MIN_PROBE_INTERVAL_S: Final = 0.5
+# Delay of a probe on a busy host beyond which its failure shows nothing.
+MAX_PROBE_DELAY_S: Final = 0.05
+
+# Called with whether the link works.
+LinkVerdict = Callable[[bool], None]
+
+
+class SendLink(Protocol):
+    """Link over which a send goes: a direct one, or a peer."""
+
+    def record_overdue(
+        self, target: TargetId, usual_s: float, now: float
+    ) -> None:
+        """Record that a target has not answered within the usual time."""
+
+
+@unique
+class LinkState(Enum):
+    """State of a link."""
+
+    CONNECTED = 'connected'
+    # No target answers; connections to some of them are being tried.
+    SUSPECT = 'suspect'
+    CUT_OFF = 'cut_off'
+
+
+class DomainLink:
+    """Direct link to the targets of one failure domain."""
+
+    def __init__(self, *, domain: FailureDomain, links: 'TargetLinks') -> None:
+        """Initialise as connected."""
+        self.domain = domain
+        self.links = links
+        self.health = LinkHealth()
+        self.state = LinkState.CONNECTED
+        # Number of targets in the domain.
+        self.size = 0
+        # End of the last probe, and of the last cut.
+        self.probed_at = -math.inf
+        self.restored_at = -math.inf
+        # Callers that wait for the verdict of the current probe.
+        self.waiting: list[LinkVerdict] = []
+
+    @property
+    def usable(self) -> bool:
+        """Whether sends may take the link."""
+        return self.state is LinkState.CONNECTED
+
+    def was_usable_since(self, started_at: float) -> bool:
+        """Return whether failures of sends since a time are not its own."""
+        return self.usable and started_at >= self.restored_at
+
+    def handle_connected(self, now: float) -> None:
+        """Use the link, as a target has accepted a connection."""
+        self.state = LinkState.CONNECTED
+        self.probed_at = now
+        self.record_heard(now)
+
+    def record_heard(self, now: float) -> None:
+        """Record that a target has answered or accepted a connection."""
+        self.health.record_heard(now)
+
+    def record_overdue(
+        self, target: TargetId, usual_s: float, now: float
+    ) -> None:
+        """Record that a target has not answered within the usual time."""
+        self.health.record_overdue(target, usual_s)
+        self.links.check(self, now)
+
+    def record_unreachable(self, target: TargetId, now: float) -> None:
+        """Record that no connection to a target could be opened."""
+        self.health.record_unreachable(target)
+        self.links.check(self, now)
+
+
+class TargetLinks:
+    """Finds out which links are cut off, and when they are back."""
+
+    def __init__(
+        self,
+        *,
+        now: Callable[[], float],
+        list_entries: Callable[[], Iterable[TargetEntry]],
+        tasks: TaskSet,
+        decisions: DecisionLog,
+        metrics: GatewayMetrics,
+        rng: random.Random,
+    ) -> None:
+        """Initialise without links; `list_entries` returns all targets."""
+        self.now = now
+        self.list_entries = list_entries
+        self.tasks = tasks
+        self.decisions = decisions
+        self.metrics = metrics
+        self.rng = rng
+        self.domains: dict[FailureDomain, DomainLink] = {}
+        # Called with a link that is cut off.
+        self.on_cut_off: Callable[[DomainLink], None] = _ignore_link
+
+    def get(self, domain: FailureDomain) -> DomainLink:
+        """Return the link to a failure domain."""
+        link = self.domains.get(domain)
+        if link is None:
+            link = DomainLink(domain=domain, links=self)
+            self.domains[domain] = link
+        return link
+
+    def check(self, link: DomainLink, now: float) -> None:
+        """Try a link if none of its targets answers."""
+        if not link.usable or now - link.probed_at < MIN_PROBE_INTERVAL_S:
+            return
+        if link.health.is_suspect(link.size, now):
+            self._begin_probe(link)
+
+    def verify(
+        self, link: DomainLink, since: float, on_verdict: LinkVerdict
+    ) -> None:
+        """Find out whether a link has worked after a time."""
+        if link.health.heard_at > since or link.state is LinkState.CUT_OFF:
+            on_verdict(link.state is not LinkState.CUT_OFF)
+            return
+        link.waiting.append(on_verdict)
+        if link.usable:
+            self._begin_probe(link)
+
+    def _begin_probe(self, link: DomainLink) -> None:
+        """Try a link; until the result is known, no sends take it."""
+        link.state = LinkState.SUSPECT
+        self.tasks.spawn(self._async_probe(link))
+
+    async def _async_probe(self, link: DomainLink) -> None:
+        """Find out whether a link works, and wait until it does."""
+        unheard = len(link.health.unheard)
+        try:
+            if not await self._async_try(link):
+                await self._async_wait_for_return(link, unheard)
+        finally:
+            link.handle_connected(self.now())
+            self._answer_waiting(link, connected=True)
+
+    async def _async_wait_for_return(
+        self, link: DomainLink, unheard: int
+    ) -> None:
+        """Report that a link is cut off, and try it until it works again."""
+        link.state = LinkState.CUT_OFF
+        cut_at = self.now()
+        self.metrics.increment('links_cut_off', domain=link.domain)
+        self.decisions.write(
+            'link_cut_off',
+            domain=link.domain,
+            unheard=unheard,
+            heard_age_s=_finite_age(link.health.heard_at, cut_at),
+        )
+        self._answer_waiting(link, connected=False)
+        self.on_cut_off(link)
+        for other in list(self.domains.values()):
+            if other.usable:
+                self._begin_probe(other)
+        connected = False
+        while not connected:
+            await asyncio.sleep(RETURN_INTERVAL_S)
+            connected = await self._async_try(link)
+        link.restored_at = self.now()
+        self.decisions.write(
+            'link_restored',
+            domain=link.domain,
+            after_s=round(link.restored_at - cut_at, 3),
+        )
+
+    def _answer_waiting(self, link: DomainLink, *, connected: bool) -> None:
+        """Tell those that wait whether a link works."""
+        waiting = link.waiting
+        link.waiting = []
+        for on_verdict in waiting:
+            on_verdict(connected)
+
+    def update_sizes(self) -> None:
+        """Update the number of targets that each link leads to."""
+        sizes = Counter(entry.failure_domain for entry in self.list_entries())
+        for link in self.domains.values():
+            link.size = sizes[link.domain]
+
+    async def _async_try(self, link: DomainLink) -> bool:
+        """Return whether a target accepts a connection.
+
+        Without a result in time on a busy host, the targets are tried again.
+        """
+        while True:
+            entries = [
+                entry
+                for entry in self.list_entries()
+                if entry.failure_domain == link.domain
+            ]
+            if not entries:
+                return True
+            chosen = self.rng.sample(entries, min(PROBED_TARGETS, len(entries)))
+            started_at = self.now()
+            if await _async_accepts_any(chosen):
+                return True
+            took_s = self.now() - started_at
+            if took_s < PROBE_TIMEOUT_S + MAX_PROBE_DELAY_S:
+                return False
+
+
+async def _async_accepts_any(entries: Sequence[TargetEntry]) -> bool:
+    """Return whether one of some targets accepts a connection in time."""
+    attempts = [
+        asyncio.ensure_future(
+            _async_accepts(Address(host=entry.host, port=entry.port))
+        )
+        for entry in entries
+    ]
+    accepted = False
+    for attempt in asyncio.as_completed(attempts):
+        accepted = await attempt
+        if accepted:
+            break
+    for pending in attempts:
+        pending.cancel()
+    return accepted
+
+
+async def _async_accepts(address: Address) -> bool:
+    """Return whether a target accepts a connection in time."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            connection = await async_connect(
+                host=address.host, port=address.port
+            )
+    except (TimeoutError, BitternturnError):
+        return False
+    connection.close()
+    return True
+
+
+def _finite_age(at: float, now: float) -> float | None:
+    """Return the rounded age of an event, None if there was none."""
+    return None if math.isinf(at) else round(now - at, 3)
+
+
+def _ignore_link(link: DomainLink) -> None:
+    """Do nothing: no sends are under way."""
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -324,6 +324,8 @@
     SUSPECTED = 'suspected'
     # The request was not sent, for a reason other than the target.
     NOT_SENT = 'not_sent'
+    # Not sent: this instance, or the peer, is cut off from the target.
+    NO_PATH = 'no_path'
     # The request was sent, but no valid answer was received.
     LOST = 'lost'
     # The peer that sends the request was lost; the target may have run it.
@@ -338,6 +340,7 @@
 UNDELIVERED_OUTCOMES = frozenset(
     (
         SendOutcome.NOT_SENT,
+        SendOutcome.NO_PATH,
         SendOutcome.UNREACHABLE,
         SendOutcome.DECLINED,
         SendOutcome.OVER_BUDGET,
--- a/bitternturn/gateway/parts.py
+++ b/bitternturn/gateway/parts.py
@@ -60,6 +60,7 @@
         'failure',
         'in_flight',
         'maybe_run',
+        'no_path_count',
         'not_sent_count',
         'send_count',
         'send_ends',
@@ -85,8 +86,10 @@
         self.unusable_targets: set[TargetId] = set()
         # Number of sends that did not reach a target.
         self.undelivered_count = 0
-        # Number of those of which the target was not the cause.
+        # Number of those of which the target was not the cause, and of those
+        # that no instance asked could make.
         self.not_sent_count = 0
+        self.no_path_count = 0
         # Whether a peer has declined a send; later ones must not be declined.
         self.declined = False
         # Whether a target may have run the request.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -18,6 +18,7 @@
 from bitternturn.gateway.crash_suspects import CrashSuspects
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.fleet_state import FleetState
+from bitternturn.gateway.links import DomainLink, LinkVerdict, TargetLinks
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import (
     REPLY_OUTCOMES,
@@ -96,8 +97,6 @@
         # budget, and whether this instance allows one as the delegate.
         self.find_sponsor: SponsorDecision = sponsor_nothing
         self.sponsor: SponsorDecision = sponsor_nothing
-        # Whether sends of wide routes may be delegated to peers.
-        self.delegation_enabled = False
         self.targets: dict[TargetId, Target] = {}
         self.announcements = Announcements()
         self.rate_limits = RateLimits(
@@ -111,6 +110,15 @@
         self.crash_suspects = CrashSuspects(
             decisions=decisions, metrics=self.metrics
         )
+        self.links = TargetLinks(
+            now=self.now,
+            list_entries=lambda: [it.entry for it in self.targets.values()],
+            tasks=self.tasks,
+            decisions=decisions,
+            metrics=self.metrics,
+            rng=rng,
+        )
+        self.links.on_cut_off = self._handle_cut_off
         self.target_hooks = TargetHooks(
             now=self.now,
             paused_since=lambda since: self.pauses.paused_since(since),
@@ -119,6 +127,7 @@
             on_end=self._handle_target_end,
             on_answer=self._handle_answer,
             crashes_targets=self.crash_suspects.refuses,
+            verify_link=self._verify_link,
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
@@ -141,6 +150,11 @@
         # so that no earlier process can have spent retry budget.
         self.restarted_at = None if settings.first_start else self.now()
 
+    @property
+    def delegation_enabled(self) -> bool:
+        """Whether sends may be delegated to peers."""
+        return self.dispatch is not start_directly
+
     def now(self) -> float:
         """Return the current time in seconds, including suspended time."""
         return boot_time()
@@ -179,6 +193,7 @@
                 target.close()
         for entry in entries.values():
             self._update_target(entry)
+        self.links.update_sizes()
         self.preferred_domain = choose_preferred_domain(
             {
                 entry.failure_domain
@@ -213,6 +228,7 @@
                 buffers=self.answer_buffers,
                 announcement=self.announcements.get(entry.life),
                 rate_limits=self.rate_limits,
+                link=self.links.get(entry.failure_domain),
                 hooks=self.target_hooks,
             )
             self.targets[entry.id] = target
@@ -222,6 +238,29 @@
         if entry != target.entry:
             target.readmit()
         target.entry = entry
+        target.link = self.links.get(entry.failure_domain)
+
+    def _verify_link(
+        self, target: Target, since: float, on_verdict: LinkVerdict
+    ) -> None:
+        """Find out whether the link to a target has worked after a time.
+
+        Without other targets in its domain nothing but the target is at fault.
+        """
+        if target.link.size < 2:
+            on_verdict(True)
+        else:
+            self.links.verify(target.link, since, on_verdict)
+
+    def _handle_cut_off(self, link: DomainLink) -> None:
+        """Let other paths take the sends of a link that is cut off.
+
+        The failures of these sends are not those of the targets.
+        """
+        targets = [it for it in self.targets.values() if it.link is link]
+        self.unresponsive_targets.forget(it.entry.id for it in targets)
+        for target in targets:
+            target.leave_link()
 
     def _record_send_end(
         self,
@@ -243,7 +282,7 @@
         if outcome is SendOutcome.MISDIRECTED:
             target.end_detector.record_replaced(self.now())
             self.displace(target)
-        elif outcome is SendOutcome.UNREACHABLE:
+        elif outcome is SendOutcome.UNREACHABLE and target.link.usable:
             self.unresponsive_targets.record_unanswered(
                 [target.entry.id], self.now()
             )
@@ -438,11 +477,27 @@
             delegated=self.delegation_enabled and service in self.wide_services,
         )
 
-    def record_unanswered(
-        self, targets: Sequence[TargetId], now: float
-    ) -> None:
-        """Record that targets have not answered a request in time."""
-        self.unresponsive_targets.record_unanswered(targets, now)
+    def record_unanswered(self, sends: Sequence[Send], now: float) -> None:
+        """Record that targets have not answered a request in time.
+
+        Sends that no peer has confirmed, or whose link is cut off, show nothing
+        of their targets.
+        """
+        self.unresponsive_targets.record_unanswered(
+            [
+                send.target.entry.id
+                for send in sends
+                if not send.silent
+                and (send.via is not None or send.target.link.usable)
+            ],
+            now,
+        )
+
+    def record_overdue(self, send: Send, now: float) -> None:
+        """Record that a send has not been answered within the usual time."""
+        if not self.pauses.paused_since(send.started_at):
+            usual_s = send.latency_estimate.hedge_delay_s()
+            send.link.record_overdue(send.target.entry.id, usual_s, now)
 
     def can_serve(
         self, services: Sequence[ServiceName], min_services: int
--- a/bitternturn/gateway/send.py
+++ b/bitternturn/gateway/send.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from bitternturn.gateway import const
+from bitternturn.gateway.links import SendLink
 from bitternturn.gateway.models import (
     CallerRequest,
     SendOutcome,
@@ -53,6 +54,7 @@
         'started_at',
         'target',
         'latency_estimate',
+        'link',
         'via',
     )
 
@@ -82,8 +84,10 @@
         self.on_silence: Callable[[], None] | None = None
         # Whether the delegate has not confirmed it in time.
         self.silent = False
-        # Name of the peer that makes the send, None for a direct one.
+        # Name of the peer that makes the send, None for a direct one, and the
+        # link over which it goes.
         self.via: str | None = None
+        self.link: SendLink = target.link
         self.connection: SendCarrier | None = None
         # Additional time until a peer reports the answer, 0 for a direct send.
         self.relay_delay_s: float = 0
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -15,6 +15,7 @@
 from bitternturn.gateway.announcements import Announcement
 from bitternturn.gateway.answers import classify_answer, max_answer_bytes
 from bitternturn.gateway.end_detection import EndDetector
+from bitternturn.gateway.links import DomainLink, LinkVerdict
 from bitternturn.gateway.models import (
     UNDELIVERED_OUTCOMES,
     Address,
@@ -25,6 +26,7 @@
 )
 from bitternturn.gateway.rate_limits import RateLimits
 from bitternturn.gateway.send import Send
+from bitternturn.gateway.send_results import is_fault_of_link, record_outcome
 from bitternturn.gateway.target_connections import TargetConnections
 from bitternturn.gateway.wire import Wire
 from bitternturn.http.client import ClientConnection
@@ -32,22 +34,10 @@
 from bitternturn.http.response_size import BodyBuffers
 from bitternturn.policy.cold_send_limit import ColdSendLimit
 from bitternturn.policy.target_selection import (
-    DECLINED_SLOWNESS,
     Candidate,
     TargetStatistics,
 )
 
-# Outcomes that the target is not the cause of.
-OUTCOMES_OF_OTHERS = frozenset(
-    (
-        SendOutcome.NOT_SENT,
-        SendOutcome.PEER_LOST,
-        SendOutcome.OVER_BUDGET,
-        SendOutcome.UNWANTED,
-        SendOutcome.SUSPECTED,
-    )
-)
-
 # Called with the target, the outcome of a send, its latency in seconds and the
 # bytes of its exchange, 0 if a peer made it.
 SendRecorder = Callable[['Target', SendOutcome, float, int], None]
@@ -70,6 +60,8 @@
     on_answer: Callable[[Send], None]
     # Returns whether a request is not sent, as it crashes targets.
     crashes_targets: Callable[[CallerRequest, float], bool]
+    # Finds out whether the link to a target has worked after a time.
+    verify_link: Callable[['Target', float, LinkVerdict], None]
     # Called once a target has announced that it leaves.
     on_leaving: Callable[['Target'], None]
     # Called with a target and the length of the pause that it asks for, or if
@@ -90,6 +82,7 @@
         buffers: BodyBuffers,
         announcement: Announcement,
         rate_limits: RateLimits,
+        link: DomainLink,
         hooks: TargetHooks,
     ) -> None:
         """Initialise without connections; they are opened on demand."""
@@ -98,6 +91,8 @@
         self.buffers = buffers
         self.announcement = announcement
         self.rate_limits = rate_limits
+        # Direct link to the failure domain of the target.
+        self.link = link
         self.hooks = hooks
         self.now = hooks.now
         # Rank of the failure domain, see `Candidate`.
@@ -114,6 +109,7 @@
         )
         self.end_detector = EndDetector(
             connections=self.connections,
+            verify_link=partial(hooks.verify_link, self),
             on_end=partial(hooks.on_end, entry),
         )
         self.queued: deque[Send] = deque()
@@ -266,6 +262,7 @@
         self, connection: ClientConnection, started_at: float
     ) -> None:
         """Use a new connection; the target has not ended."""
+        self.link.record_heard(self.now())
         self.end_detector.record_connected(started_at)
         self._use_connection(connection)
 
@@ -278,11 +275,12 @@
         if paused:
             self.end_detector.discard()
         else:
+            self.link.record_unreachable(self.entry.id, self.now())
             self.end_detector.record_unreachable(self.now())
         outcome = SendOutcome.NOT_SENT if paused else SendOutcome.UNREACHABLE
         if self.queued:
             self.end_send(self.queued[0], outcome, None)
-        elif not paused:
+        elif not paused and self.link.usable:
             self.record.record_failure(self.now())
 
     def _use_connection(self, connection: ClientConnection) -> None:
@@ -334,6 +332,7 @@
         if isinstance(end, BitternturnError):
             self._handle_loss(send, end)
             return
+        self.link.record_heard(self.now())
         answer = self.wire.read_answer(end)
         connection = send.connection
         assert isinstance(connection, ClientConnection)
@@ -454,27 +453,26 @@
         """Record the outcome and latency of a send."""
         now = self.now()
         latency_s = now - send.started_at if took_s is None else took_s
-        if outcome is SendOutcome.ANSWERED:
-            self.record.record_success(now)
-            self.record.record_latency_ratio(
-                latency_s / send.latency_estimate.mean_s, now
-            )
-            send.latency_estimate.record(latency_s)
-        elif outcome is SendOutcome.LOST and send.aborted:
-            # The latency would have been at least this long.
-            self.record.record_latency_ratio(
-                latency_s / send.latency_estimate.mean_s, now
-            )
-        elif outcome is SendOutcome.DECLINED:
-            self.record.record_latency_ratio(DECLINED_SLOWNESS, now)
-        elif outcome not in OUTCOMES_OF_OTHERS:
-            self.record.record_failure(now)
+        if not is_fault_of_link(send, outcome):
+            record_outcome(self.record, send, outcome, latency_s, now)
         connection = send.connection
         exchange_bytes = 0
         if isinstance(connection, ClientConnection):
             exchange_bytes = connection.exchange_bytes
         self.hooks.on_send_end(self, outcome, latency_s, exchange_bytes)
 
+    def leave_link(self) -> None:
+        """Let other paths take the sends of a link that is cut off.
+
+        Those that wait for a connection have not been sent; those in flight may
+        still be answered.
+        """
+        for send in list(self.queued):
+            self.end_send(send, SendOutcome.NO_PATH, None)
+        for send in self.sends - self.delegated:
+            send.report_silence()
+        self.record.forgive()
+
 
 def start_directly(send: Send, now: float) -> None:
     """Start a send over a connection of this instance."""
--- a/bitternturn/policy/target_selection.py
+++ b/bitternturn/policy/target_selection.py
@@ -107,6 +107,13 @@
             self.ejected_until = now + self.ejection_s
             self.ejection_s = min(MAX_EJECTION_S, self.ejection_s * 2)
 
+    def forgive(self) -> None:
+        """Forget the failures, of which the target was not the cause."""
+        self.failure_share = 0
+        self.consecutive_failures = 0
+        self.ejection_s = EJECTION_S
+        self.ejected_until = 0
+
     def is_slow(self, now: float) -> bool:
         """Return whether the most recent answers were all slow."""
         recent = now - self.latency_at < SLOW_EXPIRY_S
--- a/bitternturn/policy/unresponsive_targets.py
+++ b/bitternturn/policy/unresponsive_targets.py
@@ -39,6 +39,11 @@
         """Record an answer of a target, which is responsive again."""
         self.detected_at.pop(target, None)
 
+    def forget(self, targets: Iterable[TargetId]) -> None:
+        """Forget what was recorded of targets that were not the cause."""
+        for target in targets:
+            self.detected_at.pop(target, None)
+
     def may_serve(
         self,
         targets: Iterable[Sequence[TargetId]],
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -20,6 +20,12 @@
 # Time for which an instance gets no requests that did not know a target: its
 # copy of the store's objects is outdated.
 OUTDATED_BACKOFF_S: Final = 1.0
+# Time for which an instance gets no requests for targets that it does not reach.
+NO_PATH_BACKOFF_S: Final = 1.0
+# Instances over which one that is cut off spreads its sends to a domain.
+PATHS_PER_DOMAIN: Final = 4
+# Maximum size of a body in a message for a single target.
+MAX_WHOLE_BODY_BYTES: Final = 4 * 1024 * 1024
 # Backoff for an instance that has announced that it is leaving.
 LEAVING_BACKOFF_S: Final = 8.0
 # A peer has failed when its first report is overdue by more than this time.
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -1,6 +1,7 @@
 """Delegates sends over shards to peers near the targets."""
 
 import asyncio
+import zlib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -67,7 +68,6 @@
         gateway.dispatch = self.dispatch
         gateway.find_sponsor = self.find_sponsor
         gateway.sponsor = self.sponsor
-        gateway.delegation_enabled = True
         gateway.rate_limits.find_delegate_rank = self.find_own_rank
         gateway.rate_limits.needs_own_permit = self.needs_own_permit
 
@@ -117,11 +117,18 @@
         )
 
     def dispatch(self, send: Send, now: float) -> None:
-        """Start a send directly, or queue it for a peer."""
-        peer = self._choose_peer(send, now)
-        if peer is None:
+        """Start a send directly, or queue it for a peer.
+
+        It ends at once if no instance reaches the target.
+        """
+        name = self._find_path(send, now)
+        if name == self.gateway.settings.name:
             start_directly(send, now)
             return
+        if name is None:
+            send.target.end_send(send, SendOutcome.NO_PATH, None)
+            return
+        peer = self.peers[name]
         if self._sent_by_instances(send.target.entry) and (
             not send.target.take_permit(send, now)
         ):
@@ -135,26 +142,65 @@
             asyncio.get_running_loop().call_soon(self._flush, key)
         queued.append(send)
         send.via = peer.name
+        send.link = peer.get_link(send.target.entry.failure_domain)
         send.target.register_delegated(send, const.REPORT_LATENCY_S)
 
-    def _choose_peer(self, send: Send, now: float) -> Peer | None:
-        """Return the peer to delegate a send to, None to send directly."""
+    def _find_path(self, send: Send, now: float) -> str | None:
+        """Return the instance that makes a send, None if no one reaches it.
+
+        This is the delegate of the target if there is one, else this instance,
+        unless it is cut off from the domain of the target.
+        """
+        own_name = self.gateway.settings.name
         domain = send.target.entry.failure_domain
+        linked = self.gateway.links.get(domain).usable
         key = self._delegate_key(send)
-        name = None if key is None else self._find_delegate(domain, key, now)
-        if name is None or name == self.gateway.settings.name:
+        if key is not None:
+            name = self._find_delegate(domain, key, now)
+            if name is not None:
+                return name
+        if linked:
+            return own_name
+        return self._find_detour(send, now)
+
+    def _find_detour(self, send: Send, now: float) -> str | None:
+        """Return a peer that reaches a target, one in its domain if possible.
+
+        Requests are spread over some peers; the parts of one take the same.
+        """
+        if len(send.caller.body) > const.MAX_WHOLE_BODY_BYTES:
             return None
-        return self.peers[name]
+        own_name = self.gateway.settings.name
+        domain = send.target.entry.failure_domain
+        others = (it for it in self.members if it != domain)
+        for near in ((domain,), others):
+            usable = [
+                name
+                for member_domain in near
+                for name in self._ranked_members(member_domain, own_name)
+                if name != own_name and self._reaches(name, domain, now)
+            ][: const.PATHS_PER_DOMAIN]
+            if usable:
+                position = zlib.crc32(send.caller.id.encode())
+                return usable[position % len(usable)]
+        return None
 
     def _find_delegate(
         self, domain: FailureDomain, key: str, now: float
     ) -> str | None:
         """Return the first usable instance of a domain for a key, if any."""
         for name in self._ranked_members(domain, key):
-            if self._is_usable(name, now):
+            if self._reaches(name, domain, now):
                 return name
         return None
 
+    def _reaches(self, name: str, domain: FailureDomain, now: float) -> bool:
+        """Return whether a member can send to the targets of a domain."""
+        if name == self.gateway.settings.name:
+            return self.gateway.links.get(domain).usable
+        peer = self.peers[name]
+        return peer.is_available(now) and peer.get_link(domain).is_usable(now)
+
     def _is_usable(self, name: str, now: float) -> bool:
         """Return whether a member is this instance or an available peer."""
         own = name == self.gateway.settings.name
@@ -278,11 +324,16 @@
         sends = [send for send in queued if not send.ended]
         if not sends:
             return
-        direct = self._sent_by_instances(sends[0].target.entry)
+        direct = all(
+            self._sent_by_instances(send.target.entry)
+            and send.target.link.usable
+            for send in sends
+        )
         if direct and len(sends) < const.MIN_DELEGATED_PARTS:
             now = self.gateway.now()
             for send in sends:
                 send.via = None
+                send.link = send.target.link
                 send.target.start_undelegated(send, now)
             return
         OutgoingBatch(
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -7,8 +7,9 @@
 
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.core.ids import TargetId
-from bitternturn.gateway.const import MIN_SEND_TIME_S
+from bitternturn.gateway.const import MAX_TIMER_LATENESS_S, MIN_SEND_TIME_S
 from bitternturn.gateway.gateway import Gateway
+from bitternturn.gateway.links import LinkState
 from bitternturn.gateway.merge import RecordSelection, split_records
 from bitternturn.gateway.models import CallerRequest, SendOutcome, TargetAnswer
 from bitternturn.gateway.send import Send
@@ -42,7 +43,9 @@
         self.number = number
         self.request = request
         self.latency_estimate = LatencyEstimate(aim_s=1)
-        self.latency_estimate.mean_s = max(1, request.usual_ms) / MS_PER_SECOND
+        usual_s = max(1, request.usual_ms) / MS_PER_SECOND
+        self.latency_estimate.mean_s = usual_s
+        self.latency_estimate.median_s = usual_s
         self.caller = CallerRequest(
             id=request.request_id,
             method=request.method,
@@ -68,6 +71,8 @@
         self.report_timer: asyncio.TimerHandle | None = None
         # Reports failures ahead of the first report.
         self.failure_timer: asyncio.TimerHandle | None = None
+        # Records the sends that are late.
+        self.overdue_timer: asyncio.TimerHandle | None = None
 
     @property
     def finished(self) -> bool:
@@ -102,6 +107,9 @@
             self.connection.send(Frame(number=self.number, receipt=Receipt()))
         if self.waiting:
             self._schedule_report(self.request.report_ms / MS_PER_SECOND)
+            self.overdue_timer = asyncio.get_running_loop().call_later(
+                self.latency_estimate.hedge_delay_s(), self._on_overdue
+            )
             # Cancellations that have been received with the request, as after a
             # pause of this process, are handled before the sends start.
             asyncio.get_running_loop().call_soon(self._start_waiting)
@@ -121,10 +129,11 @@
             target=target,
             latency_estimate=self.latency_estimate,
             deadline=self.deadline,
-            require_fresh_connection=False,
+            require_fresh_connection=self.request.fresh_connection,
             now=now,
             on_end=partial(self._on_send_end, index),
         )
+        send.on_silence = partial(self._on_silence, index, target)
         send.max_records = self.request.limit
         send.for_peer = True
         send.peer_permit = index in self.request.permitted
@@ -142,6 +151,8 @@
             return SendOutcome.NOT_SENT
         if self.gateway.crash_suspects.refuses(self.caller, now):
             return SendOutcome.SUSPECTED
+        if target.link.state is LinkState.CUT_OFF:
+            return SendOutcome.NO_PATH
         if not target.announcement.allows_send(now):
             return SendOutcome.UNWANTED
         if target.displaced:
@@ -177,10 +188,14 @@
 
     def stop(self) -> None:
         """Cancel all sends: the connection to the peer is lost."""
-        for timer in (self.report_timer, self.failure_timer):
+        for timer in (
+            self.report_timer,
+            self.failure_timer,
+            self.overdue_timer,
+        ):
             if timer is not None:
                 timer.cancel()
-        self.report_timer = self.failure_timer = None
+        self.report_timer = self.failure_timer = self.overdue_timer = None
         for index in (*self.waiting, *self.sends):
             self.cancel(index)
 
@@ -203,14 +218,26 @@
     ) -> None:
         """Record the end of a send and schedule its report."""
         self.pending_count -= 1
+        if self.request.whole_answers and _is_too_long(answer):
+            outcome, answer = SendOutcome.LOST, None
         part = _make_part(index, outcome, target)
         now = self.gateway.now()
         part.stamp = answer.stamp if answer else ''
         part.took_ms = round((now - self.started_at) * MS_PER_SECOND)
+        if answer is not None and self.request.whole_answers:
+            _add_answer(part, answer)
         self.unreported.append((part, answer))
-        if not self.pending_count:
-            self._report_ended()
-        elif self.first_report_sent:
+        if self.pending_count:
+            self._schedule_end_report(outcome)
+            return
+        if self.overdue_timer is not None:
+            self.overdue_timer.cancel()
+            self.overdue_timer = None
+        self._report_ended()
+
+    def _schedule_end_report(self, outcome: SendOutcome) -> None:
+        """Schedule the report of a send that has ended before others."""
+        if self.first_report_sent:
             self._schedule_report(const.REPORT_BATCH_DELAY_S)
         elif outcome is not SendOutcome.ANSWERED and self.failure_timer is None:
             loop = asyncio.get_running_loop()
@@ -219,6 +246,24 @@
                 self._report_failures,
             )
 
+    def _on_silence(self, index: int, target: Target) -> None:
+        """Report that this instance is cut off from the target of a send."""
+        part = _make_part(index, SendOutcome.LOST, target)
+        part.silent = True
+        self.unreported.append((part, None))
+        self._schedule_end_report(SendOutcome.LOST)
+
+    def _on_overdue(self) -> None:
+        """Record the sends that have not been answered within the usual time."""
+        self.overdue_timer = None
+        now = self.gateway.now()
+        due_at = self.started_at + self.latency_estimate.hedge_delay_s()
+        if now - due_at > MAX_TIMER_LATENESS_S:
+            return
+        for send in list(self.sends.values()):
+            if not send.ended:
+                self.gateway.record_overdue(send, now)
+
     def _schedule_report(self, delay_s: float) -> None:
         """Schedule a report, unless an earlier one is scheduled."""
         loop = asyncio.get_running_loop()
@@ -300,6 +345,18 @@
     part.limit_wait_ms = math.ceil(wait_s * MS_PER_SECOND)
 
 
+def _add_answer(part: Part, answer: TargetAnswer) -> None:
+    """Add a whole answer to the report of a send."""
+    part.answer.status = answer.status
+    part.answer.headers.update(answer.headers)
+    part.answer.body = answer.body
+
+
+def _is_too_long(answer: TargetAnswer | None) -> bool:
+    """Return whether an answer is too long for a message to the peer."""
+    return answer is not None and len(answer.body) > const.MAX_WHOLE_BODY_BYTES
+
+
 def _is_answer(end: SendEnd) -> bool:
     """Whether a send ended with a valid answer."""
     part, answer = end
--- a/bitternturn/relay/outcomes.py
+++ b/bitternturn/relay/outcomes.py
@@ -19,6 +19,7 @@
     SendOutcome.OVER_BUDGET: relay_pb2.SEND_OUTCOME_OVER_BUDGET,
     SendOutcome.UNWANTED: relay_pb2.SEND_OUTCOME_UNWANTED,
     SendOutcome.SUSPECTED: relay_pb2.SEND_OUTCOME_SUSPECTED,
+    SendOutcome.NO_PATH: relay_pb2.SEND_OUTCOME_NO_PATH,
 }
 _OUTCOMES: Final[Mapping[int, SendOutcome]] = {
     number: outcome for outcome, number in _VALUES.items()
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -17,6 +17,7 @@
 from bitternturn.relay import const
 from bitternturn.relay.outcomes import decode_outcome
 from bitternturn.relay.peer import Peer, PeerFailure
+from bitternturn.relay.peer_link import PeerLink
 from bitternturn.schema import relay_pb2
 from bitternturn.schema.relay_pb2 import (
     Cancel,
@@ -102,6 +103,8 @@
                 sponsored=first.sponsored,
                 cumulative=True,
                 want_receipt=True,
+                whole_answers=not first.max_records,
+                fresh_connection=first.require_fresh_connection,
                 permitted=[
                     index
                     for index, send in enumerate(self.sends)
@@ -158,9 +161,16 @@
             records == len(report.owners)
             and set(report.owners).issubset(answered)
             and all(part.index < len(self.sends) for part in report.parts)
-            and all(report.parts[place].stamp for place in answered)
+            and all(
+                self._is_valid_answer(report.parts[place]) for place in answered
+            )
         )
 
+    def _is_valid_answer(self, part: Part) -> bool:
+        """Return whether an answered send has what was asked for."""
+        has_answer = bool(self.limit) or part.HasField('answer')
+        return bool(part.stamp) and has_answer
+
     def cancel(self, index: int) -> None:
         """Cancel one send at the peer."""
         self.peer.send_followup(
@@ -175,33 +185,59 @@
     def _finish_send(self, part: Part, answer_index: int) -> None:
         """Finish one send as reported."""
         send = self.sends[part.index]
+        if part.silent:
+            self._get_link(send).avoid(self.gateway.now())
+            send.report_silence()
+            return
         outcome = decode_outcome(part.outcome)
+        self._record_path(send, outcome)
         if part.leaving:
             send.target.announce_leaving()
         if part.pause_ms:
             send.target.announce_pause(part.pause_ms / MS_PER_SECOND)
         self._apply_rate_limit(send, part, outcome)
         answer = None
-        if outcome is SendOutcome.ANSWERED:
-            answer = TargetAnswer(
-                status=STATUS_OK,
-                stamp=part.stamp,
-                request_id=send.caller.id,
-                not_run=False,
-                misdirected=False,
-                leaving=part.leaving,
-                pause_s=None,
-                limit_per_s=None,
-                encoded=False,
-                idle_timeout_s=None,
-                headers={},
-                body=b'',
-                merged=self.merged,
-                answer_index=answer_index,
-            )
+        if outcome in REPLY_OUTCOMES:
+            answer = self._read_answer(send, part, answer_index)
         took_s = part.took_ms / MS_PER_SECOND
         send.target.end_send(send, outcome, answer, took_s)
 
+    def _read_answer(
+        self, send: Send, part: Part, answer_index: int
+    ) -> TargetAnswer | None:
+        """Return the answer in a report, None if it states only an outcome."""
+        answered = part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED
+        whole = part.HasField('answer')
+        if not answered and not whole:
+            return None
+        return TargetAnswer(
+            status=part.answer.status if whole else STATUS_OK,
+            stamp=part.stamp,
+            request_id=send.caller.id,
+            not_run=False,
+            misdirected=False,
+            leaving=part.leaving,
+            pause_s=None,
+            limit_per_s=None,
+            encoded=False,
+            idle_timeout_s=None,
+            headers=dict(part.answer.headers),
+            body=part.answer.body,
+            merged=None if whole else self.merged,
+            answer_index=answer_index,
+        )
+
+    def _get_link(self, send: Send) -> PeerLink:
+        """Return the link that a send takes."""
+        return self.peer.get_link(send.target.entry.failure_domain)
+
+    def _record_path(self, send: Send, outcome: SendOutcome) -> None:
+        """Record whether the peer has reached the target of a send."""
+        if outcome in REPLY_OUTCOMES:
+            self._get_link(send).record_heard(self.gateway.now())
+        elif outcome is SendOutcome.NO_PATH:
+            self._get_link(send).avoid(self.gateway.now())
+
     def _apply_rate_limit(
         self, send: Send, part: Part, outcome: SendOutcome
     ) -> None:
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -6,10 +6,12 @@
 from enum import Enum, unique
 
 from bitternturn.core.errors import BitternturnError
+from bitternturn.core.ids import FailureDomain
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.models import Address
 from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection, async_open_connection
+from bitternturn.relay.peer_link import PeerLink
 from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame
 
@@ -53,6 +55,7 @@
         self.send_queue: deque[tuple[int, FrameMaker]] = deque()
         self.handlers: dict[int, ReplyHandler] = {}
         self.last_number = 0
+        self.links: dict[FailureDomain, PeerLink] = {}
         self.backoff_s = const.INITIAL_BACKOFF_S
         self.backoff_until: float = 0
 
@@ -60,6 +63,14 @@
         """Whether the backoff has elapsed."""
         return now >= self.backoff_until
 
+    def get_link(self, domain: FailureDomain) -> PeerLink:
+        """Return the link over this peer to a failure domain."""
+        link = self.links.get(domain)
+        if link is None:
+            link = PeerLink()
+            self.links[domain] = link
+        return link
+
     def send_request(
         self,
         make_frame: FrameMaker,
--- a/tests/gateway/test_end_detection.py
+++ b/tests/gateway/test_end_detection.py
@@ -26,6 +26,7 @@
         self.connections = FakeConnections()
         self.detector = EndDetector(
             connections=self.connections,
+            verify_link=lambda since, on_verdict: on_verdict(True),
             on_end=lambda callers, at: self.ends.append((len(callers), at)),
         )
 
--- a/tests/relay/linked_fleet.py
+++ b/tests/relay/linked_fleet.py
@@ -58,6 +58,8 @@
         self.tasks = TaskSet()
         self.instances = []
         self.ids = (f'q{number}' for number in itertools.count())
+        # Ids of the requests that may run only once.
+        self.once_ids = set()
 
     def domain_of(self, number):
         """Return the domain of the instance or target with a number."""
@@ -114,9 +116,12 @@
 
     async def async_ask(self, instance, path=WIDE_PATH, **fields):
         """Send a request to an instance and return the response."""
+        request_id = next(self.ids)
+        if path == ONCE_PATH:
+            self.once_ids.add(request_id)
         return await instance.gateway.async_handle(
             make_request(
-                next(self.ids),
+                request_id,
                 path=path,
                 left_ms=fields.pop('left_ms', LEFT_MS),
                 **fields,
