Reserve the port of a proxy that refuses connections

test_request_that_may_run_once_runs_once saw requests run two and three times, in 5 of 6 runs of the file on four processes and in none of 112 runs by itself. The requests were those of other test processes: a closed listener's port was given to another process, whose targets have the same ids, and its requests the same.

--- a/bitternturn/standins/proxy.py
+++ b/bitternturn/standins/proxy.py
@@ -48,8 +48,9 @@
         self.port = 0
         self.tasks = TaskSet()
         self._listener: asyncio.Server | None = None
-        # Sockets that keep the queue of new connections full.
-        self._blocking: list[socket.socket] = []
+        # Socket that reserves the port while connections are refused, and those
+        # that fill its queue of new connections.
+        self._reserved: list[socket.socket] = []
 
     async def async_start(self, *, host: str, port: int = 0) -> None:
         """Start the listener; port 0 selects a free port."""
@@ -62,15 +63,24 @@
     async def async_stop(self) -> None:
         """Close the listener and all connections."""
         self.refuse_connections()
-        self._unblock()
+        self._release()
         for connection in list(self.connections):
             connection.close()
         await self.tasks.async_stop()
 
     def refuse_connections(self) -> None:
-        """Refuse new connections; open ones are kept."""
-        if self._listener is not None:
-            self._listener.close()
+        """Refuse new connections; open ones are kept.
+
+        The port stays reserved, as another process may listen on it otherwise.
+        """
+        if self._listener is None:
+            return
+        self._listener.close()
+        self._listener = None
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind((self.host, self.port))
+        self._reserved.append(reserved)
 
     def ignore_connections(self) -> None:
         """Let new connections hang, as behind a partition.
@@ -79,29 +89,24 @@
         full.
         """
         self.refuse_connections()
-        address = (self.host, self.port)
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
-        listener.listen(0)
-        self._blocking.append(listener)
+        self._reserved[0].listen(0)
         for _ in range(QUEUED_CONNECTIONS):
             client = socket.socket()
             client.setblocking(False)
             with contextlib.suppress(BlockingIOError):
-                client.connect(address)
-            self._blocking.append(client)
+                client.connect((self.host, self.port))
+            self._reserved.append(client)
 
     async def async_accept_connections(self) -> None:
         """Accept new connections again, on the same port."""
-        self._unblock()
+        self._release()
         await self.async_start(host=self.host, port=self.port)
 
-    def _unblock(self) -> None:
-        """Close the sockets that keep the queue full."""
-        for blocking in self._blocking:
-            blocking.close()
-        self._blocking.clear()
+    def _release(self) -> None:
+        """Close the sockets that reserve the port and fill its queue."""
+        for reserved in self._reserved:
+            reserved.close()
+        self._reserved.clear()
 
     def set_faults(self, faults: ProxyFaults) -> None:
         """Set the faults of all open and future connections."""
--- a/tests/relay/linked_fleet.py
+++ b/tests/relay/linked_fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import os
 
 from bitternturn.core.ids import FailureDomain, RouteName, ServiceName
 from bitternturn.core.tasks import TaskSet
@@ -57,7 +58,7 @@
         self.domains = domains
         self.tasks = TaskSet()
         self.instances = []
-        self.ids = (f'q{number}' for number in itertools.count())
+        self.ids = (f'{os.getpid()}-{number}' for number in itertools.count())
         # Ids of the requests that may run only once.
         self.once_ids = set()
 
