Let instances say that they are cut off, and idle ones find out

What callers saw: in large fleets a request still met one delegate after the other that was cut off.

Cause: an entry instance forgot after 1 s that a delegate was cut off, and sees a request in several seconds; a delegate that had been idle did not know it itself. Besides, a delegate whose connections were refused reported its targets as unreachable until it had found out, and a link of which less than three targets are used was never found cut off.

Change: an instance states to all that are connected to it which domains it does not reach, and when it is back; those that hear it try their own link if it was idle. Failures over a link in doubt are no_path. One or two silent targets are enough to try a link that has been quiet. A link that still brings answers is not cut off. More targets are tried before a link is given up, since half of them may have ended together.

--- a/bitternturn/gateway/links.py
+++ b/bitternturn/gateway/links.py
@@ -17,16 +17,18 @@
 from bitternturn.http.client import async_connect
 from bitternturn.policy.link_health import LinkHealth
 
-# Time within which a target that can be reached accepts a connection, unless
-# its queue of new ones is full.
-PROBE_TIMEOUT_S: Final = 0.05
-# Targets to which a suspect link is tried; one that accepts is enough.
-PROBED_TARGETS: Final = 3
+# Targets to which a link is tried, and the time within which one accepts a
+# connection unless its queue of new ones is full. More targets are tried if none
+# of the first does, as many may have ended at the same time.
+PROBE_STAGES: Final = ((3, 0.02), (9, 0.04))
 # Interval at which a link that is cut off is tried again.
 RETURN_INTERVAL_S: Final = 0.25
 # Minimum time from a probe that succeeded to the next one: targets that hang
 # accept connections.
 MIN_PROBE_INTERVAL_S: Final = 0.5
+# Time after an answer in which a link is not tried although others are cut off, or
+# although one or two targets leave requests unanswered.
+RECENTLY_HEARD_S: Final = 0.25
 # Delay of a probe on a busy host beyond which its failure shows nothing.
 MAX_PROBE_DELAY_S: Final = 0.05
 
@@ -48,7 +50,8 @@
     """State of a link."""
 
     CONNECTED = 'connected'
-    # No target answers; connections to some of them are being tried.
+    # No target answers; until connections to some have been tried, sends take
+    # other paths.
     SUSPECT = 'suspect'
     CUT_OFF = 'cut_off'
 
@@ -64,6 +67,9 @@
         self.state = LinkState.CONNECTED
         # Number of targets in the domain.
         self.size = 0
+        self.probing = False
+        # Timer of the next check, if the link may become suspect.
+        self.check_timer: asyncio.TimerHandle | None = None
         # End of the last probe, and of the last cut.
         self.probed_at = -math.inf
         self.restored_at = -math.inf
@@ -72,8 +78,9 @@
 
     @property
     def usable(self) -> bool:
-        """Whether sends may take the link."""
-        return self.state is LinkState.CONNECTED
+        """Whether sends take the link, and their failures are not its own."""
+        connected = self.state is LinkState.CONNECTED
+        return connected and not self.health.is_doubtful(self.size)
 
     def was_usable_since(self, started_at: float) -> bool:
         """Return whether failures of sends since a time are not its own."""
@@ -82,6 +89,7 @@
     def handle_connected(self, now: float) -> None:
         """Use the link, as a target has accepted a connection."""
         self.state = LinkState.CONNECTED
+        self.probing = False
         self.probed_at = now
         self.record_heard(now)
 
@@ -125,6 +133,8 @@
         self.domains: dict[FailureDomain, DomainLink] = {}
         # Called with a link that is cut off.
         self.on_cut_off: Callable[[DomainLink], None] = _ignore_link
+        # Called when a link has been cut off or restored.
+        self.on_change: Callable[[], None] = _ignore_change
 
     def get(self, domain: FailureDomain) -> DomainLink:
         """Return the link to a failure domain."""
@@ -136,36 +146,83 @@
 
     def check(self, link: DomainLink, now: float) -> None:
         """Try a link if none of its targets answers."""
-        if not link.usable or now - link.probed_at < MIN_PROBE_INTERVAL_S:
+        if now - link.probed_at < MIN_PROBE_INTERVAL_S or link.probing:
             return
         if link.health.is_suspect(link.size, now):
+            link.state = LinkState.SUSPECT
             self._begin_probe(link)
+        elif link.health.is_doubtful(link.size):
+            self._schedule_check(link, link.health.quiet_at() - now)
+        elif now - link.health.heard_at >= RECENTLY_HEARD_S:
+            # Too few targets are used to tell.
+            self._begin_probe(link)
+
+    def _schedule_check(self, link: DomainLink, delay_s: float) -> None:
+        """Check a link again once it has been quiet for long enough."""
+        if link.check_timer is None:
+            loop = asyncio.get_running_loop()
+            link.check_timer = loop.call_later(
+                delay_s, self._handle_check_due, link
+            )
+
+    def _handle_check_due(self, link: DomainLink) -> None:
+        """Check a link again."""
+        link.check_timer = None
+        self.check(link, self.now())
+
+    def check_idle(self, domains: Iterable[FailureDomain], now: float) -> None:
+        """Try links from which other instances are cut off.
+
+        An instance that sends nothing would only find out with its next send
+        that it is cut off as well.
+        """
+        for domain in domains:
+            link = self.get(domain)
+            heard = now - link.health.heard_at < RECENTLY_HEARD_S
+            probed = now - link.probed_at < MIN_PROBE_INTERVAL_S
+            if not heard and not probed:
+                self._begin_probe(link)
+
+    def list_cut_off(self) -> list[FailureDomain]:
+        """Return the failure domains from which this instance is cut off."""
+        return [
+            link.domain
+            for link in self.domains.values()
+            if link.state is LinkState.CUT_OFF
+        ]
 
     def verify(
         self, link: DomainLink, since: float, on_verdict: LinkVerdict
     ) -> None:
-        """Find out whether a link has worked after a time."""
-        if link.health.heard_at > since or link.state is LinkState.CUT_OFF:
-            on_verdict(link.state is not LinkState.CUT_OFF)
+        """Find out whether a link has worked after a time.
+
+        Without other targets in the domain only the target can be at fault.
+        """
+        if link.state is LinkState.CUT_OFF:
+            on_verdict(False)
+            return
+        if link.health.heard_at > since or link.size < 2:
+            on_verdict(True)
             return
         link.waiting.append(on_verdict)
-        if link.usable:
-            self._begin_probe(link)
+        self._begin_probe(link)
 
     def _begin_probe(self, link: DomainLink) -> None:
-        """Try a link; until the result is known, no sends take it."""
-        link.state = LinkState.SUSPECT
-        self.tasks.spawn(self._async_probe(link))
+        """Try a link, unless it is being tried."""
+        if not link.probing:
+            link.probing = True
+            self.tasks.spawn(self._async_probe(link))
 
     async def _async_probe(self, link: DomainLink) -> None:
         """Find out whether a link works, and wait until it does."""
+        begun_at = self.now()
         unheard = len(link.health.unheard)
         try:
-            if not await self._async_try(link):
+            connected = await self._async_try(link)
+            if not connected and link.health.heard_at < begun_at:
                 await self._async_wait_for_return(link, unheard)
         finally:
-            link.handle_connected(self.now())
-            self._answer_waiting(link, connected=True)
+            self._finish_probe(link)
 
     async def _async_wait_for_return(
         self, link: DomainLink, unheard: int
@@ -182,13 +239,14 @@
         )
         self._answer_waiting(link, connected=False)
         self.on_cut_off(link)
-        for other in list(self.domains.values()):
-            if other.usable:
-                self._begin_probe(other)
+        self.on_change()
+        self.check_idle(list(self.domains), cut_at)
         connected = False
         while not connected:
             await asyncio.sleep(RETURN_INTERVAL_S)
-            connected = await self._async_try(link)
+            # An open connection may have lived on.
+            heard = link.health.heard_at >= cut_at
+            connected = heard or await self._async_try(link)
         link.restored_at = self.now()
         self.decisions.write(
             'link_restored',
@@ -196,6 +254,14 @@
             after_s=round(link.restored_at - cut_at, 3),
         )
 
+    def _finish_probe(self, link: DomainLink) -> None:
+        """Use a link, as a target has accepted a connection."""
+        was_cut_off = link.state is LinkState.CUT_OFF
+        link.handle_connected(self.now())
+        self._answer_waiting(link, connected=True)
+        if was_cut_off:
+            self.on_change()
+
     def _answer_waiting(self, link: DomainLink, *, connected: bool) -> None:
         """Tell those that wait whether a link works."""
         waiting = link.waiting
@@ -222,20 +288,25 @@
             ]
             if not entries:
                 return True
-            chosen = self.rng.sample(entries, min(PROBED_TARGETS, len(entries)))
-            started_at = self.now()
-            if await _async_accepts_any(chosen):
-                return True
-            took_s = self.now() - started_at
-            if took_s < PROBE_TIMEOUT_S + MAX_PROBE_DELAY_S:
+            self.rng.shuffle(entries)
+            on_time = True
+            for count, timeout_s in PROBE_STAGES:
+                due_at = self.now() + timeout_s + MAX_PROBE_DELAY_S
+                if await _async_accepts_any(entries[:count], timeout_s):
+                    return True
+                del entries[:count]
+                on_time = on_time and self.now() < due_at
+            if on_time:
                 return False
 
 
-async def _async_accepts_any(entries: Sequence[TargetEntry]) -> bool:
+async def _async_accepts_any(
+    entries: Sequence[TargetEntry], timeout_s: float
+) -> bool:
     """Return whether one of some targets accepts a connection in time."""
     attempts = [
         asyncio.ensure_future(
-            _async_accepts(Address(host=entry.host, port=entry.port))
+            _async_accepts(Address(host=entry.host, port=entry.port), timeout_s)
         )
         for entry in entries
     ]
@@ -249,10 +320,10 @@
     return accepted
 
 
-async def _async_accepts(address: Address) -> bool:
+async def _async_accepts(address: Address, timeout_s: float) -> bool:
     """Return whether a target accepts a connection in time."""
     try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             connection = await async_connect(
                 host=address.host, port=address.port
             )
@@ -267,5 +338,9 @@
     return None if math.isinf(at) else round(now - at, 3)
 
 
+def _ignore_change() -> None:
+    """Do nothing: there is no other instance to notify."""
+
+
 def _ignore_link(link: DomainLink) -> None:
     """Do nothing: no sends are under way."""
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -18,7 +18,7 @@
 from bitternturn.gateway.crash_suspects import CrashSuspects
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.fleet_state import FleetState
-from bitternturn.gateway.links import DomainLink, LinkVerdict, TargetLinks
+from bitternturn.gateway.links import DomainLink, TargetLinks
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import (
     REPLY_OUTCOMES,
@@ -127,7 +127,9 @@
             on_end=self._handle_target_end,
             on_answer=self._handle_answer,
             crashes_targets=self.crash_suspects.refuses,
-            verify_link=self._verify_link,
+            verify_link=lambda target, since, on_verdict: self.links.verify(
+                target.link, since, on_verdict
+            ),
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
@@ -240,18 +242,6 @@
         target.entry = entry
         target.link = self.links.get(entry.failure_domain)
 
-    def _verify_link(
-        self, target: Target, since: float, on_verdict: LinkVerdict
-    ) -> None:
-        """Find out whether the link to a target has worked after a time.
-
-        Without other targets in its domain nothing but the target is at fault.
-        """
-        if target.link.size < 2:
-            on_verdict(True)
-        else:
-            self.links.verify(target.link, since, on_verdict)
-
     def _handle_cut_off(self, link: DomainLink) -> None:
         """Let other paths take the sends of a link that is cut off.
 
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -277,10 +277,14 @@
         else:
             self.link.record_unreachable(self.entry.id, self.now())
             self.end_detector.record_unreachable(self.now())
-        outcome = SendOutcome.NOT_SENT if paused else SendOutcome.UNREACHABLE
+        outcome = SendOutcome.NOT_SENT
+        if not paused:
+            # While the link is in doubt, the send may take another path.
+            linked = self.link.usable
+            outcome = SendOutcome.UNREACHABLE if linked else SendOutcome.NO_PATH
         if self.queued:
             self.end_send(self.queued[0], outcome, None)
-        elif not paused and self.link.usable:
+        elif outcome is SendOutcome.UNREACHABLE:
             self.record.record_failure(self.now())
 
     def _use_connection(self, connection: ClientConnection) -> None:
--- a/bitternturn/policy/link_health.py
+++ b/bitternturn/policy/link_health.py
@@ -14,6 +14,9 @@
 # Targets without an answer after which the link is suspect, if the group has as
 # many. Two may pause or crash at the same time.
 MIN_UNHEARD_TARGETS: Final = 3
+# Time without an answer after which refused connections make a link suspect. Open
+# ones may live on, and answer more often.
+MIN_QUIET_S: Final = 0.02
 
 
 class LinkHealth:
@@ -27,14 +30,14 @@
         # Targets that have left a request unanswered since then.
         self.unheard: set[TargetId] = set()
         # Time without any answer after which the link is suspect.
-        self.quiet_s: float = 0
+        self.quiet_s = MIN_QUIET_S
 
     def record_heard(self, now: float) -> None:
         """Record that a target of the group has answered."""
         self.heard_at = now
         if self.unheard:
             self.unheard.clear()
-            self.quiet_s = 0
+            self.quiet_s = MIN_QUIET_S
 
     def record_overdue(self, target: TargetId, usual_s: float) -> None:
         """Record that a target has not answered within the usual time."""
@@ -45,8 +48,14 @@
         """Record that no connection to a target could be opened."""
         self.unheard.add(target)
 
+    def is_doubtful(self, group_size: int) -> bool:
+        """Return whether several targets of a group are unheard."""
+        return len(self.unheard) >= max(1, min(MIN_UNHEARD_TARGETS, group_size))
+
     def is_suspect(self, group_size: int, now: float) -> bool:
         """Return whether no target of a group of some size answers."""
-        needed = max(1, min(MIN_UNHEARD_TARGETS, group_size))
-        quiet = now - self.heard_at >= self.quiet_s
-        return len(self.unheard) >= needed and quiet
+        return now >= self.quiet_at() and self.is_doubtful(group_size)
+
+    def quiet_at(self) -> float:
+        """Return from when on a link without an answer is suspect."""
+        return self.heard_at + self.quiet_s
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -20,8 +20,12 @@
 # Time for which an instance gets no requests that did not know a target: its
 # copy of the store's objects is outdated.
 OUTDATED_BACKOFF_S: Final = 1.0
-# Time for which an instance gets no requests for targets that it does not reach.
-NO_PATH_BACKOFF_S: Final = 1.0
+# Time for which an instance counts as cut off from a failure domain, unless it
+# states before that it is back.
+CUT_OFF_EXPIRY_S: Final = 10.0
+# Time for which others are preferred to an instance that has declined a send to a
+# failure domain, or over which no target there has answered.
+UNHEARD_BACKOFF_S: Final = 1.0
 # Instances over which one that is cut off spreads its sends to a domain.
 PATHS_PER_DOMAIN: Final = 4
 # Maximum size of a body in a message for a single target.
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import zlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from bitternturn.core.ids import FailureDomain, ServiceName
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.gateway import Gateway
+from bitternturn.gateway.links import LinkState
 from bitternturn.gateway.models import (
     Address,
     SendOutcome,
@@ -114,8 +115,13 @@
             tasks=self.tasks,
             now=self.gateway.now,
             traffic=self.traffic,
+            on_cut_off=self._handle_peer_cut_off,
         )
 
+    def _handle_peer_cut_off(self, domains: Sequence[FailureDomain]) -> None:
+        """Find out whether this instance is cut off as well."""
+        self.gateway.links.check_idle(domains, self.gateway.now())
+
     def dispatch(self, send: Send, now: float) -> None:
         """Start a send directly, or queue it for a peer.
 
@@ -153,15 +159,18 @@
         """
         own_name = self.gateway.settings.name
         domain = send.target.entry.failure_domain
-        linked = self.gateway.links.get(domain).usable
+        link = self.gateway.links.get(domain)
         key = self._delegate_key(send)
         if key is not None:
             name = self._find_delegate(domain, key, now)
             if name is not None:
                 return name
-        if linked:
+        if link.usable:
+            return own_name
+        detour = self._find_detour(send, now)
+        if detour is None and link.state is not LinkState.CUT_OFF:
             return own_name
-        return self._find_detour(send, now)
+        return detour
 
     def _find_detour(self, send: Send, now: float) -> str | None:
         """Return a peer that reaches a target, one in its domain if possible.
@@ -170,21 +179,28 @@
         """
         if len(send.caller.body) > const.MAX_WHOLE_BODY_BYTES:
             return None
-        own_name = self.gateway.settings.name
         domain = send.target.entry.failure_domain
-        others = (it for it in self.members if it != domain)
-        for near in ((domain,), others):
-            usable = [
-                name
-                for member_domain in near
-                for name in self._ranked_members(member_domain, own_name)
-                if name != own_name and self._reaches(name, domain, now)
-            ][: const.PATHS_PER_DOMAIN]
-            if usable:
-                position = zlib.crc32(send.caller.id.encode())
-                return usable[position % len(usable)]
+        others = [it for it in self.members if it != domain]
+        for reaches in (self._reaches, self._may_reach):
+            for near in ((domain,), others):
+                usable = [
+                    name
+                    for name in self._ranked_peers(near)
+                    if reaches(name, domain, now)
+                ][: const.PATHS_PER_DOMAIN]
+                if usable:
+                    position = zlib.crc32(send.caller.id.encode())
+                    return usable[position % len(usable)]
         return None
 
+    def _ranked_peers(self, domains: Iterable[FailureDomain]) -> Iterator[str]:
+        """Yield the peers in some domains, in the order for this instance."""
+        own_name = self.gateway.settings.name
+        for domain in domains:
+            for name in self._ranked_members(domain, own_name):
+                if name != own_name:
+                    yield name
+
     def _find_delegate(
         self, domain: FailureDomain, key: str, now: float
     ) -> str | None:
@@ -201,6 +217,12 @@
         peer = self.peers[name]
         return peer.is_available(now) and peer.get_link(domain).is_usable(now)
 
+    def _may_reach(self, name: str, domain: FailureDomain, now: float) -> bool:
+        """Return whether a connected peer is not known to be cut off."""
+        peer = self.peers[name]
+        connected = peer.connection is not None
+        return connected and peer.get_link(domain).is_possible(now)
+
     def _is_usable(self, name: str, now: float) -> bool:
         """Return whether a member is this instance or an available peer."""
         own = name == self.gateway.settings.name
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -186,7 +186,7 @@
         """Finish one send as reported."""
         send = self.sends[part.index]
         if part.silent:
-            self._get_link(send).avoid(self.gateway.now())
+            self._get_link(send).record_declined(self.gateway.now())
             send.report_silence()
             return
         outcome = decode_outcome(part.outcome)
@@ -236,7 +236,7 @@
         if outcome in REPLY_OUTCOMES:
             self._get_link(send).record_heard(self.gateway.now())
         elif outcome is SendOutcome.NO_PATH:
-            self._get_link(send).avoid(self.gateway.now())
+            self._get_link(send).record_declined(self.gateway.now())
 
     def _apply_rate_limit(
         self, send: Send, part: Part, outcome: SendOutcome
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from enum import Enum, unique
 
 from bitternturn.core.errors import BitternturnError
@@ -13,7 +13,7 @@
 from bitternturn.relay.connection import RelayConnection, async_open_connection
 from bitternturn.relay.peer_link import PeerLink
 from bitternturn.relay.traffic import RelayTraffic
-from bitternturn.schema.relay_pb2 import Frame
+from bitternturn.schema.relay_pb2 import Frame, Links
 
 
 @unique
@@ -28,6 +28,8 @@
 
 # Called with a reply, or with the reason why there is none.
 ReplyHandler = Callable[[Frame | PeerFailure], None]
+# Called with the failure domains from which a peer is cut off.
+CutOffListener = Callable[[Sequence[FailureDomain]], None]
 # Returns a request when it is written, None if it is no longer wanted.
 FrameMaker = Callable[[], Frame | None]
 
@@ -43,8 +45,10 @@
         tasks: TaskSet,
         now: Callable[[], float],
         traffic: RelayTraffic,
+        on_cut_off: CutOffListener,
     ) -> None:
         """Initialise without a connection."""
+        self.on_cut_off = on_cut_off
         self.traffic = traffic
         self.name = name
         self.address = address
@@ -147,15 +151,30 @@
         if frame.HasField('leaving'):
             self.backoff_until = self.now() + const.LEAVING_BACKOFF_S
             return
+        if frame.HasField('links'):
+            self._update_links(frame.links)
+            return
         self.reset_backoff()
         on_reply = self.handlers.get(frame.number)
         if on_reply is not None:
             on_reply(frame)
 
+    def _update_links(self, links: Links) -> None:
+        """Apply which failure domains the peer is cut off from."""
+        now = self.now()
+        cut_off = [FailureDomain(domain) for domain in links.cut_off]
+        for link in self.links.values():
+            link.record_connected()
+        for domain in cut_off:
+            self.get_link(domain).record_cut_off(now)
+        self.on_cut_off(cut_off)
+
     def _on_lost(self, connection: RelayConnection) -> None:
         """Fail the pending requests of a lost connection."""
         if connection is self.connection:
             self.connection = None
+            for link in self.links.values():
+                link.record_disconnected(self.now())
             # Queued requests wait for the next connection.
             queued = {number for number, _ in self.send_queue}
             self._fail(PeerFailure.LOST, self.handlers.keys() - queued)
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -11,7 +11,7 @@
 from bitternturn.relay.incoming_batch import IncomingBatch
 from bitternturn.relay.observations import ObservationExchange
 from bitternturn.relay.traffic import RelayTraffic
-from bitternturn.schema.relay_pb2 import Frame, Leaving
+from bitternturn.schema.relay_pb2 import Frame, Leaving, Links
 
 
 class RelayServer:
@@ -34,6 +34,7 @@
         self.server: asyncio.Server | None = None
         # Applies what peers have observed, None if it is ignored.
         self.observations: ObservationExchange | None = None
+        gateway.links.on_change = self.notify_links
 
     async def async_start(self, address: Address) -> int:
         """Start listening and return the port."""
@@ -61,6 +62,18 @@
         for connection in self.connections:
             connection.send(Frame(leaving=Leaving()))
 
+    def _notify_sender(self, connection: RelayConnection) -> None:
+        """Tell a peer that may not know it which domains are cut off."""
+        cut_off = self.gateway.links.list_cut_off()
+        if cut_off:
+            connection.send(Frame(links=Links(cut_off=cut_off)))
+
+    def notify_links(self) -> None:
+        """Tell the other instances which domains this one is cut off from."""
+        cut_off = self.gateway.links.list_cut_off()
+        for connection in self.connections:
+            connection.send(Frame(links=Links(cut_off=cut_off)))
+
     def close(self) -> None:
         """Close the listener and the connections."""
         if self.server is not None:
@@ -72,6 +85,7 @@
         """Handle a message of a peer."""
         batches = self.connections.setdefault(connection, {})
         if frame.HasField('sends'):
+            self._notify_sender(connection)
             batch = IncomingBatch(
                 gateway=self.gateway,
                 connection=connection,
--- a/tests/relay/test_peer.py
+++ b/tests/relay/test_peer.py
@@ -55,6 +55,7 @@
         tasks=tasks,
         now=time.monotonic,
         traffic=TRAFFIC,
+        on_cut_off=lambda domains: None,
     )
     yield instance, peer
     await tasks.async_stop()
