Try another target after a send that found no path

What callers saw: a request whose shard has more crashed replicas than it may reach targets was refused although one is left (test_every_request_reaches_the_remaining replica[4], red since links in doubt report no_path).

Cause: a send without a path did not count against its target in the choice of the next one, so that the same crashed targets were tried until none was allowed.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -56,7 +56,12 @@
 # Outcomes after which the target is used for the same part only if no other
 # target is left.
 UNUSABLE_TARGET_OUTCOMES = frozenset(
-    (SendOutcome.UNREACHABLE, SendOutcome.MISDIRECTED, SendOutcome.UNWANTED)
+    (
+        SendOutcome.UNREACHABLE,
+        SendOutcome.NO_PATH,
+        SendOutcome.MISDIRECTED,
+        SendOutcome.UNWANTED,
+    )
 )
 
 
