Read a list of targets beside an entry that no decoder accepts

Cause: a list, or the events of a watch, was decoded as a whole, so that one value nested too deeply or a number out of range made all of it unreadable. A port out of range raised an OverflowError in the task that opens a connection, which then counted as being opened for ever.

Fix: a document that can't be read is read again without the values that no decoder accepts; entries with impossible ports, starts or cold times name no target; connecting to an impossible address fails like any connection.

--- a/bitternturn/http/client.py
+++ b/bitternturn/http/client.py
@@ -382,7 +382,8 @@
             host,
             port,
         )
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # The last two are for ports and names that no address can have.
         raise BitternturnError(
             str(error),
             code=ErrorCode.CONNECTION_LOST,
--- a/bitternturn/platform/documents.py
+++ b/bitternturn/platform/documents.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Collection
 from enum import Enum, unique
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
+from bitternturn.core.const import UINT64_MAX
 from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import (
@@ -118,6 +119,8 @@
     born: int = 0
 
 
+# Longest remaining time of a cold start that is believed, in milliseconds.
+MAX_COLD_MS: Final = 3_600_000
 UNREADABLE_ERRORS = (*DECODE_ERRORS, BitternturnError)
 
 
@@ -182,7 +185,11 @@
         return None
     if not fields.service or fields.zone not in domains:
         return None
-    if fields.max_concurrency < 1 or min(fields.cold_left_ms, fields.born) < 0:
+    if not address.port or fields.max_concurrency < 1:
+        return None
+    if not 0 <= fields.born <= UINT64_MAX:
+        return None
+    if not 0 <= fields.cold_left_ms <= MAX_COLD_MS:
         return None
     return TargetEntry(
         id=TargetId(name),
--- a/bitternturn/platform/settings_file.py
+++ b/bitternturn/platform/settings_file.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bitternturn.core.decoding import DECODE_ERRORS
+from bitternturn.core.decoding import DECODE_ERRORS, parse_unsigned
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import FailureDomain
 from bitternturn.gateway.models import (
@@ -19,6 +19,7 @@
 STEP_LOAD = 'load settings'
 # Must match deploy/system.toml; used when the settings file names no address.
 DEFAULT_METRICS_PORT = 9464
+MAX_PORT = 65_535
 
 
 class WireFleetLimits(msgspec.Struct, rename='kebab', frozen=True):
@@ -142,10 +143,11 @@
 
 def read_address(text: str) -> Address:
     """Parse an address `host:port`; raises BitternturnError."""
-    host, _, port = text.rpartition(':')
-    if not host or not (port.isascii() and port.isdigit()):
+    host, _, digits = text.rpartition(':')
+    port = parse_unsigned(digits)
+    if not host or port is None or port > MAX_PORT:
         raise _invalid_settings(f'{text!r} is not an address host:port')
-    return Address(host=host, port=int(port))
+    return Address(host=host, port=port)
 
 
 def ms_to_seconds(milliseconds: float) -> float:
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 from functools import partial
+from typing import Any
 
 import msgspec
 
@@ -534,16 +535,32 @@
     return CopiedObject(
         name=stored.meta.name,
         revision=stored.meta.revision,
-        spec=None if deleted else msgspec.json.encode(stored.spec),
+        spec=None if deleted else _encode_spec(stored.spec),
     )
 
 
+def _encode_spec(spec: Any) -> bytes:
+    """Return the content of an object as JSON, null if it is nested too deeply."""
+    try:
+        return msgspec.json.encode(spec)
+    except RecursionError:
+        return b'null'
+
+
+def _decode_spec(spec: bytes) -> Any:
+    """Return the content of an object that a peer has sent, None if unreadable."""
+    try:
+        return msgspec.json.decode(spec)
+    except DECODE_ERRORS:
+        return None
+
+
 def _decode_change(stored: StoredObject) -> ObjectEvent:
     """Decode a change that a peer has sent."""
     return ObjectEvent(
         object=PlatformObject(
             meta=ObjectMeta(name=stored.name, revision=stored.revision),
-            spec=None if stored.deleted else msgspec.json.decode(stored.spec),
+            spec=None if stored.deleted else _decode_spec(stored.spec),
         ),
         deleted=stored.deleted,
     )
--- a/bitternturn/platform/store.py
+++ b/bitternturn/platform/store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bitternturn.core.decoding import DECODE_ERRORS
+from bitternturn.core.decoding import DECODE_ERRORS, decode_tolerantly
 from bitternturn.core.errors import ErrorCode
 from bitternturn.core.store_position import (
     era_of,
@@ -194,7 +194,7 @@
     ) -> Any:
         """Decode the body of a response as `model`; raises BAD_ANSWER."""
         try:
-            return msgspec.json.decode(response.body, type=model)
+            return decode_tolerantly(response.body, model)
         except DECODE_ERRORS as error:
             raise self.transport.make_error(
                 ErrorCode.BAD_ANSWER,
--- a/bitternturn/relay/connection.py
+++ b/bitternturn/relay/connection.py
@@ -124,7 +124,7 @@
                 address.host,
                 address.port,
             )
-    except (OSError, TimeoutError) as error:
+    except (OSError, OverflowError, ValueError) as error:
         raise BitternturnError(
             str(error) or 'timeout',
             code=ErrorCode.PEER_UNREACHABLE,
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -4,9 +4,14 @@
 or a RecursionError from a decoder.
 """
 
+import contextlib
 import random
+from typing import Any
 
+import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bitternturn.callers.parse import parse_query
 from bitternturn.configuration.check import parse_content
@@ -15,7 +20,11 @@
     InvalidConfiguration,
 )
 from bitternturn.core.const import UINT64_MAX
-from bitternturn.core.decoding import parse_unsigned
+from bitternturn.core.decoding import (
+    DECODE_ERRORS,
+    decode_tolerantly,
+    parse_unsigned,
+)
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.settings import SettingsError, parse_settings
 from bitternturn.http.models import Request, Response
@@ -107,3 +116,40 @@
         content = {'indexes': [{'maps': [{'snapshot': LONG}]}]}
         with pytest.raises(InvalidConfiguration):
             parse_content(ConfigurationKind.INDEXES, content)
+
+
+class TestTolerantDecoding:
+    @pytest.mark.parametrize('odd', ['1e999', '-' + '9' * 5000])
+    def test_number_out_of_range_is_left_out(self, odd):
+        body = f'[{{"a": "[\\"{{1e999", "b": {odd}, "c": [1, -2.5]}}, 7]'
+        assert decode_tolerantly(body.encode(), Any) == [
+            {'a': '["{1e999', 'b': None, 'c': [1, -2.5]},
+            7,
+        ]
+
+    @pytest.mark.parametrize(('opened', 'closed'), ['[]', ('{"a":', '}')])
+    def test_only_deeply_nested_values_are_left_out(self, opened, closed):
+        odd = opened * 100_000 + '1' + closed * 100_000
+        body = f'[{{"a": "[\\"{{", "b": {odd}, "c": [1, -2.5]}}, 7]'
+        entry, last = decode_tolerantly(body.encode(), Any)
+        assert (entry['a'], entry['c'], last) == ('["{', [1, -2.5], 7)
+        assert msgspec.json.encode(entry['b']).count(b'null') == 1
+
+    def test_ordinary_document_is_unchanged(self):
+        body = b'{"a": [1, 1.5e3, "x", null, true], "b": {"c": -7}}'
+        assert decode_tolerantly(body, Any) == msgspec.json.decode(body)
+
+    @given(body=st.binary(max_size=60))
+    def test_anything_is_decoded_or_rejected(self, body):
+        with contextlib.suppress(*DECODE_ERRORS):
+            decode_tolerantly(body, Any)
+
+    @given(
+        document=st.recursive(
+            st.none() | st.booleans() | st.text() | st.integers(-9, 9),
+            lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+        )
+    )
+    def test_document_beside_an_odd_value_is_unchanged(self, document):
+        body = b'[1e999,%b]' % msgspec.json.encode(document)
+        assert decode_tolerantly(body, Any) == [None, document]
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -91,3 +91,13 @@
         stripped = [(name, value.strip()) for name, value in pairs]
         theirs = h11.Request(method='GET', target='/', headers=stripped)
         assert list(ours.headers) == list(theirs.headers)
+
+
+class TestImpossibleAddresses:
+    @pytest.mark.parametrize(
+        ('host', 'port'), [('127.0.0.1', 65536), ('..', 80), ('a' * 99, 80)]
+    )
+    async def test_connecting_fails_like_any_connection(self, host, port):
+        with pytest.raises(BitternturnError) as raised:
+            await async_connect(host=host, port=port)
+        assert raised.value.code is ErrorCode.CONNECTION_LOST
