Answer every request before a planned stop ends the process

Cause: the process ended with its requests in flight; the deadlines of late requests lay beyond its end.

Fix: shortly before the end each request in flight is answered, with what has arrived or as failed. Once the balancer should send nothing more, a request that may run only once is refused as not run if its deadline lies beyond the end, since its caller can go to another instance. Requests that may be repeated are served as before.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -171,6 +171,12 @@
             for held in probed.release():
                 held.closed = True
 
+    def expire(self) -> None:
+        """End the request now, with the parts that are answered."""
+        now = self.dispatcher.now()
+        self.deadline = min(self.deadline, now)
+        self._evaluate(now)
+
     def cancel(self) -> None:
         """Cancel the request because its caller has disconnected."""
         self.on_end = None
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Gateway that routes callers' requests and sends them to targets."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable, Sequence
 
@@ -16,6 +17,7 @@
     Configuration,
     InstanceSettings,
     RefusalReason,
+    RepeatPolicy,
     Route,
 )
 from bitternturn.gateway.parts import (
@@ -83,14 +85,23 @@
         self.route_stats: dict[RouteName, RouteStats] = {}
         # Whether new requests are refused, since the instance is draining.
         self.draining = False
+        # When callers should have left, since the instance stops, and when the
+        # requests in flight are ended.
+        self.left_at = math.inf
+        self.stop_at = math.inf
+        self.executions: set[RequestExecution] = set()
         self.answer_delay = AnswerDelay(
             cores=settings.cores,
             link_mbps=settings.link_mbps,
         )
         self.configured_at = self.now()
-        self.in_flight = 0
         _register_gauges(self)
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are being executed."""
+        return len(self.executions)
+
     @property
     def version(self) -> int:
         """Version of the configuration, 0 before the first one."""
@@ -134,15 +145,15 @@
             await asyncio.sleep(const.PAUSE_SETTLE_S)
         arrived_at = self.now()
         caller = self.wire.read_request(request)
-        if self.draining:
-            return self._refuse(caller, RefusalReason.DRAINING, 0)
-        if not self.fleet_state.complete:
+        if not self.fleet_state.complete and not self.draining:
             return self._refuse(
                 caller,
                 RefusalReason.NOT_READY,
                 const.NOT_READY_RETRY_AFTER_S,
             )
         route = self.route_table.match(caller.host, caller.path)
+        if self.draining or self._may_outlast_stop(caller, route, arrived_at):
+            return self._refuse(caller, RefusalReason.DRAINING, 0)
         if route is None:
             return self._refuse(caller, RefusalReason.NO_ROUTE, None)
         if self.crash_suspects.evidence:
@@ -173,13 +184,24 @@
                 RefusalReason.SILENT_TARGETS,
                 const.SILENT_TARGETS_RETRY_AFTER_S,
             )
-        self.in_flight += 1
-        try:
-            return await self._async_execute(
-                caller, route, services, arrived_at
-            )
-        finally:
-            self.in_flight -= 1
+        return await self._async_execute(caller, route, services, arrived_at)
+
+    def _may_outlast_stop(
+        self, caller: CallerRequest, route: Route | None, now: float
+    ) -> bool:
+        """Return whether the stop may leave a late request in doubt.
+
+        Another instance can take one that may run only once.
+        """
+        if now < self.left_at or route is None:
+            return False
+        once = route.repeat_policy is RepeatPolicy.AT_MOST_ONCE
+        return once and now + _timeout_s(caller, route) > self.stop_at
+
+    def end_requests(self) -> None:
+        """Answer the requests in flight, since the instance stops."""
+        for execution in list(self.executions):
+            execution.expire()
 
     async def _async_check_suspicion(
         self, caller: CallerRequest
@@ -228,9 +250,7 @@
     ) -> Response:
         """Send a request to its services and return the response."""
         route_stats = self._route_stats(route)
-        wait_s = caller.remaining_s
-        if wait_s is None:
-            wait_s = route.timeout_s or const.DEFAULT_TIMEOUT_S
+        wait_s = _wait_s(caller, route)
         route_stats.longest_timeout_s = max(
             route_stats.longest_timeout_s, wait_s
         )
@@ -254,11 +274,12 @@
                 - elapsed_s
                 - reserve_s,
                 deadline=arrived_at
-                + min(wait_s, route.timeout_s or wait_s)
+                + _timeout_s(caller, route)
                 - const.DEADLINE_MARGIN_S,
             ),
             on_end=_make_result_setter(result_future),
         )
+        self.executions.add(execution)
         execution.start()
         try:
             result = await result_future
@@ -266,6 +287,8 @@
             execution.cancel()
             record_request_end(self, execution, 'caller_left', arrived_at)
             raise
+        finally:
+            self.executions.discard(execution)
         response = self._answer(execution, result, arrived_at)
         self.answer_delay.record(self.now() - result.due_at)
         return response
@@ -347,6 +370,19 @@
         return route_stats
 
 
+def _wait_s(caller: CallerRequest, route: Route) -> float:
+    """Return how long a caller waits, in seconds."""
+    if caller.remaining_s is not None:
+        return caller.remaining_s
+    return route.timeout_s or const.DEFAULT_TIMEOUT_S
+
+
+def _timeout_s(caller: CallerRequest, route: Route) -> float:
+    """Return how long a request may take, in seconds."""
+    wait_s = _wait_s(caller, route)
+    return min(wait_s, route.timeout_s or wait_s)
+
+
 def _make_result_setter(
     result_future: asyncio.Future[RequestResult],
 ) -> Callable[[RequestResult], None]:
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -17,7 +17,10 @@
     metrics: GatewayMetrics
     decisions: DecisionLog
     configured_at: float
-    in_flight: int
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are being executed."""
 
     @property
     def version(self) -> int:
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -203,6 +203,10 @@
         """Start a graceful shutdown: leave the rotation, drain and stop."""
         if not self.shutting_down:
             self.shutting_down = True
+            grace_s = self.settings.global_limits.shutdown_grace_s
+            now = self.gateway.now()
+            self.gateway.left_at = now + const.ROTATION_EXIT_S
+            self.gateway.stop_at = now + grace_s - const.ABORT_BEFORE_EXIT_S
             self.decisions.write('leaving', in_flight=self.gateway.in_flight)
             self.relay_server.notify_leaving()
             self.tasks.spawn(self._async_shut_down())
@@ -223,4 +227,6 @@
             [drain_task],
             timeout=const.REFUSE_BEFORE_EXIT_S - const.ABORT_BEFORE_EXIT_S,
         )
+        self.gateway.end_requests()
+        await asyncio.wait([drain_task], timeout=const.ABORT_BEFORE_EXIT_S / 2)
         self.stopped.set()
--- a/bitternturn/standins/platform_target.py
+++ b/bitternturn/standins/platform_target.py
@@ -46,6 +46,8 @@
     RESET = 'reset'
     # Leaves out the last byte of the answer and closes the connection.
     TRUNCATE = 'truncate'
+    # Stops in the middle of the answer's head and closes the connection.
+    TRUNCATE_HEAD = 'truncate_head'
     # Sends bytes that are not HTTP.
     GARBAGE = 'garbage'
     # Sends the same answer twice.
@@ -87,6 +89,10 @@
     ENDLESS_TRAILERS = 'endless_trailers'
 
 
+# Behaviours that leave out the last byte.
+TRUNCATED: Final = frozenset(
+    (ScriptedBehaviour.TRUNCATE, ScriptedBehaviour.UNFRAMED_RESET)
+)
 _HEAD = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED_HEAD = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
 # What an endless answer starts with, and what it repeats.
@@ -286,11 +292,11 @@
             data = late_copy
         if behaviour is ScriptedBehaviour.GARBAGE:
             data = b'\x00\x01 no answer\r\n\r\n'
-        elif behaviour is ScriptedBehaviour.TRUNCATE:
-            data = data[:-1]
+        elif behaviour is ScriptedBehaviour.TRUNCATE_HEAD:
+            data = data[: data.index(b'\r\n\r\n') // 2]
         elif behaviour is ScriptedBehaviour.DUPLICATE_ANSWER:
             data += data
-        elif behaviour is ScriptedBehaviour.UNFRAMED_RESET:
+        elif behaviour in TRUNCATED:
             data = data[:-1]
         writer.write(data)
         await writer.drain()
@@ -300,6 +306,7 @@
             _reset(writer)
         return connection.our_state is h11.DONE and behaviour not in {
             ScriptedBehaviour.TRUNCATE,
+            ScriptedBehaviour.TRUNCATE_HEAD,
             ScriptedBehaviour.GARBAGE,
             ScriptedBehaviour.UNFRAMED_RESET,
         }
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -109,6 +109,7 @@
             ScriptedBehaviour.ENCODED,
             ScriptedBehaviour.WRONG_REQUEST,
             ScriptedBehaviour.TRUNCATE,
+            ScriptedBehaviour.TRUNCATE_HEAD,
         ],
     )
     async def test_invalid_answer_is_not_merged(self, behaviour):
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -28,6 +28,7 @@
     ScriptedBehaviour.DROP_ANSWER,
     ScriptedBehaviour.RESET,
     ScriptedBehaviour.TRUNCATE,
+    ScriptedBehaviour.TRUNCATE_HEAD,
     ScriptedBehaviour.GARBAGE,
     ScriptedBehaviour.UNFRAMED_RESET,
     ScriptedBehaviour.MISSING_STAMP,
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -14,7 +14,7 @@
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
 
-async def async_serve(answers, greeting=b''):
+async def async_serve(answers, greeting=b'', *, close=False):
     """Answer each request with the next element of `answers`."""
 
     async def async_accept(reader, writer):
@@ -22,7 +22,8 @@
         for answer in answers:
             await reader.readuntil(b'\r\n\r\n')
             writer.write(answer)
-        await reader.read()
+        if not close:
+            await reader.read()
         writer.close()
 
     server = await asyncio.start_server(async_accept, '127.0.0.1', 0)
@@ -101,3 +102,18 @@
         with pytest.raises(BitternturnError) as raised:
             await async_connect(host=host, port=port)
         assert raised.value.code is ErrorCode.CONNECTION_LOST
+
+
+class TestTruncatedHead:
+    HEAD = (
+        b'HTTP/1.1 200 OK\r\nx-server-stamp: a.b.1\r\ncontent-length: 2\r\n\r\n'
+    )
+
+    @pytest.mark.parametrize('length', range(1, len(HEAD)))
+    async def test_answer_broken_off_in_its_head_is_an_error(self, length):
+        server, port = await async_serve([self.HEAD[:length]], close=True)
+        client = await async_connect(host='127.0.0.1', port=port)
+        with pytest.raises(BitternturnError):
+            await client.async_exchange(method='GET', path='/', headers={})
+        assert not client.usable
+        server.close()
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -34,6 +34,8 @@
         self.seeds = []
         self.targets = []
         self.names = (f't{number}' for number in itertools.count(1))
+        # Time that an instance is given to stop, in seconds.
+        self.grace_s = 6.0
         self.rng = random.Random(1)
         self.request_count = 0
 
@@ -59,6 +61,7 @@
         settings['node-name'] = name
         settings['zone'] = DOMAINS[len(self.daemons) % len(DOMAINS)]
         settings['seed-nodes'] = self.seeds
+        settings['bounds']['grace-s'] = self.grace_s
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(settings))
         descriptor = os.open(
