--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -123,6 +123,7 @@
         now = gateway.now()
         assert not gateway.unresponsive_targets.detected_at
         for target in gateway.targets.values():
+            assert not target.record.consecutive_failures
             assert not target.record.is_ejected(now)
             assert not target.record.is_slow(now)
 
--- a/tests/relay/test_incoming_batch.py
+++ b/tests/relay/test_incoming_batch.py
@@ -6,9 +6,11 @@
 import pytest
 
 from bitternturn.core.tasks import TaskSet
+from bitternturn.gateway.links import LinkState
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.server import RelayServer
 from bitternturn.schema.relay_pb2 import (
+    SEND_OUTCOME_NO_PATH,
     SEND_OUTCOME_NOT_SENT,
     Cancel,
     Frame,
@@ -115,3 +117,44 @@
         )
         left_ms = int(targets[1].requests[0].headers['x-deadline-remaining'])
         assert left_ms <= 3000
+
+
+class TestCutOffDelegate:
+    """Instances that are cut off from the targets they send to for others."""
+
+    async def test_it_declines_at_once(self, delegate):
+        server, targets = delegate
+        server.gateway.targets['t0'].link.state = LinkState.CUT_OFF
+        connection = RecordingConnection()
+        server.handle_frame(connection, make_sends(1, *targets))
+        stated, declined = connection.frames
+        assert list(stated.links.cut_off) == ['north']
+        assert [it.outcome for it in declined.parts.parts] == [
+            SEND_OUTCOME_NO_PATH
+        ] * len(targets)
+        assert not any(target.requests for target in targets)
+
+    async def test_it_states_that_its_sends_are_silent(self, delegate):
+        """They go on, as they may still be answered."""
+        server, targets = delegate
+        for target in targets:
+            target.delay_s = 0.5
+        connection = RecordingConnection()
+        server.handle_frame(connection, make_sends(1, targets[0]))
+        await async_until(lambda: targets[0].requests)
+        gateway = server.gateway
+        gateway.links.on_cut_off(gateway.targets['t0'].link)
+        await async_until(
+            lambda: any(
+                part.silent
+                for frame in connection.frames
+                for part in frame.parts.parts
+            )
+        )
+        await async_until(
+            lambda: any(
+                part.stamp
+                for frame in connection.frames
+                for part in frame.parts.parts
+            )
+        )
