Retry lost parts only once their targets' links are verified

Cause: since an end of a target counts only once another target of its domain has accepted a connection, the verdict may come after the 20 ms for which the retries wait. They now wait until no verdict is awaited.

--- a/bitternturn/gateway/dispatcher.py
+++ b/bitternturn/gateway/dispatcher.py
@@ -5,6 +5,7 @@
 
 from bitternturn.core.ids import ServiceName, TargetId
 from bitternturn.gateway.crash_suspects import CrashSuspects
+from bitternturn.gateway.links import TargetLinks
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.target import Target
 from bitternturn.policy.further_send_budget import FurtherSendBudget
@@ -15,6 +16,8 @@
 
     # Evidence that requests crash targets.
     crash_suspects: CrashSuspects
+    # Direct links to targets; what has ended is known once they are verified.
+    links: TargetLinks
 
     def now(self) -> float:
         """Return the current time in seconds, including suspended time."""
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -347,6 +347,10 @@
         if self.on_end is None or not parts:
             return
         now = self.dispatcher.now()
+        if self.dispatcher.links.is_verifying():
+            for part in parts:
+                self._suspend_retry(part)
+            return
         doubted = self.dispatcher.crash_suspects.doubted_services(self.caller)
         if self.probed is not None and self.probed.probe is not None:
             self.probed.held.extend(parts)
--- a/bitternturn/gateway/links.py
+++ b/bitternturn/gateway/links.py
@@ -269,6 +269,10 @@
         for on_verdict in waiting:
             on_verdict(connected)
 
+    def is_verifying(self) -> bool:
+        """Return whether a verdict on a link is awaited."""
+        return any(link.waiting for link in self.domains.values())
+
     def update_sizes(self) -> None:
         """Update the number of targets that each link leads to."""
         sizes = Counter(entry.failure_domain for entry in self.list_entries())
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -548,10 +548,10 @@
 
 
 def _decode_spec(spec: bytes) -> Any:
-    """Return the content of an object that a peer has sent, None if unreadable."""
+    """Return what a peer has sent of an object, None if nested too deeply."""
     try:
         return msgspec.json.decode(spec)
-    except DECODE_ERRORS:
+    except RecursionError:
         return None
 
 
