Let a link verify itself, and a target set the path of a send

Read again in the diff: the check of a link went through a hook and a lambda of the pool although the target holds its link, and the path of a send was set and reset by the delegation beside the target's own state of it.

--- a/bitternturn/gateway/links.py
+++ b/bitternturn/gateway/links.py
@@ -93,6 +93,19 @@
         self.probed_at = now
         self.record_heard(now)
 
+    def verify(self, since: float, on_verdict: LinkVerdict) -> None:
+        """Find out whether the link has worked after a time.
+
+        Without other targets in the domain only the target can be at fault.
+        """
+        if self.state is LinkState.CUT_OFF:
+            on_verdict(False)
+        elif self.health.heard_at > since or self.size < 2:
+            on_verdict(True)
+        else:
+            self.waiting.append(on_verdict)
+            self.links.begin_probe(self)
+
     def record_heard(self, now: float) -> None:
         """Record that a target has answered or accepted a connection."""
         self.health.record_heard(now)
@@ -150,12 +163,12 @@
             return
         if link.health.is_suspect(link.size, now):
             link.state = LinkState.SUSPECT
-            self._begin_probe(link)
+            self.begin_probe(link)
         elif link.health.is_doubtful(link.size):
             self._schedule_check(link, link.health.quiet_at() - now)
         elif now - link.health.heard_at >= RECENTLY_HEARD_S:
             # Too few targets are used to tell.
-            self._begin_probe(link)
+            self.begin_probe(link)
 
     def _schedule_check(self, link: DomainLink, delay_s: float) -> None:
         """Check a link again once it has been quiet for long enough."""
@@ -181,7 +194,7 @@
             heard = now - link.health.heard_at < RECENTLY_HEARD_S
             probed = now - link.probed_at < MIN_PROBE_INTERVAL_S
             if not heard and not probed:
-                self._begin_probe(link)
+                self.begin_probe(link)
 
     def list_cut_off(self) -> list[FailureDomain]:
         """Return the failure domains from which this instance is cut off."""
@@ -191,23 +204,7 @@
             if link.state is LinkState.CUT_OFF
         ]
 
-    def verify(
-        self, link: DomainLink, since: float, on_verdict: LinkVerdict
-    ) -> None:
-        """Find out whether a link has worked after a time.
-
-        Without other targets in the domain only the target can be at fault.
-        """
-        if link.state is LinkState.CUT_OFF:
-            on_verdict(False)
-            return
-        if link.health.heard_at > since or link.size < 2:
-            on_verdict(True)
-            return
-        link.waiting.append(on_verdict)
-        self._begin_probe(link)
-
-    def _begin_probe(self, link: DomainLink) -> None:
+    def begin_probe(self, link: DomainLink) -> None:
         """Try a link, unless it is being tried."""
         if not link.probing:
             link.probing = True
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -127,9 +127,6 @@
             on_end=self._handle_target_end,
             on_answer=self._handle_answer,
             crashes_targets=self.crash_suspects.refuses,
-            verify_link=lambda target, since, on_verdict: self.links.verify(
-                target.link, since, on_verdict
-            ),
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -15,7 +15,7 @@
 from bitternturn.gateway.announcements import Announcement
 from bitternturn.gateway.answers import classify_answer, max_answer_bytes
 from bitternturn.gateway.end_detection import EndDetector
-from bitternturn.gateway.links import DomainLink, LinkVerdict
+from bitternturn.gateway.links import DomainLink, SendLink
 from bitternturn.gateway.models import (
     UNDELIVERED_OUTCOMES,
     Address,
@@ -60,8 +60,6 @@
     on_answer: Callable[[Send], None]
     # Returns whether a request is not sent, as it crashes targets.
     crashes_targets: Callable[[CallerRequest, float], bool]
-    # Finds out whether the link to a target has worked after a time.
-    verify_link: Callable[['Target', float, LinkVerdict], None]
     # Called once a target has announced that it leaves.
     on_leaving: Callable[['Target'], None]
     # Called with a target and the length of the pause that it asks for, or if
@@ -109,7 +107,9 @@
         )
         self.end_detector = EndDetector(
             connections=self.connections,
-            verify_link=partial(hooks.verify_link, self),
+            verify_link=lambda since, on_verdict: self.link.verify(
+                since, on_verdict
+            ),
             on_end=partial(hooks.on_end, entry),
         )
         self.queued: deque[Send] = deque()
@@ -226,8 +226,12 @@
         )
         return None if permitted else SendOutcome.UNWANTED
 
-    def register_delegated(self, send: Send, relay_delay_s: float) -> None:
+    def register_delegated(
+        self, send: Send, *, via: str, link: SendLink, relay_delay_s: float
+    ) -> None:
         """Register a send that a peer makes."""
+        send.via = via
+        send.link = link
         self.sends.add(send)
         self.delegated.add(send)
         send.relay_delay_s = relay_delay_s
@@ -235,6 +239,8 @@
     def start_undelegated(self, send: Send, now: float) -> None:
         """Start a send that was registered as delegated over a connection."""
         self.delegated.discard(send)
+        send.via = None
+        send.link = self.link
         send.relay_delay_s = 0
         self.start(send, now)
 
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -147,9 +147,12 @@
             self.outbox[key] = queued
             asyncio.get_running_loop().call_soon(self._flush, key)
         queued.append(send)
-        send.via = peer.name
-        send.link = peer.get_link(send.target.entry.failure_domain)
-        send.target.register_delegated(send, const.REPORT_LATENCY_S)
+        send.target.register_delegated(
+            send,
+            via=peer.name,
+            link=peer.get_link(send.target.entry.failure_domain),
+            relay_delay_s=const.REPORT_LATENCY_S,
+        )
 
     def _find_path(self, send: Send, now: float) -> str | None:
         """Return the instance that makes a send, None if no one reaches it.
@@ -354,8 +357,6 @@
         if direct and len(sends) < const.MIN_DELEGATED_PARTS:
             now = self.gateway.now()
             for send in sends:
-                send.via = None
-                send.link = send.target.link
                 send.target.start_undelegated(send, now)
             return
         OutgoingBatch(
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -168,6 +168,19 @@
         assert link.state is not LinkState.CUT_OFF
 
 
+class TestPauses:
+    async def test_sends_that_a_pause_made_late_show_nothing(self, linked):
+        for target in linked.targets:
+            target.delay_s = 0.5
+        asked = asyncio.ensure_future(linked.async_ask(1))
+        await asyncio.sleep(0.05)
+        gateway = linked.gateway
+        gateway.pauses.record_gap(2.0, gateway.now())
+        await asked
+        assert not linked.link.health.unheard
+        assert not gateway.decisions.counts['link_cut_off']
+
+
 class TestAccusations:
     """Ends of targets are evidence against the requests under way there."""
 
--- a/tests/relay/test_target_paths.py
+++ b/tests/relay/test_target_paths.py
@@ -177,6 +177,33 @@
         assert {it.status for it in responses} == {503}
         assert took_s < LEFT_MS / 1000
 
+    @pytest.mark.parametrize('kind', [Cut.SILENT, Cut.RESET])
+    async def test_instance_cut_off_from_its_own_domain_serves_all(self, kind):
+        """It sends directly to the targets of its own domain only."""
+        async with linked_fleet() as fleet:
+            cut_off = fleet.instances[0]
+            await fleet.async_ask(cut_off)
+            own = cut_off.gateway.settings.failure_domain
+            cut_off.links.cut(
+                kind,
+                [
+                    target.entry.id
+                    for target in cut_off.gateway.targets.values()
+                    if target.entry.failure_domain == own
+                ],
+            )
+            links = cut_off.gateway.links
+            async with asyncio.timeout(LONG_S):
+                while links.list_cut_off() != [own]:
+                    await fleet.async_ask(cut_off)
+                    await fleet.async_ask(cut_off, SINGLE_PATH)
+            responses = [
+                await fleet.async_ask(cut_off, path)
+                for path in (WIDE_PATH, SINGLE_PATH, ONCE_PATH) * 3
+            ]
+            assert links.list_cut_off() == [own]
+        assert {it.status for it in responses} == {200}
+
 
 class TestDelegates:
     async def test_delegate_that_is_cut_off_declines_at_once(self):
