--- a/review/harness.py
+++ b/review/harness.py
@@ -30,6 +30,7 @@
 HOST: Final = '127.0.0.1'
 ROOT: Final = Path(__file__).resolve().parent.parent
 PORTS: Final = (20_000, 32_000)
+USED_PORTS: Final[set[int]] = set()
 OBJECTS: Final = '/bitternturn/objects/'
 # Bounds of the small deployments, by their names in the settings.
 BOUNDS: Final = {
@@ -133,6 +134,9 @@
     """
     while True:
         port = random.randrange(*PORTS)
+        if port in USED_PORTS:
+            continue
+        USED_PORTS.add(port)
         with contextlib.suppress(OSError), socket.socket() as sock:
             sock.bind((HOST, port))
             return port
