--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -228,6 +228,7 @@
             ),
         )
         send.on_silence = partial(self._handle_silence, part)
+        send.on_late = partial(self._handle_late, part, send)
         send.max_records = self.route.max_records
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
@@ -373,6 +374,18 @@
             self._hedge_part(part, now)
         self._evaluate(now)
 
+    def _handle_late(self, part: Part, send: Send) -> None:
+        """Hedge a part whose delegate has found its newest send late.
+
+        The delegate measures the age without the way to it and back, so the
+        hedge does not wait for the time that this takes at most.
+        """
+        if part.closed or self.on_end is None or not self.repeatable:
+            return
+        tried_all = len(part.tried_targets) >= self.route.max_targets
+        if part.in_flight and part.in_flight[-1] is send and not tried_all:
+            self._hedge_part(part, self.dispatcher.now())
+
     def _close_part(self, part: Part, answer: TargetAnswer | None) -> None:
         """Store the answer of a part and detach its remaining sends."""
         part.closed = True
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -258,6 +258,7 @@
         reserve_s = self.answer_delay.reserve_s(
             first=caller.first_on_connection,
             parts=len(services),
+            round_trip_s=caller.round_trip_s,
         )
         result_future: asyncio.Future[RequestResult] = (
             asyncio.get_running_loop().create_future()
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -217,6 +217,8 @@
     body: bytes
     # Whether this is the first request on its connection.
     first_on_connection: bool = False
+    # Round-trip time to the caller in seconds, None if it is not known.
+    round_trip_s: float | None = None
     # Key of the request, once it has been needed; see `identify_request`.
     key: RequestKey | None = None
     # The same as a hash of this process; see `fingerprint_request`.
--- a/bitternturn/gateway/send.py
+++ b/bitternturn/gateway/send.py
@@ -45,6 +45,7 @@
         'is_further',
         'max_records',
         'on_end',
+        'on_late',
         'on_silence',
         'peer_permit',
         'permitted_at',
@@ -82,6 +83,8 @@
         self.on_end: SendEndListener | None = on_end
         # Called if the delegate does not confirm that it has the send.
         self.on_silence: Callable[[], None] | None = None
+        # Called if the delegate reports that the answer is late.
+        self.on_late: Callable[[], None] | None = None
         # Whether the delegate has not confirmed it in time.
         self.silent = False
         # Name of the peer that makes the send, None for a direct one, and the
@@ -127,6 +130,11 @@
         if self.on_silence is not None:
             self.on_silence()
 
+    def report_late(self) -> None:
+        """Handle that the delegate reports the answer as late."""
+        if not self.ended and self.on_end is not None and self.on_late:
+            self.on_late()
+
     def detach(self) -> None:
         """Ignore the outcome; abort the send if it does not end soon."""
         if self.ended:
--- a/bitternturn/http/models.py
+++ b/bitternturn/http/models.py
@@ -28,6 +28,8 @@
     header_pairs: Sequence[tuple[bytes, bytes]] = ()
     # Whether it is the first request on its connection.
     first_on_connection: bool = False
+    # Round-trip time to the client in seconds, None if it is not known.
+    round_trip_s: float | None = None
 
     def query_parameter(self, name: str, default: str = '') -> str:
         """Return one query parameter."""
--- a/bitternturn/http/server.py
+++ b/bitternturn/http/server.py
@@ -12,6 +12,7 @@
 from bitternturn.core.tasks import TaskSet
 from bitternturn.http import const
 from bitternturn.http.models import Request, Response, make_error_response
+from bitternturn.http.round_trip import read_round_trip_s
 
 LOGGER = logbook.Logger('http.server')
 
@@ -253,6 +254,9 @@
             request_target=target,
             header_pairs=list(head.headers),
             first_on_connection=self.is_first_request,
+            round_trip_s=None
+            if self.transport is None
+            else read_round_trip_s(self.transport),
         )
         self.is_first_request = False
         self.handler_task = self.server.tasks.spawn(self._async_answer(request))
--- a/bitternturn/platform/http_messages.py
+++ b/bitternturn/platform/http_messages.py
@@ -79,6 +79,7 @@
         ],
         body=request.body,
         first_on_connection=request.first_on_connection,
+        round_trip_s=request.round_trip_s,
     )
 
 
--- a/bitternturn/policy/answer_timing.py
+++ b/bitternturn/policy/answer_timing.py
@@ -8,8 +8,14 @@
 from enum import Enum, unique
 from typing import Final
 
-# Round trip between a distant caller and the instance, with a margin.
+# Round trip between a distant caller and the instance, with a margin; used if the
+# round trip is not known.
 CALLER_ROUND_TRIP_S: Final = 0.008
+# Added to a measured round trip, which a busy host or a full link exceeds.
+ROUND_TRIP_MARGIN_S: Final = 0.002
+# Longest measured round trip that is believed: the first packets of a connection
+# may have been sent again.
+MAX_ROUND_TRIP_S: Final = 0.05
 # Processor time on one core to read a request and write its answer.
 HANDLING_CPU_S: Final = 0.001
 # Bytes of an answer per part: a signature and its share of the records.
@@ -94,15 +100,21 @@
         )
         self.delay_s += (delay_s - self.delay_s) * weight
 
-    def reserve_s(self, *, first: bool, parts: int) -> float:
+    def reserve_s(
+        self, *, first: bool, parts: int, round_trip_s: float | None = None
+    ) -> float:
         """Return the time to reserve between decision and latency objective.
 
         `first` is true for the first request on a connection, whose caller
-        has also waited for the connection to open.
+        has also waited for the connection to open: for one round trip.
+        `round_trip_s` is None if it is not known.
         """
-        setup_s = CONNECTION_SETUP_S if first else 0
+        path_s, setup_s = CALLER_ROUND_TRIP_S, CONNECTION_SETUP_S
+        if round_trip_s is not None:
+            path_s = min(round_trip_s, MAX_ROUND_TRIP_S) + ROUND_TRIP_MARGIN_S
+            setup_s = min(setup_s, path_s)
         instance_s = self.delay_s + self.handling_s + parts * self.per_part_s
-        return CALLER_ROUND_TRIP_S + setup_s + instance_s
+        return path_s + (setup_s if first else 0) + instance_s
 
 
 @unique
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -277,7 +277,8 @@
     def _on_report_due(self) -> None:
         """Report even if no send has ended, to show that this peer is alive."""
         self.report_timer = None
-        self._report_ended()
+        others_late = not self.first_report_sent
+        self._report_ended(others_late=others_late)
 
     def _report_failures(self) -> None:
         """Report failures early, so that the peer can retry them elsewhere."""
@@ -289,17 +290,22 @@
             ]
             self._send(failed)
 
-    def _report_ended(self) -> None:
-        """Report all ended sends that have not been reported."""
+    def _report_ended(self, *, others_late: bool = False) -> None:
+        """Report all ended sends that have not been reported.
+
+        `others_late` is whether the sends that have not ended are late.
+        """
         if self.report_timer is not None:
             self.report_timer.cancel()
             self.report_timer = None
         self.first_report_sent = True
         ends = self.unreported
         self.unreported = []
-        self._send(ends)
+        self._send(ends, others_late=others_late)
 
-    def _send(self, ends: Sequence[SendEnd]) -> None:
+    def _send(
+        self, ends: Sequence[SendEnd], *, others_late: bool = False
+    ) -> None:
         """Send a report with the top records of the answers."""
         record_bytes = self.gateway.wire.record_bytes
         records: list[tuple[bytes, int]] = []
@@ -318,6 +324,7 @@
                     records=b''.join(record for record, _ in top_records),
                     owners=[place for _, place in top_records],
                     cut=len(records) > len(top_records),
+                    others_late=others_late,
                 ),
             ),
         )
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -52,6 +52,8 @@
         self.merged = MergedRecords()
         self.number = 0
         self.reported = False
+        # Whether the first report is wanted early, for hedges and retries.
+        self.urgent = False
         self.watchdog: asyncio.TimerHandle | None = None
         self.receipt_timer: asyncio.TimerHandle | None = None
 
@@ -77,10 +79,10 @@
         for index, send in enumerate(self.sends):
             send.connection = SendHandle(batch=self, index=index)
         first = self.sends[0]
-        urgent = any(send.is_further for send in self.sends)
+        self.urgent = any(send.is_further for send in self.sends)
         report_delay_s = (
             const.REPORT_BATCH_DELAY_S
-            if urgent
+            if self.urgent
             else first.latency_estimate.hedge_delay_s()
         )
         left_s = first.deadline - self.gateway.now()
@@ -153,6 +155,9 @@
             self._finish_send(part, answer_indexes.get(place, 0))
         if all(send.ended for send in self.sends):
             self._close()
+        elif report.others_late and not self.urgent:
+            for send in self.sends:
+                send.report_late()
 
     def _is_valid(self, report: Parts, answered: Sequence[int]) -> bool:
         """Return whether the indexes and records of a report are consistent."""
