Authenticate requests of tenants by API key

With tenants in the configuration, requests on routes that are not public need a known key in X-Api-Key and get 401 without one. Targets get X-Tenant on every path (direct, retries, hedges, delegates) and never the key. Requests that wait when a new configuration removes their key are refused unless they have been sent. Without tenants, headers are forwarded as before.

An invalid tenant is one error with its path and without its key; the last valid version stays in effect. An empty list of tenants counts as none.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -11,6 +11,7 @@
 from bitternturn.gateway.models import (
     UNDELIVERED_OUTCOMES,
     CallerRequest,
+    RefusalReason,
     RepeatPolicy,
     Route,
     SendOutcome,
@@ -103,6 +104,8 @@
         # Number of sends that were lost, and parts that are retried once it is
         # known whether targets have ended.
         self.lost_count = 0
+        # Why the request is refused that nothing has been sent of, if it is.
+        self.refusal: RefusalReason | None = None
         self.suspended: list[Part] = []
         # Time from which targets that have not answered count as unresponsive.
         self.unresponsive_at = math.inf
@@ -177,6 +180,18 @@
         self.deadline = min(self.deadline, now)
         self._evaluate(now)
 
+    def refuse(self, reason: RefusalReason) -> None:
+        """Refuse the request, unless any of it may have been sent."""
+        sent = any(
+            part.maybe_run
+            or part.answer is not None
+            or any(send.connection is not None for send in part.in_flight)
+            for part in self.parts
+        )
+        if not sent and self.on_end is not None:
+            self.refusal = reason
+            self.expire()
+
     def cancel(self) -> None:
         """Cancel the request because its caller has disconnected."""
         self.on_end = None
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -32,6 +32,7 @@
     record_request_end,
 )
 from bitternturn.gateway.routes import RouteTable, WeightedRoundRobin
+from bitternturn.gateway.tenants import TenantTable
 from bitternturn.gateway.wire import Wire
 from bitternturn.http.models import Request, Response
 from bitternturn.policy.answer_timing import (
@@ -81,6 +82,7 @@
         )
         self.on_limits = on_limits
         self.route_table = RouteTable(routes=())
+        self.tenants = TenantTable()
         self.round_robin = WeightedRoundRobin()
         self.route_stats: dict[RouteName, RouteStats] = {}
         # Whether new requests are refused, since the instance is draining.
@@ -120,6 +122,7 @@
         if not self.fleet_state.apply_configuration(configuration):
             return
         self.route_table = RouteTable(routes=configuration.routes)
+        self.tenants = TenantTable(tenants=configuration.tenants)
         self.wide_services = _wide_services(configuration.routes)
         self.configured_at = self.now()
         if configuration.limits is not None:
@@ -129,6 +132,7 @@
             version=configuration.version,
             routes=len(configuration.routes),
         )
+        self._identify_waiting()
         self.refresh_targets()
 
     def handle_pause(self, length_s: float) -> None:
@@ -156,10 +160,9 @@
             return self._refuse(caller, RefusalReason.DRAINING, 0)
         if route is None:
             return self._refuse(caller, RefusalReason.NO_ROUTE, None)
-        if self.crash_suspects.evidence:
-            refusal = await self._async_check_suspicion(caller)
-            if refusal is not None:
-                return refusal
+        refusal = await self._async_check_caller(caller, route)
+        if refusal is not None:
+            return refusal
         services = self._services(route)
         available = sum(bool(self.ready.get(service)) for service in services)
         if available < route.min_parts():
@@ -186,6 +189,42 @@
             )
         return await self._async_execute(caller, route, services, arrived_at)
 
+    async def _async_check_caller(
+        self, caller: CallerRequest, route: Route
+    ) -> Response | None:
+        """Refuse a request without a valid key, or one that crashes targets.
+
+        Returns None if it may be sent.
+        """
+        reason = self._identify(caller, route)
+        if reason is None and self.crash_suspects.evidence:
+            refusal = await self._async_check_suspicion(caller)
+            if refusal is not None:
+                return refusal
+            # The configuration may have changed meanwhile.
+            reason = self._identify(caller, route)
+        return None if reason is None else self._refuse(caller, reason, None)
+
+    def _identify(
+        self, caller: CallerRequest, route: Route
+    ) -> RefusalReason | None:
+        """Determine the tenant of a request; return why to refuse it."""
+        if self.tenants.enabled:
+            self.wire.withhold_credentials(caller)
+        return self.tenants.identify(caller, route)
+
+    def _identify_waiting(self) -> None:
+        """Apply a new configuration to the requests in flight.
+
+        One whose key is no longer valid is refused unless it has been sent.
+        """
+        for execution in list(self.executions):
+            caller = execution.caller
+            route = self.route_table.match(caller.host, caller.path)
+            reason = self._identify(caller, route or execution.route)
+            if reason is not None:
+                execution.refuse(reason)
+
     def _may_outlast_stop(
         self, caller: CallerRequest, route: Route | None, now: float
     ) -> bool:
@@ -318,6 +357,8 @@
                     missing,
                     merged.body,
                 )
+        if execution.refusal is not None:
+            return self._refuse(execution.caller, execution.refusal, None)
         if not result.maybe_run:
             refused_for_s = self.crash_suspects.refused_for_s(
                 execution.caller, self.now()
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -73,6 +73,8 @@
     shards: tuple[ServiceName, ...] = ()
     max_records: int = 0
     min_coverage: float = 1
+    # Whether requests need no API key where tenants are configured.
+    public: bool = False
 
     def min_parts(self) -> int:
         """Return the minimum number of parts of an answer."""
@@ -105,14 +107,32 @@
     idle_timeout_s: float
 
 
+@dataclass(kw_only=True, frozen=True, slots=True)
+class Tenant:
+    """Group of callers with API keys, a priority and a quota."""
+
+    name: str
+    # As sent in the header. Left out of the representation, so that no log line
+    # or error message shows them.
+    api_keys: tuple[bytes, ...] = field(repr=False)
+    # Takes precedence over the priority of the route; None if not stated.
+    priority: int | None = None
+    # Requests per second and burst over all instances; a rate of 0 means that
+    # there is no limit.
+    rate_per_s: float = 0
+    burst: float = 0
+
+
 @dataclass(kw_only=True, frozen=True, slots=True)
 class Configuration:
-    """One version of the routes and services."""
+    """One version of the routes, services and tenants."""
 
     version: Version
     routes: tuple[Route, ...]
     services: Mapping[ServiceName, Service]
     limits: CallerLimits | None = None
+    # Without any, requests need no API key.
+    tenants: tuple[Tenant, ...] = ()
 
 
 @dataclass(kw_only=True, frozen=True, slots=True)
@@ -221,6 +241,13 @@
     key: RequestKey | None = None
     # The same as a hash of this process; see `fingerprint_request`.
     fingerprint: int | None = None
+    # API key: None without one, empty if the header occurs more than once. Not
+    # part of `headers` where tenants are configured.
+    api_key: bytes | None = field(default=None, repr=False)
+    # Name of the tenant, which targets get; empty without one.
+    tenant: str = ''
+    # Priority of the tenant, else of the route; 0 is the most urgent.
+    priority: int = 0
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -355,6 +382,8 @@
     """Reason for which a request is refused or fails."""
 
     NO_ROUTE = 'no_route'
+    # The API key is missing, repeated or unknown.
+    UNAUTHORIZED = 'unauthorized'
     NOT_READY = 'not_ready'
     DRAINING = 'draining'
     NO_TARGET = 'no_target'
--- /dev/null
+++ b/bitternturn/gateway/tenants.py
@@ -0,0 +1,73 @@
+"""Tenants of callers' requests, by their API keys."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Iterable
+from typing import Final
+
+from bitternturn.gateway.models import (
+    CallerRequest,
+    RefusalReason,
+    Route,
+    Tenant,
+)
+
+# Longest API key. A longer one in a request is not hashed.
+MAX_API_KEY_BYTES: Final = 1024
+SECRET_BYTES: Final = 32
+
+
+class TenantTable:
+    """Tenants of one version of the configuration, by API key.
+
+    A key is looked up by a hash with a secret of this process, so that the time
+    of a look-up reveals nothing about the keys.
+    """
+
+    def __init__(self, *, tenants: Iterable[Tenant] = ()) -> None:
+        """Initialise from the tenants of a configuration."""
+        self.secret = secrets.token_bytes(SECRET_BYTES)
+        self.by_name = {tenant.name: tenant for tenant in tenants}
+        self.by_digest = {
+            self._digest(key): (key, tenant)
+            for tenant in self.by_name.values()
+            for key in tenant.api_keys
+        }
+
+    @property
+    def enabled(self) -> bool:
+        """Whether requests on routes that are not public need a key."""
+        return bool(self.by_name)
+
+    def identify(
+        self, caller: CallerRequest, route: Route
+    ) -> RefusalReason | None:
+        """Set the tenant and priority of a request; return why to refuse it.
+
+        A request that is refused keeps those that it has, as it may have been
+        sent under an earlier configuration.
+        """
+        if route.public or not self.enabled:
+            caller.tenant = ''
+            caller.priority = route.priority
+            return None
+        tenant = self._find(caller.api_key or b'')
+        if tenant is None:
+            return RefusalReason.UNAUTHORIZED
+        caller.tenant = tenant.name
+        caller.priority = (
+            route.priority if tenant.priority is None else tenant.priority
+        )
+        return None
+
+    def _find(self, api_key: bytes) -> Tenant | None:
+        """Return the tenant with a key, None if there is none."""
+        if len(api_key) > MAX_API_KEY_BYTES:
+            return None
+        key, tenant = self.by_digest.get(self._digest(api_key), (b'', None))
+        return tenant if hmac.compare_digest(key, api_key) else None
+
+    def _digest(self, api_key: bytes) -> bytes:
+        """Return the keyed hash of a key."""
+        return hashlib.blake2b(api_key, key=self.secret).digest()
--- a/bitternturn/gateway/wire.py
+++ b/bitternturn/gateway/wire.py
@@ -19,6 +19,10 @@
     """Converts HTTP messages of callers and targets to gateway types."""
 
     read_request: Callable[[Request], CallerRequest]
+    # Removes the API key and the tenant that the caller states from the headers.
+    withhold_credentials: Callable[[CallerRequest], None]
+    # Returns the headers that targets get over any path, with the tenant.
+    forwarded_headers: Callable[[CallerRequest], Sequence[tuple[bytes, bytes]]]
     # Returns the headers of a send. Takes the request, the entry of the target
     # and the remaining time in seconds.
     write_send_headers: Callable[[CallerRequest, TargetEntry, float], Headers]
--- a/bitternturn/platform/documents.py
+++ b/bitternturn/platform/documents.py
@@ -27,6 +27,11 @@
     WeightedService,
 )
 from bitternturn.platform.settings_file import ms_to_seconds, read_address
+from bitternturn.platform.tenant_documents import (
+    STEP_DECODE,
+    WireTenant,
+    decode_tenants,
+)
 
 
 @unique
@@ -63,6 +68,8 @@
     top_k: int = 0
     # Fraction of the shards that must answer, from 0 to 1.
     min_coverage: float = 1
+    # Whether callers need no API key.
+    public: bool = False
 
 
 class WireService(msgspec.Struct, rename='kebab'):
@@ -90,6 +97,7 @@
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireCallerLimits | None = None
+    tenants: list[WireTenant] = []
 
 
 @unique
@@ -142,7 +150,7 @@
         raise BitternturnError(
             str(error),
             code=ErrorCode.INVALID_CONFIGURATION,
-            step='decode configuration',
+            step=STEP_DECODE,
         ) from error
     limits = fields.limits
     return Configuration(
@@ -165,6 +173,7 @@
         )
         if limits
         else None,
+        tenants=decode_tenants(fields.tenants),
     )
 
 
@@ -232,4 +241,5 @@
         shards=tuple(ServiceName(name) for name in fields.gather),
         max_records=fields.top_k,
         min_coverage=fields.min_coverage,
+        public=fields.public,
     )
--- a/bitternturn/platform/http_messages.py
+++ b/bitternturn/platform/http_messages.py
@@ -34,6 +34,12 @@
         'content-length',
     )
 )
+API_KEY_HEADER: Final = wire_names.HEADER_API_KEY.encode()
+TENANT_HEADER: Final = wire_names.HEADER_TENANT.encode()
+# Headers of callers that are withheld where tenants are configured.
+TENANT_HEADERS: Final = frozenset((API_KEY_HEADER, TENANT_HEADER))
+# Method of authentication that responses with status 401 name.
+AUTHENTICATION_METHOD: Final = 'ApiKey'
 # Headers of targets that our own HTTP server sets in responses to callers.
 DROPPED_RESPONSE_HEADERS: Final = frozenset(
     (*wire_names.HOP_BY_HOP_HEADERS, 'content-length')
@@ -42,6 +48,7 @@
 # 429 and 503 guarantee that the request has not run; 502 and 504 do not.
 STATUS_BY_REASON: Final = {
     RefusalReason.NO_ROUTE: http.STATUS_NOT_FOUND,
+    RefusalReason.UNAUTHORIZED: http.STATUS_UNAUTHORIZED,
     RefusalReason.NOT_READY: http.STATUS_UNAVAILABLE,
     RefusalReason.DRAINING: http.STATUS_UNAVAILABLE,
     RefusalReason.NO_TARGET: http.STATUS_UNAVAILABLE,
@@ -79,9 +86,24 @@
         ],
         body=request.body,
         first_on_connection=request.first_on_connection,
+        api_key=_read_api_key(request.header_pairs),
     )
 
 
+def withhold_credentials(caller: CallerRequest) -> None:
+    """Remove the API key and the tenant that the caller states."""
+    caller.headers = [
+        pair for pair in caller.headers if pair[0] not in TENANT_HEADERS
+    ]
+
+
+def forwarded_headers(caller: CallerRequest) -> Sequence[tuple[bytes, bytes]]:
+    """Return the headers of a request that targets get over any path."""
+    if not caller.tenant:
+        return caller.headers
+    return [*caller.headers, (TENANT_HEADER, caller.tenant.encode())]
+
+
 def write_send_headers(
     caller: CallerRequest,
     target: TargetEntry,
@@ -90,7 +112,7 @@
     """Return the headers of a request to a target."""
     remaining_ms = int(remaining_s * wire_names.MS_PER_SECOND)
     pairs = [
-        *caller.headers,
+        *forwarded_headers(caller),
         (wire_names.HEADER_DEADLINE.encode(), b'%d' % remaining_ms),
         (wire_names.HEADER_TARGET.encode(), target.id.encode()),
     ]
@@ -163,6 +185,8 @@
     headers = {wire_names.HEADER_REQUEST_ID: caller.id}
     if retry_s is not None:
         headers[wire_names.HEADER_RETRY_AFTER] = f'{retry_s:.3f}'
+    if reason is RefusalReason.UNAUTHORIZED:
+        headers[wire_names.HEADER_AUTHENTICATE] = AUTHENTICATION_METHOD
     return Response(
         status=STATUS_BY_REASON[reason],
         headers=headers,
@@ -172,6 +196,8 @@
 
 WIRE: Final = Wire(
     read_request=read_request,
+    withhold_credentials=withhold_credentials,
+    forwarded_headers=forwarded_headers,
     write_send_headers=write_send_headers,
     read_answer=read_answer,
     write_merged=write_merged,
@@ -181,6 +207,14 @@
 )
 
 
+def _read_api_key(pairs: Sequence[tuple[bytes, bytes]]) -> bytes | None:
+    """Return the API key; see `CallerRequest`."""
+    keys = [content for name, content in pairs if name == API_KEY_HEADER]
+    if not keys:
+        return None
+    return keys[0] if len(keys) == 1 else b''
+
+
 def _read_pause(status: int, headers: Mapping[str, str]) -> float | None:
     """Return the pause that a rejection asks for; see `TargetAnswer`."""
     text = headers.get(wire_names.HEADER_RETRY_AFTER)
--- a/bitternturn/platform/wire_names.py
+++ b/bitternturn/platform/wire_names.py
@@ -16,6 +16,12 @@
 # Requests per second that a target accepts from all instances together, in all
 # answers while the limit holds.
 HEADER_RATE_LIMIT: Final = 'server-limit'
+# API key of a tenant, in requests of callers.
+HEADER_API_KEY: Final = 'x-api-key'
+# Name of the tenant, in requests to targets.
+HEADER_TENANT: Final = 'x-tenant'
+# Names the method of authentication in a response with status 401.
+HEADER_AUTHENTICATE: Final = 'www-authenticate'
 HEADER_PART_STAMPS: Final = 'x-part-stamps'
 HEADER_MISSING_PARTS: Final = 'x-missing-parts'
 HEADER_RETRY_AFTER: Final = 'retry-after'
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -91,7 +91,9 @@
                 target=first.caller.request_target,
                 headers=[
                     Header(name=name, value=content)
-                    for name, content in first.caller.headers
+                    for name, content in self.gateway.wire.forwarded_headers(
+                        first.caller
+                    )
                 ],
                 body=first.caller.body,
                 left_ms=max(1, int(left_s * MS_PER_SECOND)),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -86,3 +86,86 @@
         with pytest.raises(BitternturnError) as raised:
             decode_configuration({'version': 'x'})
         assert raised.value.code is ErrorCode.INVALID_CONFIGURATION
+
+
+def tenant_document(**changes):
+    """Return the document of a tenant."""
+    return {'name': 'blue', 'api-keys': ['secret-1', 'secret-2'], **changes}
+
+
+def decode_tenants(*tenants):
+    """Return the tenants of a configuration."""
+    document = configuration_document(tenants=list(tenants))
+    return decode_configuration(document).tenants
+
+
+class TestTenants:
+    def test_tenants_are_decoded(self):
+        blue, red = decode_tenants(
+            tenant_document(**{'priority': 0, 'rate-per-s': 20, 'burst': 5}),
+            tenant_document(name='red', **{'api-keys': ['other']}),
+        )
+        assert (blue.name, blue.api_keys) == (
+            'blue',
+            (b'secret-1', b'secret-2'),
+        )
+        assert (blue.priority, blue.rate_per_s, blue.burst) == (0, 20, 5)
+        assert (red.priority, red.rate_per_s, red.burst) == (None, 0, 0)
+
+    def test_configuration_without_tenants_has_none(self):
+        found = decode_configuration(configuration_document())
+        assert found.tenants == ()
+        assert not any(route.public for route in found.routes)
+
+    def test_public_route_is_decoded(self):
+        document = configuration_document()
+        document['routes'][1]['public'] = True
+        found = decode_configuration(document)
+        assert [route.public for route in found.routes] == [False, True, False]
+
+    @pytest.mark.parametrize(
+        ('changes', 'path'),
+        [
+            ({'name': ''}, '$.tenants[1].name'),
+            ({'name': 'blue'}, '$.tenants[1].name'),
+            ({'name': 'a\r\nx-other: b'}, '$.tenants[1].name'),
+            ({'name': 'gr\u00fcn'}, '$.tenants[1].name'),
+            ({'name': 'n' * 300}, '$.tenants[1].name'),
+            ({'name': 7}, '$.tenants[1].name'),
+            ({'api-keys': []}, '$.tenants[1].api-keys'),
+            ({'api-keys': 'secret-9'}, '$.tenants[1].api-keys'),
+            ({'api-keys': ['secret-8', '']}, '$.tenants[1].api-keys[1]'),
+            ({'api-keys': ['secret-8\n']}, '$.tenants[1].api-keys[0]'),
+            ({'api-keys': ['\ud800secret']}, '$.tenants[1].api-keys[0]'),
+            ({'api-keys': ['secret-' * 200]}, '$.tenants[1].api-keys[0]'),
+            ({'api-keys': ['a', 'secret-2']}, '$.tenants[1].api-keys[1]'),
+            ({'api-keys': ['a', 'a']}, '$.tenants[1].api-keys[1]'),
+            ({'api-keys': [5]}, '$.tenants[1].api-keys[0]'),
+            ({'priority': -1}, '$.tenants[1].priority'),
+            ({'priority': 'high'}, '$.tenants[1].priority'),
+            ({'rate-per-s': -1}, '$.tenants[1].rate-per-s'),
+            ({'rate-per-s': 1e300}, '$.tenants[1].rate-per-s'),
+            ({'rate-per-s': float('nan')}, '$.tenants[1].rate-per-s'),
+            ({'rate-per-s': 10**400}, None),
+            ({'rate-per-s': '5'}, '$.tenants[1].rate-per-s'),
+            ({'burst': -0.5}, '$.tenants[1].burst'),
+            ({'burst': float('inf')}, '$.tenants[1].burst'),
+        ],
+    )
+    def test_invalid_tenant_is_one_error_with_its_path(self, changes, path):
+        """The error must name the field, and must not contain a key."""
+        other = {'name': 'red', 'api-keys': ['other'], **changes}
+        with pytest.raises(BitternturnError) as raised:
+            decode_tenants(tenant_document(), other)
+        assert raised.value.code is ErrorCode.INVALID_CONFIGURATION
+        assert path is None or f'`{path}`' in str(raised.value)
+        assert 'secret' not in str(raised.value)
+
+    @pytest.mark.parametrize('tenants', [{}, 'blue', 5, None, ['blue'], [{}]])
+    def test_malformed_block_is_an_error(self, tenants):
+        with pytest.raises(BitternturnError) as raised:
+            decode_configuration(configuration_document(tenants=tenants))
+        assert '`$.tenants' in str(raised.value)
+
+    def test_keys_are_not_in_the_representation(self):
+        assert 'secret' not in repr(decode_tenants(tenant_document()))
--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -8,7 +8,7 @@
 from bitternturn.standins.platform_store import (
     StoreFault,
 )
-from tests.gateway.helpers import SETTINGS, make_gateway
+from tests.gateway.helpers import SETTINGS, make_gateway, spy_on_log
 from tests.platform.documents import configuration_document, target_document
 from tests.platform.helpers import count_probes, make_follower
 from tests.platform.test_mirror import async_until
@@ -50,6 +50,21 @@
             standin.put('config', 'main', configuration_document(8))
             await async_until(lambda: gateway.version == 8)
 
+    async def test_invalid_tenants_keep_the_last_valid_version(self, standin):
+        """A malformed block must neither open the routes nor close them."""
+        tenants = [{'name': 'blue', 'api-keys': ['blue-key']}]
+        async with running_follower(standin) as gateway:
+            await async_until(lambda: gateway.version == 7)
+            lines = spy_on_log(gateway)
+            for version, listed in ((8, tenants), (9, tenants * 2), (10, {})):
+                document = configuration_document(version, tenants=listed)
+                standin.put('config', 'main', document)
+                await async_until(lambda: gateway.version == 8)
+            await async_until(lambda: sum('error' in it for it in lines) == 2)
+            assert gateway.version == 8
+            assert list(gateway.tenants.by_name) == ['blue']
+            assert 'blue-key' not in repr(lines)
+
 
 class TestInstances:
     async def test_not_ready_before_the_instances_are_known(self, standin):
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -12,7 +12,7 @@
 from bitternturn.core.ids import FailureDomain
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway import target_connections
-from bitternturn.gateway.models import Address
+from bitternturn.gateway.models import Address, Tenant
 from bitternturn.http.client import async_connect
 from bitternturn.policy.target_selection import MIN_SLOW_ANSWERS
 from bitternturn.relay import const, peer
@@ -697,3 +697,49 @@
         assert response.status == 200
         assert len(answering_targets(response)) == SHARDS
         assert connections == 1
+
+
+class TestTenants:
+    async def test_delegates_forward_the_tenant_and_never_see_the_key(self):
+        """An old build forwards the headers of the message as they are."""
+        targets = make_targets()
+        async with fleet_over(targets) as fleet:
+            configuration = fleet.entry.fleet_state.configuration
+            fleet.entry.apply_configuration(
+                dataclasses.replace(
+                    configuration,
+                    version=configuration.version + 1,
+                    tenants=(Tenant(name='blue', api_keys=(b'blue-key',)),),
+                )
+            )
+            messages = []
+            record_sent(fleet, messages)
+            request = make_request(
+                left_ms=int(LONG_S * 1000),
+                pairs=[(b'x-api-key', b'blue-key'), (b'x-tenant', b'red')],
+            )
+            response = await fleet.entry.async_handle(request)
+        assert response.status == 200
+        assert messages
+        assert not any(b'blue-key' in it for it in messages)
+        seen = [it.headers for target in targets for it in target.requests]
+        assert len(seen) >= SHARDS
+        assert {it['x-tenant'] for it in seen} == {'blue'}
+        assert not any('x-api-key' in it for it in seen)
+
+
+def record_sent(fleet, messages):
+    """Collect the messages that the entry sends to its peers."""
+    for client in peers_of(fleet):
+        send_request = client.send_request
+
+        def send(make_frame, on_reply, send_request=send_request):
+            def make():
+                frame = make_frame()
+                if frame is not None:
+                    messages.append(frame.SerializeToString())
+                return frame
+
+            return send_request(make, on_reply)
+
+        client.send_request = send
