Keep a configuration that leaves a tenant without keys

A version that takes away the last key of a tenant was rejected as a whole, so that the keys stayed valid. An empty list of tenants is not the same as none: with it no key is valid.

--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -131,8 +131,8 @@
     routes: tuple[Route, ...]
     services: Mapping[ServiceName, Service]
     limits: CallerLimits | None = None
-    # Without any, requests need no API key.
-    tenants: tuple[Tenant, ...] = ()
+    # None if requests need no API key; if it is empty, no key is valid.
+    tenants: tuple[Tenant, ...] | None = None
 
 
 @dataclass(kw_only=True, frozen=True, slots=True)
--- a/bitternturn/gateway/tenants.py
+++ b/bitternturn/gateway/tenants.py
@@ -25,21 +25,20 @@
     of a look-up reveals nothing about the keys.
     """
 
-    def __init__(self, *, tenants: Iterable[Tenant] = ()) -> None:
-        """Initialise from the tenants of a configuration."""
+    def __init__(self, *, tenants: Iterable[Tenant] | None = None) -> None:
+        """Initialise from the tenants of a configuration.
+
+        Without tenants, requests need no key.
+        """
+        self.enabled = tenants is not None
         self.secret = secrets.token_bytes(SECRET_BYTES)
-        self.by_name = {tenant.name: tenant for tenant in tenants}
+        self.by_name = {tenant.name: tenant for tenant in tenants or ()}
         self.by_digest = {
             self._digest(key): (key, tenant)
             for tenant in self.by_name.values()
             for key in tenant.api_keys
         }
 
-    @property
-    def enabled(self) -> bool:
-        """Whether requests on routes that are not public need a key."""
-        return bool(self.by_name)
-
     def identify(
         self, caller: CallerRequest, route: Route
     ) -> RefusalReason | None:
--- a/bitternturn/platform/documents.py
+++ b/bitternturn/platform/documents.py
@@ -97,7 +97,8 @@
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireCallerLimits | None = None
-    tenants: list[WireTenant] = []
+    # An empty list means that no key is valid.
+    tenants: list[WireTenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 @unique
@@ -173,7 +174,9 @@
         )
         if limits
         else None,
-        tenants=decode_tenants(fields.tenants),
+        tenants=None
+        if fields.tenants is msgspec.UNSET
+        else decode_tenants(fields.tenants),
     )
 
 
--- a/bitternturn/platform/tenant_documents.py
+++ b/bitternturn/platform/tenant_documents.py
@@ -23,7 +23,8 @@
     """One tenant."""
 
     name: str
-    api_keys: list[str]
+    # A tenant whose keys have all been taken away has none.
+    api_keys: list[str] = []
     priority: int | None = None
     rate_per_s: float = 0
     burst: float = 0
@@ -35,7 +36,7 @@
     The error contains no key.
     """
     path_by_name: dict[str, str] = {}
-    path_by_key: dict[str, str] = {}
+    owner_by_key: dict[str, str] = {}
     for index, fields in enumerate(tenants):
         path = f'$.tenants[{index}]'
         _check_tenant(path, fields)
@@ -47,8 +48,9 @@
         for position, key in enumerate(fields.api_keys):
             key_path = f'{path}.api-keys[{position}]'
             _check_api_key(key_path, key)
-            if path_by_key.setdefault(key, key_path) != key_path:
-                raise _invalid_tenant(key_path, f'same as {path_by_key[key]}')
+            owner = owner_by_key.setdefault(key, path)
+            if owner != path:
+                raise _invalid_tenant(key_path, f'also a key of {owner}')
     return tuple(
         Tenant(
             name=fields.name,
@@ -69,8 +71,6 @@
         raise _invalid_tenant(f'{path}.name', 'not printable ASCII')
     if not 0 < len(fields.name) <= MAX_TENANT_NAME_LENGTH:
         raise _invalid_tenant(f'{path}.name', 'empty or too long')
-    if not fields.api_keys:
-        raise _invalid_tenant(f'{path}.api-keys', 'empty')
     if not 0 <= (fields.priority or 0) <= MAX_TENANT_PRIORITY:
         raise _invalid_tenant(f'{path}.priority', 'out of range')
     if not 0 <= fields.rate_per_s <= MAX_TENANT_REQUESTS:
