--- a/bitternturn/http/round_trip.py
+++ b/bitternturn/http/round_trip.py
@@ -25,7 +25,7 @@
         return None
     if len(tcp_info) < INFO_BYTES:
         return None
-    (microseconds,) = struct.unpack_from(
+    microseconds: int = struct.unpack_from(
         ROUND_TRIP_FORMAT, tcp_info, ROUND_TRIP_OFFSET
-    )
+    )[0]
     return microseconds / MICROSECONDS_PER_SECOND if microseconds else None
--- a/tests/policy/test_answer_timing.py
+++ b/tests/policy/test_answer_timing.py
@@ -6,6 +6,8 @@
     CALLER_ROUND_TRIP_S,
     CONNECTION_SETUP_S,
     HANDLING_CPU_S,
+    MAX_ROUND_TRIP_S,
+    ROUND_TRIP_MARGIN_S,
     AnswerDelay,
     LatencyEstimate,
     Progress,
@@ -103,3 +105,29 @@
         for _ in range(100):
             latency.record(0.5)
         assert latency.hedge_delay_s() == pytest.approx(0.04)
+
+
+class TestMeasuredRoundTrip:
+    """Callers at different distances, where each millisecond adds parts."""
+
+    def reserve(self, round_trip_s, *, first=False):
+        return make_delay().reserve_s(
+            first=first, parts=90, round_trip_s=round_trip_s
+        )
+
+    def test_near_caller_leaves_more_time_for_parts(self):
+        assumed = self.reserve(None)
+        assert assumed - self.reserve(0.002) == pytest.approx(
+            CALLER_ROUND_TRIP_S - 0.002 - ROUND_TRIP_MARGIN_S
+        )
+
+    def test_opening_a_connection_takes_one_round_trip_more(self):
+        difference_s = self.reserve(0.002, first=True) - self.reserve(0.002)
+        assert difference_s == pytest.approx(0.002 + ROUND_TRIP_MARGIN_S)
+
+    def test_far_caller_is_answered_earlier(self):
+        assert self.reserve(0.02) > self.reserve(None)
+
+    def test_packets_that_were_sent_again_do_not_count(self):
+        """Guards against answers at once after a lost first packet."""
+        assert self.reserve(3) == self.reserve(MAX_ROUND_TRIP_S)
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -12,7 +12,7 @@
 from bitternturn.core.ids import FailureDomain
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway import target_connections
-from bitternturn.gateway.models import Address
+from bitternturn.gateway.models import Address, Tenant
 from bitternturn.http.client import async_connect
 from bitternturn.policy.target_selection import MIN_SLOW_ANSWERS
 from bitternturn.relay import const, peer
@@ -232,6 +232,25 @@
         assert response.headers['x-missing-parts'] == '0'
         assert 'u3' in answering_targets(response)
 
+    async def test_hedge_follows_the_report_of_its_delegate(self, monkeypatch):
+        """Guards against a wait for the longest way that a report may take."""
+        monkeypatch.setattr(const, 'REPORT_LATENCY_S', 60)
+        targets = make_targets()
+        targets[3] = make_scripted_target('t3', *[ScriptedBehaviour.HANG] * 9)
+        spare = [
+            PlatformTarget(id=f'u{number}', body=make_record(number))
+            for number in range(SHARDS)
+        ]
+        async with fleet_over(
+            [*targets, *spare], latency_objective_s=3.0
+        ) as fleet:
+            for target in fleet.entry.targets.values():
+                if target.entry.id.startswith('u'):
+                    target.record.record_latency_ratio(3, fleet.entry.now())
+            response = await fleet.entry.async_handle(make_patient_request())
+        assert response.headers['x-missing-parts'] == '0'
+        assert 'u3' in answering_targets(response)
+
     async def test_hedge_is_reported_as_soon_as_it_is_answered(self):
         """Guards against a hedge that waits for the regular report delay."""
         targets = make_targets()
@@ -697,3 +716,49 @@
         assert response.status == 200
         assert len(answering_targets(response)) == SHARDS
         assert connections == 1
+
+
+class TestTenants:
+    async def test_delegates_forward_the_tenant_and_never_see_the_key(self):
+        """An old build forwards the headers of the message as they are."""
+        targets = make_targets()
+        async with fleet_over(targets) as fleet:
+            configuration = fleet.entry.fleet_state.configuration
+            fleet.entry.apply_configuration(
+                dataclasses.replace(
+                    configuration,
+                    version=configuration.version + 1,
+                    tenants=(Tenant(name='blue', api_keys=(b'blue-key',)),),
+                )
+            )
+            messages = []
+            record_sent(fleet, messages)
+            request = make_request(
+                left_ms=int(LONG_S * 1000),
+                pairs=[(b'x-api-key', b'blue-key'), (b'x-tenant', b'red')],
+            )
+            response = await fleet.entry.async_handle(request)
+        assert response.status == 200
+        assert messages
+        assert not any(b'blue-key' in it for it in messages)
+        seen = [it.headers for target in targets for it in target.requests]
+        assert len(seen) >= SHARDS
+        assert {it['x-tenant'] for it in seen} == {'blue'}
+        assert not any('x-api-key' in it for it in seen)
+
+
+def record_sent(fleet, messages):
+    """Collect the messages that the entry sends to its peers."""
+    for client in peers_of(fleet):
+        send_request = client.send_request
+
+        def send(make_frame, on_reply, send_request=send_request):
+            def make():
+                frame = make_frame()
+                if frame is not None:
+                    messages.append(frame.SerializeToString())
+                return frame
+
+            return send_request(make, on_reply)
+
+        client.send_request = send
