--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -9,6 +9,7 @@
 from bitternturn.gateway.identity import identify_request
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import CallerRequest, RefusalReason
+from bitternturn.gateway.parts import describe_arrivals
 
 
 class InstanceState(Protocol):
@@ -81,6 +82,14 @@
         aim_ms=_to_ms(execution.soft_deadline - arrived_at),
         limit_ms=_to_ms(execution.deadline - arrived_at),
         ms=_to_ms(latency_s),
+        arrived_ms={
+            name: _to_ms(at)
+            for name, at in describe_arrivals(
+                execution.parts,
+                min_parts=execution.min_parts,
+                since=arrived_at,
+            ).items()
+        },
         hedges=execution.hedges,
         denied_hedges=execution.denied_hedges,
         retries=execution.retries,
--- a/bitternturn/platform/http_messages.py
+++ b/bitternturn/platform/http_messages.py
@@ -86,6 +86,7 @@
         ],
         body=request.body,
         first_on_connection=request.first_on_connection,
+        round_trip_s=request.round_trip_s,
         api_key=_read_api_key(request.header_pairs),
     )
 
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -232,6 +232,25 @@
         assert response.headers['x-missing-parts'] == '0'
         assert 'u3' in answering_targets(response)
 
+    async def test_hedge_follows_the_report_of_its_delegate(self, monkeypatch):
+        """Guards against a wait for the longest way that a report may take."""
+        monkeypatch.setattr(const, 'REPORT_LATENCY_S', 60)
+        targets = make_targets()
+        targets[3] = make_scripted_target('t3', *[ScriptedBehaviour.HANG] * 9)
+        spare = [
+            PlatformTarget(id=f'u{number}', body=make_record(number))
+            for number in range(SHARDS)
+        ]
+        async with fleet_over(
+            [*targets, *spare], latency_objective_s=3.0
+        ) as fleet:
+            for target in fleet.entry.targets.values():
+                if target.entry.id.startswith('u'):
+                    target.record.record_latency_ratio(3, fleet.entry.now())
+            response = await fleet.entry.async_handle(make_patient_request())
+        assert response.headers['x-missing-parts'] == '0'
+        assert 'u3' in answering_targets(response)
+
     async def test_hedge_is_reported_as_soon_as_it_is_answered(self):
         """Guards against a hedge that waits for the regular report delay."""
         targets = make_targets()
--- a/tests/relay/test_incoming_batch.py
+++ b/tests/relay/test_incoming_batch.py
@@ -158,3 +158,29 @@
                 for part in frame.parts.parts
             )
         )
+
+
+class TestLateReports:
+    """Targets that pause while the others of a request have answered."""
+
+    @staticmethod
+    def stated_late(connection):
+        """Return, for each report, whether the other sends are late."""
+        return [frame.parts.others_late for frame in connection.frames]
+
+    async def test_first_report_states_that_the_others_are_late(self, delegate):
+        """Otherwise the peer waits for a hedge as long as the way may take."""
+        server, targets = delegate
+        targets[5].delay_s = 0.5
+        connection = RecordingConnection()
+        server.handle_frame(connection, make_sends(1, *targets))
+        await async_until(lambda: len(connection.frames) == 2)
+        assert self.stated_late(connection) == [True, False]
+        assert len(connection.frames[0].parts.parts) == 5
+
+    async def test_complete_report_states_nothing(self, delegate):
+        server, targets = delegate
+        connection = RecordingConnection()
+        server.handle_frame(connection, make_sends(1, *targets))
+        await async_until(lambda: connection.frames)
+        assert self.stated_late(connection) == [False]
