Test that an answer completes only the send it belongs to

All sends of a request carry the same id, which targets echo. The tests let a target repeat a rejection in place of the answer to the retry on the same connection, and count the connections of repeated requests and of requests without an id, directly and at a delegate.

--- a/bitternturn/standins/platform_target.py
+++ b/bitternturn/standins/platform_target.py
@@ -77,6 +77,9 @@
     # Sends another copy of the answer, without an id, once the connection
     # carries the next request.
     LATE_COPY = 'late_copy'
+    # Answers as NOT_RUN does, and sends an identical copy, with the id, in place
+    # of the answer to the next request on the connection.
+    LATE_REJECTION = 'late_rejection'
     # Runs the request but does not answer before the caller closes.
     HANG = 'hang'
     # Sends bytes until the caller closes: in the head, as interim responses, in
@@ -89,6 +92,14 @@
     ENDLESS_TRAILERS = 'endless_trailers'
 
 
+# Behaviours that answer 503 and state that the request has not run.
+REJECTIONS: Final = frozenset(
+    (
+        ScriptedBehaviour.NOT_RUN,
+        ScriptedBehaviour.PAUSE,
+        ScriptedBehaviour.LATE_REJECTION,
+    )
+)
 # Behaviours that leave out the last byte.
 TRUNCATED: Final = frozenset(
     (ScriptedBehaviour.TRUNCATE, ScriptedBehaviour.UNFRAMED_RESET)
@@ -234,11 +245,10 @@
         if received is None:
             return False
         behaviour = self.script(len(self.requests))
-        received.run = behaviour not in {
-            ScriptedBehaviour.NOT_RUN,
-            ScriptedBehaviour.PAUSE,
-            ScriptedBehaviour.MISDIRECTED,
-        }
+        received.run = (
+            behaviour not in REJECTIONS
+            and behaviour is not ScriptedBehaviour.MISDIRECTED
+        )
         self.requests.append(received)
         if received.run and await self._async_crash(received):
             return False
@@ -288,6 +298,8 @@
             )
             headers.append(('content-length', str(len(body))))
             self.late_copies[writer] = _encode_plain(status, headers, body)
+        elif behaviour is ScriptedBehaviour.LATE_REJECTION:
+            self.late_copies[writer] = data
         if late_copy:
             data = late_copy
         if behaviour is ScriptedBehaviour.GARBAGE:
@@ -355,7 +367,7 @@
         if behaviour is ScriptedBehaviour.PAUSE:
             self.pauses_told.append((time.monotonic(), received.id))
             headers.append((wire_names.HEADER_RETRY_AFTER, self.retry_after))
-        if behaviour in {ScriptedBehaviour.NOT_RUN, ScriptedBehaviour.PAUSE}:
+        if behaviour in REJECTIONS:
             return (
                 http.STATUS_UNAVAILABLE,
                 [*headers, (wire_names.HEADER_NOT_RUN, '1')],
--- a/tests/gateway/test_foreign_answers.py
+++ b/tests/gateway/test_foreign_answers.py
@@ -1,7 +1,10 @@
 """Tests of answers that belong to another request than the one in flight."""
 
+import asyncio
+
 import pytest
 
+from bitternturn.gateway.models import RepeatPolicy
 from bitternturn.standins.platform_target import (
     PlatformTarget,
     ScriptedBehaviour,
@@ -57,6 +60,85 @@
         assert [stamp.split('.')[1] for stamp in stamps] == ['q2', 'q2']
 
 
+ONCE = make_route(repeat_policy=RepeatPolicy.AT_MOST_ONCE)
+
+
+class TestOwnConnection:
+    """A target echoes one id for all sends of a request.
+
+    A late answer to an earlier send would complete a later one on the same
+    connection.
+    """
+
+    @pytest.mark.parametrize(
+        ('route', 'service'), [(ONCE, 's'), (make_shard_route(1), 's0')]
+    )
+    async def test_copy_of_a_rejection_does_not_complete_the_retry(
+        self, route, service
+    ):
+        target = make_scripted_target('t1', ScriptedBehaviour.LATE_REJECTION)
+        async with running_targets(target):
+            gateway = make_gateway()
+            configure(gateway, route)
+            register(gateway, make_entry(target, service))
+            response = await gateway.async_handle(make_patient_request('q1'))
+        assert response.status == 200
+        assert target.run_request_ids == ['q1']
+
+    async def test_retry_that_waits_takes_another_connection(self):
+        """At the limit, the connection of the rejection makes room."""
+        target = make_scripted_target('t1', ScriptedBehaviour.LATE_REJECTION)
+        async with running_targets(target):
+            gateway = make_gateway()
+            configure(gateway, ONCE)
+            register(gateway, make_entry(target))
+            connections = gateway.targets['t1'].connections
+            connections.max_count = 1
+            response = await gateway.async_handle(make_patient_request('q1'))
+            assert len(connections.idle) == 1
+        assert response.status == 200
+        assert target.run_request_ids == ['q1']
+
+    async def test_rejection_keeps_its_connection_for_other_requests(self):
+        """New connections have a cost."""
+        target = make_scripted_target('t1', ScriptedBehaviour.NOT_RUN)
+        async with running_targets(target):
+            gateway = make_gateway()
+            configure(gateway, ONCE)
+            register(gateway, make_entry(target))
+            await gateway.async_handle(make_patient_request('q1'))
+            await asyncio.gather(
+                *(
+                    gateway.async_handle(make_patient_request(f'r{number}'))
+                    for number in range(2)
+                )
+            )
+        assert target.connection_count == 2
+
+    async def test_repeated_request_takes_another_connection(self):
+        target = PlatformTarget(id='t1')
+        async with running_targets(target):
+            gateway = make_gateway()
+            configure(gateway, make_route())
+            register(gateway, make_entry(target))
+            counts = []
+            for request_id in ('q1', 'q1', 'q2', 'q1'):
+                await gateway.async_handle(make_request(request_id))
+                counts.append(target.connection_count)
+        assert counts == [1, 2, 2, 3]
+
+    async def test_requests_without_id_share_no_connection(self):
+        target = PlatformTarget(id='t1')
+        async with running_targets(target):
+            gateway = make_gateway()
+            configure(gateway, make_route())
+            register(gateway, make_entry(target))
+            for request_id in ('q1', '', '', 'q2'):
+                response = await gateway.async_handle(make_request(request_id))
+                assert response.status == 200
+        assert target.connection_count == 3
+
+
 class TestIdentification:
     @pytest.mark.parametrize(
         'behaviour',
--- a/tests/relay/test_incoming_batch.py
+++ b/tests/relay/test_incoming_batch.py
@@ -119,6 +119,33 @@
         assert left_ms <= 3000
 
 
+class TestOwnConnection:
+    async def test_sends_of_one_request_share_no_connection(self, delegate):
+        """A late answer to the first would be taken for that to the second."""
+        server, targets = delegate
+        connection = RecordingConnection()
+        idle = server.gateway.targets['t0'].connections.idle
+        for number, request in enumerate((1, 1, 2)):
+            server.handle_frame(
+                connection,
+                make_sends(
+                    number,
+                    targets[0],
+                    request_id=f'q{request}',
+                    headers=[
+                        Header(
+                            name=b'x-request-id', value=f'q{request}'.encode()
+                        ),
+                    ],
+                ),
+            )
+            await async_until(
+                lambda number=number: len(targets[0].requests) > number
+                and len(idle) == targets[0].connection_count
+            )
+        assert targets[0].connection_count == 2
+
+
 class TestCutOffDelegate:
     """Instances that are cut off from the targets they send to for others."""
 
