Never carry a request id twice on one connection

Cause: all sends of a request carry the id of the caller, which targets echo, and a connection is kept after a rejection. The retry of the request went to the connection that had just carried the rejected send, so that a second copy of the rejection completed it: a request was refused as not run, or sent a third time, although the retry ran.

Change: a connection records the ids of its requests in a Bloom filter of 4 KiB. It is neither taken nor given to a waiting send whose id it has carried. It stays open for other requests; if it stands above the limit of connections to its target while a send waits for another one, the longest unused one is closed. After 2,048 requests a connection is closed, since the filter is full. Delegates and hedges use the same code.

--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -209,7 +209,7 @@
             self.end_send(send, rejection, None)
             return
         connection = self.connections.take_idle(
-            now, fresh=send.require_fresh_connection
+            send.caller.id, now, fresh=send.require_fresh_connection
         )
         if connection is not None:
             self._write_request(send, connection)
@@ -295,17 +295,32 @@
 
     def _use_connection(self, connection: ClientConnection) -> None:
         """Use a new or free connection for a queued send, or keep it idle."""
-        while self.queued:
-            rejection = self._find_rejection(self.queued[0], self.now())
-            if rejection is None:
-                break
-            self.end_send(self.queued[0], rejection, None)
-        if self.queued:
-            self._write_request(self.queued.popleft(), connection)
+        send = self._take_queued(connection)
+        if send is not None:
+            self._write_request(send, connection)
         elif self.closed:
             connection.close()
         else:
             self.connections.put_idle(connection)
+            if self.queued:
+                # The queued sends need another connection.
+                self.connections.close_surplus(busy_count=self._busy_count())
+                self._open_connections()
+
+    def _take_queued(self, connection: ClientConnection) -> Send | None:
+        """Return the first queued send that a connection may carry.
+
+        Those before it that may no longer be written are ended.
+        """
+        for send in list(self.queued):
+            if send.ended or not connection.carried_ids.allows(send.caller.id):
+                continue
+            rejection = self._find_rejection(send, self.now())
+            if rejection is None:
+                self.queued.remove(send)
+                return send
+            self.end_send(send, rejection, None)
+        return None
 
     def _write_request(self, send: Send, connection: ClientConnection) -> None:
         """Write the request of a send to its connection."""
@@ -315,6 +330,7 @@
             self.entry, self.announcement.rate_limit, send.kind, now
         )
         connection.buffers = self.buffers
+        connection.carried_ids.add(send.caller.id)
         connection.size.max_body_bytes = max_answer_bytes(
             send.max_records, self.wire.record_bytes
         )
--- a/bitternturn/gateway/target_connections.py
+++ b/bitternturn/gateway/target_connections.py
@@ -38,24 +38,43 @@
         self.idle_timeout_s = const.DEFAULT_IDLE_TIMEOUT_S
         self.opening_count = 0
 
-    def take_idle(self, now: float, *, fresh: bool) -> ClientConnection | None:
-        """Return an idle connection that the target should still keep open."""
+    def take_idle(
+        self, request_id: str, now: float, *, fresh: bool
+    ) -> ClientConnection | None:
+        """Return an idle connection that the target should still keep open.
+
+        It has not carried the request, to which it may get another answer.
+        """
         max_idle_s = self.idle_timeout_s * const.IDLE_TIMEOUT_SHARE
         if fresh:
             max_idle_s = min(max_idle_s, const.NON_REPEATABLE_MAX_IDLE_S)
-        while self.idle:
-            connection, since = self.idle[-1]
+        for index in reversed(range(len(self.idle))):
+            connection, since = self.idle[index]
             if fresh and now - since > max_idle_s:
                 return None
-            self.idle.pop()
-            if connection.usable and now - since <= max_idle_s:
+            if not connection.usable or now - since > max_idle_s:
+                self.idle.pop(index)
+                connection.close()
+            elif connection.carried_ids.allows(request_id):
+                self.idle.pop(index)
                 return connection
-            connection.close()
         return None
 
     def put_idle(self, connection: ClientConnection) -> None:
-        """Keep a connection that is not used."""
-        self.idle.append((connection, self.now()))
+        """Keep a connection that is not used, unless it may not be again."""
+        if connection.carried_ids.retired:
+            connection.close()
+        else:
+            self.idle.append((connection, self.now()))
+
+    def close_surplus(self, *, busy_count: int) -> None:
+        """Close idle connections above the limit, the longest unused first.
+
+        `busy_count` is the number of connections that carry a send.
+        """
+        room = self.max_count - busy_count - self.opening_count
+        while self.idle and len(self.idle) > room:
+            self.idle.pop(0)[0].close()
 
     def close_idle(self) -> None:
         """Close the idle connections."""
--- a/bitternturn/http/client.py
+++ b/bitternturn/http/client.py
@@ -10,6 +10,7 @@
 from h11._headers import Headers
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.http.carried_ids import CarriedIds
 from bitternturn.http.const import MAX_RESPONSE_BYTES
 from bitternturn.http.headers import encode_headers
 from bitternturn.http.models import Response
@@ -55,6 +56,9 @@
         # Bounds the bodies of several connections together, None if nothing
         # does.
         self.buffers: BodyBuffers | None = None
+        # Ids of the requests that the connection has carried, for users that
+        # tell responses apart by them.
+        self.carried_ids = CarriedIds()
         # Bytes sent and received in the current or last exchange.
         self.exchange_bytes = 0
         self._response_head: h11.Response | None = None
--- a/tests/relay/test_incoming_batch.py
+++ b/tests/relay/test_incoming_batch.py
@@ -124,7 +124,7 @@
         """A late answer to the first would be taken for that to the second."""
         server, targets = delegate
         connection = RecordingConnection()
-        idle = server.gateway.targets['t0'].connections.idle
+        held = server.gateway.targets['t0']
         for number, request in enumerate((1, 1, 2)):
             server.handle_frame(
                 connection,
@@ -133,6 +133,7 @@
                     targets[0],
                     request_id=f'q{request}',
                     headers=[
+                        Header(name=b'host', value=b'search.example'),
                         Header(
                             name=b'x-request-id', value=f'q{request}'.encode()
                         ),
@@ -140,8 +141,9 @@
                 ),
             )
             await async_until(
-                lambda number=number: len(targets[0].requests) > number
-                and len(idle) == targets[0].connection_count
+                lambda number=number: (
+                    len(targets[0].requests) > number and not held.sends
+                )
             )
         assert targets[0].connection_count == 2
 
