Apply changes of targets and configuration to waiting sends

Cause: a refresh of the targets left the queue of sends that wait for a connection to a target as it was, and the target went on to write from it: a target that had been listed as draining got requests for as long as its queue lasted. A request also went on under the route of the configuration with which it had started.

Change: a target checks at the moment of writing that its entry is listed as ready, that its domain is in service and that it is not displaced, all by the present state of this instance. A refresh ends the queued sends of targets for which this does not hold as UNWANTED, so that they move or the request is refused as not run. A new configuration ends the unwritten sends of requests whose route is gone or does not allow the service, and stops their retries and hedges; a request whose route now runs once is not repeated. Sends in flight go on. A request that waits for the check of crashing requests is routed by the configuration after the check.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -88,6 +88,8 @@
         self.deadline = deadlines.deadline
         self.min_parts = route.min_parts()
         self.parts = [Part(service=service) for service in services]
+        # Services to which the current configuration lets the request go.
+        self.allowed_services: Collection[ServiceName] = services
         self.on_end: Callable[[RequestResult], None] | None = on_end
         self.timer: asyncio.TimerHandle | None = None
         self.repeatable = route.repeat_policy is RepeatPolicy.IDEMPOTENT
@@ -171,6 +173,25 @@
             for held in probed.release():
                 held.closed = True
 
+    def apply_route(self, route: Route | None) -> None:
+        """Apply the route of the request in a new configuration, if it has one.
+
+        Sends that have not been written end if it does not allow their service;
+        those in flight go on, and nothing follows them.
+        """
+        self.allowed_services = (
+            () if route is None else route.allowed_services()
+        )
+        if route is not None:
+            idempotent = route.repeat_policy is RepeatPolicy.IDEMPOTENT
+            self.repeatable = self.repeatable and idempotent
+        for part in self.parts:
+            if part.service in self.allowed_services:
+                continue
+            for send in list(part.in_flight):
+                if send.connection is None:
+                    send.target.end_send(send, SendOutcome.UNWANTED, None)
+
     def expire(self) -> None:
         """End the request now, with the parts that are answered."""
         now = self.dispatcher.now()
@@ -239,6 +260,8 @@
 
     def _find_target(self, part: Part) -> Target | None:
         """Return the target of the next send, preferably one not tried yet."""
+        if part.service not in self.allowed_services:
+            return None
         if part.delivered_count >= self.route.max_targets + const.EXTRA_SENDS:
             return None
         if part.not_sent_count > const.MAX_UNDELIVERED_SENDS:
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -129,6 +129,13 @@
             version=configuration.version,
             routes=len(configuration.routes),
         )
+        # Before the targets, so that no send which ends by their refresh is
+        # retried under an old route.
+        for execution in list(self.executions):
+            caller = execution.caller
+            execution.apply_route(
+                self.route_table.match(caller.host, caller.path)
+            )
         self.refresh_targets()
 
     def handle_pause(self, length_s: float) -> None:
@@ -145,21 +152,13 @@
             await asyncio.sleep(const.PAUSE_SETTLE_S)
         arrived_at = self.now()
         caller = self.wire.read_request(request)
-        if not self.fleet_state.complete and not self.draining:
-            return self._refuse(
-                caller,
-                RefusalReason.NOT_READY,
-                const.NOT_READY_RETRY_AFTER_S,
-            )
-        route = self.route_table.match(caller.host, caller.path)
-        if self.draining or self._may_outlast_stop(caller, route, arrived_at):
-            return self._refuse(caller, RefusalReason.DRAINING, 0)
-        if route is None:
-            return self._refuse(caller, RefusalReason.NO_ROUTE, None)
-        if self.crash_suspects.evidence:
+        route = self._admit(caller, arrived_at)
+        if self.crash_suspects.evidence and isinstance(route, Route):
             refusal = await self._async_check_suspicion(caller)
-            if refusal is not None:
-                return refusal
+            # The configuration may have changed meanwhile.
+            route = refusal or self._admit(caller, arrived_at)
+        if isinstance(route, Response):
+            return route
         services = self._services(route)
         available = sum(bool(self.ready.get(service)) for service in services)
         if available < route.min_parts():
@@ -186,6 +185,23 @@
             )
         return await self._async_execute(caller, route, services, arrived_at)
 
+    def _admit(
+        self, caller: CallerRequest, arrived_at: float
+    ) -> Route | Response:
+        """Return the route of a request, or its refusal if it has none."""
+        if not self.fleet_state.complete and not self.draining:
+            return self._refuse(
+                caller,
+                RefusalReason.NOT_READY,
+                const.NOT_READY_RETRY_AFTER_S,
+            )
+        route = self.route_table.match(caller.host, caller.path)
+        if self.draining or self._may_outlast_stop(caller, route, arrived_at):
+            return self._refuse(caller, RefusalReason.DRAINING, 0)
+        if route is None:
+            return self._refuse(caller, RefusalReason.NO_ROUTE, None)
+        return route
+
     def _may_outlast_stop(
         self, caller: CallerRequest, route: Route | None, now: float
     ) -> bool:
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -74,6 +74,11 @@
     max_records: int = 0
     min_coverage: float = 1
 
+    def allowed_services(self) -> frozenset[ServiceName]:
+        """Return the services to which requests may go."""
+        shares = (it.service for it in self.services if it.weight > 0)
+        return frozenset((*self.shards, *shares))
+
     def min_parts(self) -> int:
         """Return the minimum number of parts of an answer."""
         if not self.shards:
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -4,6 +4,7 @@
 import random
 import zlib
 from collections.abc import Callable, Sequence
+from functools import partial
 
 from bitternturn.core.clock import boot_time
 from bitternturn.core.ids import ServiceName, TargetId
@@ -27,6 +28,7 @@
     SendOutcome,
     Service,
     TargetEntry,
+    TargetState,
 )
 from bitternturn.gateway.rate_limits import RateLimits
 from bitternturn.gateway.send import Send
@@ -122,6 +124,7 @@
         self.target_hooks = TargetHooks(
             now=self.now,
             paused_since=lambda since: self.pauses.paused_since(since),
+            is_in_service=partial(_is_in_service, self.fleet_state),
             on_send_end=self._record_send_end,
             on_send_lost=self._record_lost_send,
             on_end=self._handle_target_end,
@@ -182,14 +185,15 @@
         self.announcements.forget_old(
             {entry.life for entry in entries.values()}, self.now()
         )
-        for target_id in list(self.targets):
-            entry = entries.get(target_id)
-            if entry is None:
-                self.targets.pop(target_id).close()
-            elif _is_replaced(self.targets[target_id].entry, entry):
-                target = self.targets.pop(target_id)
+        known = list(self.targets.values())
+        for target in known:
+            entry = entries.get(target.entry.id)
+            if entry is not None and not _is_replaced(target.entry, entry):
+                continue
+            del self.targets[target.entry.id]
+            if entry is not None:
                 target.end_detector.record_replaced(self.now())
-                target.close()
+            target.close()
         for entry in entries.values():
             self._update_target(entry)
         self.links.update_sizes()
@@ -215,6 +219,10 @@
                 entry for entry in ready if self.targets[entry.id].usable
             ]
             self._assign_targets(service, reachable)
+        # Last, since the sends that end here are retried at once.
+        for target in known:
+            if target.queued and not target.in_service:
+                target.reject_queued()
 
     def _update_target(self, entry: TargetEntry) -> None:
         """Create or update one target."""
@@ -591,6 +599,21 @@
     return False
 
 
+def _is_in_service(fleet_state: FleetState, entry: TargetEntry) -> bool:
+    """Return whether a life of a target may get requests.
+
+    It is listed as ready, and its failure domain is in service. Entries that are
+    missing during an outage of the store are still listed.
+    """
+    known = fleet_state.entries.get(entry.id)
+    return (
+        known is not None
+        and known.state is TargetState.READY
+        and known.failure_domain not in fleet_state.domains_out
+        and not _is_replaced(entry, known)
+    )
+
+
 def _is_replaced(current: TargetEntry, entry: TargetEntry) -> bool:
     """Return whether an entry has another start, address or service."""
     return (
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -50,6 +50,9 @@
     now: Callable[[], float]
     # Returns whether this process was paused after a time.
     paused_since: Callable[[float], bool]
+    # Returns whether requests may be sent to the life of a target that an entry
+    # describes, as far as this instance knows.
+    is_in_service: Callable[[TargetEntry], bool]
     on_send_end: SendRecorder
     # Called with a send whose connection ended without an answer, and the error.
     on_send_lost: Callable[[Send, str], None]
@@ -131,6 +134,15 @@
         """Whether requests may be sent: neither displaced nor leaving."""
         return not self.displaced and not self.announcement.leaving
 
+    @property
+    def in_service(self) -> bool:
+        """Whether requests may be written, by the present state of the fleet.
+
+        Unlike the assigned targets, which are chosen when the state changes, this
+        also holds for sends that were started before.
+        """
+        return self.usable and self.hooks.is_in_service(self.entry)
+
     def readmit(self) -> None:
         """End the exclusion of the target, if it is displaced."""
         if self.displacement is not None:
@@ -221,6 +233,8 @@
         """Return why a send may not be written now, None if it may."""
         if self.hooks.crashes_targets(send.caller, now):
             return SendOutcome.SUSPECTED
+        if not self.in_service:
+            return SendOutcome.UNWANTED
         permitted = self.announcement.allows_send(now) and self.take_permit(
             send, now
         )
@@ -294,23 +308,10 @@
             self.record.record_failure(self.now())
 
     def _use_connection(self, connection: ClientConnection) -> None:
-        """Use a new or free connection for a queued send, or keep it idle."""
-        send = self._take_queued(connection)
-        if send is not None:
-            self._write_request(send, connection)
-        elif self.closed:
-            connection.close()
-        else:
-            self.connections.put_idle(connection)
-            if self.queued:
-                # The queued sends need another connection.
-                self.connections.close_surplus(busy_count=self._busy_count())
-                self._open_connections()
-
-    def _take_queued(self, connection: ClientConnection) -> Send | None:
-        """Return the first queued send that a connection may carry.
+        """Use a new or free connection for a queued send, or keep it idle.
 
-        Those before it that may no longer be written are ended.
+        Sends that the connection has carried before wait for another one; those
+        that may no longer be written are ended.
         """
         for send in list(self.queued):
             if send.ended or not connection.carried_ids.allows(send.caller.id):
@@ -318,9 +319,16 @@
             rejection = self._find_rejection(send, self.now())
             if rejection is None:
                 self.queued.remove(send)
-                return send
+                self._write_request(send, connection)
+                return
             self.end_send(send, rejection, None)
-        return None
+        if self.closed:
+            connection.close()
+            return
+        self.connections.put_idle(connection)
+        if self.queued:
+            self.connections.close_surplus(busy_count=self._busy_count())
+            self._open_connections()
 
     def _write_request(self, send: Send, connection: ClientConnection) -> None:
         """Write the request of a send to its connection."""
@@ -424,7 +432,7 @@
     def announce_pause(self, pause_s: float) -> None:
         """Send nothing to the target for as long as it asks, in seconds."""
         self.hooks.on_pause(self, pause_s)
-        self._reject_queued()
+        self.reject_queued()
 
     def announce_leaving(self) -> None:
         """Send nothing more to the target, which leaves.
@@ -435,9 +443,9 @@
             return
         self.close()
         self.hooks.on_leaving(self)
-        self._reject_queued()
+        self.reject_queued()
 
-    def _reject_queued(self) -> None:
+    def reject_queued(self) -> None:
         """End the sends that wait for a connection to this target."""
         for send in list(self.queued):
             self.end_send(send, SendOutcome.UNWANTED, None)
--- a/tests/gateway/test_waiting_sends.py
+++ b/tests/gateway/test_waiting_sends.py
@@ -39,7 +39,7 @@
 
 def make_waiting_request(number):
     """Return a request that can wait for long."""
-    return make_request(f'q{number}', left_ms=LEFT_MS)
+    return make_request(f'q{number}', path='/a/x/y', left_ms=LEFT_MS)
 
 
 class Waiting:
