Test that a delegate and its peer check targets by their own state

A delegate that knows a target as draining, displaced, removed or in a domain out of service has to reject a peer's send at once, and to end sends that it has accepted but not written. An instance that connects to a peer must not write sends for targets that have gone out of use meanwhile.

--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -649,6 +649,43 @@
         assert float(response.headers['retry-after']) > 0
         assert not any(it.requests for it in targets)
 
+    async def test_request_for_a_peer_leaves_out_what_is_out_of_use(
+        self, monkeypatch
+    ):
+        """A domain goes out of service while the peer is being connected."""
+        connected = asyncio.Event()
+
+        async def async_connect_late(*args, **handlers):
+            await connected.wait()
+            return await async_open_connection(*args, **handlers)
+
+        monkeypatch.setattr(peer, 'async_open_connection', async_connect_late)
+        targets = [*make_targets('far'), *make_targets()]
+        domains = {'entry': 'north', 'p1': 'north', 'p2': 'south'}
+        async with fleet_over(targets, domains=domains) as fleet:
+            entry = fleet.entry
+            for target in targets[SHARDS:]:
+                entry.targets[target.id].record.record_latency_ratio(
+                    90, entry.now()
+                )
+            request = asyncio.ensure_future(
+                entry.async_handle(make_patient_request())
+            )
+            await asyncio.sleep(0.05)
+            waiting = sum(
+                len(target.delegated)
+                for name, target in entry.targets.items()
+                if name.startswith('far')
+            )
+            entry.fleet_state.set_domains_out(['south'])
+            entry.refresh_targets()
+            connected.set()
+            response = await request
+        assert waiting > SHARDS / 2
+        assert response.status == 200
+        assert len(answering_targets(response)) == SHARDS
+        assert not any(it.requests for it in targets[:SHARDS])
+
     async def test_loss_of_a_peer_is_no_failure_of_its_targets(self):
         """Guards against ejections by the loss of one peer after another."""
         targets = make_targets(delay_s=0.2)
--- a/tests/relay/test_incoming_batch.py
+++ b/tests/relay/test_incoming_batch.py
@@ -5,13 +5,17 @@
 
 import pytest
 
+from bitternturn.core.ids import FailureDomain
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.links import LinkState
+from bitternturn.gateway.models import TargetState
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.server import RelayServer
 from bitternturn.schema.relay_pb2 import (
     SEND_OUTCOME_NO_PATH,
     SEND_OUTCOME_NOT_SENT,
+    SEND_OUTCOME_UNREACHABLE,
+    SEND_OUTCOME_UNWANTED,
     Cancel,
     Frame,
     Header,
@@ -187,3 +191,114 @@
                 for part in frame.parts.parts
             )
         )
+
+
+def list_targets(server, targets, **changes):
+    """Let a delegate list all targets, with changes of the first one."""
+    first, *others = targets
+    register(
+        server.gateway,
+        make_entry(first, 's0', **changes),
+        *(make_entry(target, 's0') for target in others),
+    )
+
+
+def drain(server, targets):
+    """Let the first target be listed as draining."""
+    list_targets(server, targets, state=TargetState.DRAINING)
+
+
+def take_domain_out(server, targets):
+    """Take the domain of the first target out of service."""
+    server.gateway.fleet_state.set_domains_out(['south'])
+    list_targets(server, targets, failure_domain=FailureDomain('south'))
+
+
+def displace(server, targets):
+    """Let another target answer at the address of the first one."""
+    server.gateway.displace(server.gateway.targets[targets[0].id])
+
+
+def remove(server, targets):
+    """Stop listing the first target."""
+    register(
+        server.gateway, *(make_entry(target, 's0') for target in targets[1:])
+    )
+
+
+def reported_outcomes(connection):
+    """Return the outcomes that a peer has been told, by index."""
+    return {
+        part.index: part.outcome
+        for frame in connection.frames
+        for part in frame.parts.parts
+    }
+
+
+class TestOwnKnowledge:
+    """A peer that the store rejects does not know which targets are in use.
+
+    The delegate does, and is the one that writes to the target.
+    """
+
+    @pytest.mark.parametrize(
+        ('change', 'outcome'),
+        [
+            (drain, SEND_OUTCOME_UNWANTED),
+            (take_domain_out, SEND_OUTCOME_UNWANTED),
+            (displace, SEND_OUTCOME_UNREACHABLE),
+            (remove, SEND_OUTCOME_NOT_SENT),
+        ],
+    )
+    async def test_targets_out_of_use_are_rejected_at_once(
+        self, delegate, change, outcome
+    ):
+        server, targets = delegate
+        change(server, targets)
+        connection = RecordingConnection()
+        server.handle_frame(connection, make_sends(1, *targets))
+        assert reported_outcomes(connection) == {0: outcome}
+        await async_until(lambda: all(it.requests for it in targets[1:]))
+        assert not targets[0].requests
+
+    @pytest.mark.parametrize(
+        'change', [drain, take_domain_out, displace, remove]
+    )
+    async def test_sends_that_have_not_started_end(self, delegate, change):
+        """The message was accepted before the change was known."""
+        server, targets = delegate
+        connection = RecordingConnection()
+        server.handle_frame(connection, make_sends(1, *targets))
+        change(server, targets)
+        await async_until(lambda: 0 in reported_outcomes(connection))
+        assert reported_outcomes(connection)[0] == SEND_OUTCOME_UNWANTED
+        assert not targets[0].requests
+
+    @pytest.mark.parametrize(
+        'change', [drain, take_domain_out, displace, remove]
+    )
+    async def test_sends_that_wait_for_a_connection_end(self, delegate, change):
+        server, targets = delegate
+        targets[0].delay_s = 0.4
+        server.gateway.targets['t0'].connections.max_count = 1
+        connection = RecordingConnection()
+        server.handle_frame(connection, make_sends(1, targets[0]))
+        await async_until(lambda: targets[0].requests)
+        waiting = RecordingConnection()
+        server.handle_frame(waiting, make_sends(2, targets[0]))
+        await asyncio.sleep(0.05)
+        change(server, targets)
+        await async_until(lambda: waiting.frames)
+        assert reported_outcomes(waiting) == {0: SEND_OUTCOME_UNWANTED}
+        assert not reported_outcomes(connection)
+        await async_until(lambda: reported_outcomes(connection))
+        assert [it.id for it in targets[0].requests] == ['q1']
+
+    async def test_missing_entry_in_an_outage_is_used(self, delegate):
+        """The target may only have been unable to renew its entry."""
+        server, targets = delegate
+        gateway = server.gateway
+        gateway.fleet_state.store_failed_at = gateway.now()
+        remove(server, targets)
+        server.handle_frame(RecordingConnection(), make_sends(1, targets[0]))
+        await async_until(lambda: targets[0].requests)
