Check targets by the sender's own state, also for a peer

Cause: an instance that sends for a peer checked pauses, limits and displacement of a target, but neither its state nor its domain, so that a peer which the store rejects used a domain out of service over an instance that knew better. The message to a peer was made from sends that had been started before their targets went out of use, if the connection to the peer was still being opened.

Change: a delegate rejects sends to targets that it knows as out of use as UNWANTED, after which the peer chooses another target; a target that it does not know is still NOT_SENT, and one whose entry is missing in an outage of the store is still used. The instance that writes a message to a peer ends the sends whose target is out of use or wants no requests at that moment.

--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -30,7 +30,7 @@
 from bitternturn.policy.rate_shares import DELEGATE_RATE_PARTS
 from bitternturn.policy.relay_selection import RELAYS_PER_DOMAIN, rank_relays
 from bitternturn.relay import const
-from bitternturn.relay.outgoing_batch import OutgoingBatch
+from bitternturn.relay.outgoing_batch import OutgoingBatch, drop_unwanted
 from bitternturn.relay.peer import Peer
 from bitternturn.relay.traffic import RelayTraffic
 
@@ -345,8 +345,8 @@
 
     def _flush(self, key: OutboxKey) -> None:
         """Send the queued sends of one request to a peer, or directly."""
-        queued = self.outbox.pop(key)
-        sends = [send for send in queued if not send.ended]
+        now = self.gateway.now()
+        sends = drop_unwanted(self.outbox.pop(key), now)
         if not sends:
             return
         direct = all(
@@ -355,7 +355,6 @@
             for send in sends
         )
         if direct and len(sends) < const.MIN_DELEGATED_PARTS:
-            now = self.gateway.now()
             for send in sends:
                 send.target.start_undelegated(send, now)
             return
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -159,7 +159,8 @@
             # Not MISDIRECTED: that would make the requesting instance displace
             # the target again with each request.
             return SendOutcome.UNREACHABLE
-        permitted = (
+        # The peer may not know that the target is out of use.
+        permitted = target.in_service and (
             index in self.request.permitted
             or target.rate_limits.has_permit(
                 target.entry, target.announcement.rate_limit, now
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -70,7 +70,7 @@
 
     def make_frame(self) -> Frame | None:
         """Return the request with all sends that have not ended."""
-        self.sends = [send for send in self.sends if not send.ended]
+        self.sends = drop_unwanted(self.sends, self.gateway.now())
         if not self.sends:
             self._close()
             return None
@@ -292,6 +292,15 @@
             self.watchdog = None
 
 
+def drop_unwanted(sends: Sequence[Send], now: float) -> list[Send]:
+    """End the sends whose target is out of use; return those that go on."""
+    for send in sends:
+        target = send.target
+        if not target.in_service or not target.announcement.allows_send(now):
+            target.end_send(send, SendOutcome.UNWANTED, None)
+    return [send for send in sends if not send.ended]
+
+
 def _find_answered(report: Parts) -> list[int]:
     """Return the places of the answered sends in a report."""
     return [
