Test a shard and a route that go while a request waits

A wide request whose part waits for a shard that the new configuration does not have is answered without it, and a request that waits for the check of crashing requests does not use a route that goes meanwhile.

--- a/tests/gateway/test_waiting_sends.py
+++ b/tests/gateway/test_waiting_sends.py
@@ -15,6 +15,7 @@
     TargetState,
     WeightedService,
 )
+from bitternturn.policy.crash_evidence import CrashEvidence
 from bitternturn.standins.platform_target import PlatformTarget
 from tests.gateway.helpers import (
     configure,
@@ -22,6 +23,7 @@
     make_gateway,
     make_request,
     make_route,
+    make_shard_route,
     register,
     running_targets,
 )
@@ -237,3 +239,50 @@
             response = await asked
         assert response.status == 502
         assert not other.requests
+
+    async def test_part_whose_shard_is_gone_is_left_out(self):
+        """The other parts are answered without waiting for it."""
+        busy = PlatformTarget(id='busy', delay_s=0.3)
+        other = PlatformTarget(id='other')
+        fields = {'latency_objective_s': 5.0, 'timeout_s': 9.0}
+        async with running_targets(busy, other):
+            gateway = make_gateway()
+            configure(gateway, make_shard_route(2, **fields))
+            register(gateway, make_entry(other, 's0'), make_entry(busy, 's1'))
+            gateway.targets['busy'].connections.max_count = 1
+            asked = []
+            for number in range(2):
+                asked.append(
+                    asyncio.create_task(
+                        gateway.async_handle(make_waiting_request(number))
+                    )
+                )
+                await async_until(lambda: busy.requests)
+            await async_until(lambda: len(other.requests) == 2)
+            configure(gateway, make_shard_route(1, **fields), version=2)
+            late = await asked[1]
+            assert not asked[0].done()
+            first = await asked[0]
+        assert [it.status for it in (first, late)] == [200, 200]
+        assert first.headers['x-missing-parts'] == '0'
+        assert late.headers['x-missing-parts'] == '1'
+        assert [it.id for it in busy.requests] == ['q0']
+
+    async def test_route_that_goes_during_a_check_is_not_used(
+        self, monkeypatch
+    ):
+        """A request that may crash targets waits before it is sent."""
+        target = PlatformTarget(id='t')
+        async with running_targets(target):
+            gateway = make_gateway()
+            configure(gateway, make_route())
+            register(gateway, make_entry(target))
+
+            async def async_check(_caller):
+                configure(gateway, version=2)
+
+            gateway.crash_suspects.evidence['another'] = CrashEvidence()
+            monkeypatch.setattr(gateway, '_async_check_suspicion', async_check)
+            response = await gateway.async_handle(make_request())
+        assert response.status == 404
+        assert not target.requests
