--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -132,7 +132,10 @@
             version=configuration.version,
             routes=len(configuration.routes),
         )
-        self._identify_waiting()
+        # Before the targets, so that no send which ends by their refresh is
+        # retried under an old route.
+        for execution in list(self.executions):
+            self._apply_to_request(execution)
         self.refresh_targets()
 
     def handle_pause(self, length_s: float) -> None:
@@ -149,20 +152,13 @@
             await asyncio.sleep(const.PAUSE_SETTLE_S)
         arrived_at = self.now()
         caller = self.wire.read_request(request)
-        if not self.fleet_state.complete and not self.draining:
-            return self._refuse(
-                caller,
-                RefusalReason.NOT_READY,
-                const.NOT_READY_RETRY_AFTER_S,
-            )
-        route = self.route_table.match(caller.host, caller.path)
-        if self.draining or self._may_outlast_stop(caller, route, arrived_at):
-            return self._refuse(caller, RefusalReason.DRAINING, 0)
-        if route is None:
-            return self._refuse(caller, RefusalReason.NO_ROUTE, None)
-        refusal = await self._async_check_caller(caller, route)
-        if refusal is not None:
-            return refusal
+        route = self._admit(caller, arrived_at)
+        if self.crash_suspects.evidence and isinstance(route, Route):
+            refusal = await self._async_check_suspicion(caller)
+            # The configuration may have changed meanwhile.
+            route = refusal or self._admit(caller, arrived_at)
+        if isinstance(route, Response):
+            return route
         services = self._services(route)
         available = sum(bool(self.ready.get(service)) for service in services)
         if available < route.min_parts():
@@ -189,21 +185,26 @@
             )
         return await self._async_execute(caller, route, services, arrived_at)
 
-    async def _async_check_caller(
-        self, caller: CallerRequest, route: Route
-    ) -> Response | None:
-        """Refuse a request without a valid key, or one that crashes targets.
+    def _admit(
+        self, caller: CallerRequest, arrived_at: float
+    ) -> Route | Response:
+        """Return the route of a request, or its refusal.
 
-        Returns None if it may be sent.
+        A request is refused that has no route, or no valid key for it.
         """
+        if not self.fleet_state.complete and not self.draining:
+            return self._refuse(
+                caller,
+                RefusalReason.NOT_READY,
+                const.NOT_READY_RETRY_AFTER_S,
+            )
+        route = self.route_table.match(caller.host, caller.path)
+        if self.draining or self._may_outlast_stop(caller, route, arrived_at):
+            return self._refuse(caller, RefusalReason.DRAINING, 0)
+        if route is None:
+            return self._refuse(caller, RefusalReason.NO_ROUTE, None)
         reason = self._identify(caller, route)
-        if reason is None and self.crash_suspects.evidence:
-            refusal = await self._async_check_suspicion(caller)
-            if refusal is not None:
-                return refusal
-            # The configuration may have changed meanwhile.
-            reason = self._identify(caller, route)
-        return None if reason is None else self._refuse(caller, reason, None)
+        return route if reason is None else self._refuse(caller, reason, None)
 
     def _identify(
         self, caller: CallerRequest, route: Route
@@ -213,17 +214,17 @@
             self.wire.withhold_credentials(caller)
         return self.tenants.identify(caller, route)
 
-    def _identify_waiting(self) -> None:
-        """Apply a new configuration to the requests in flight.
+    def _apply_to_request(self, execution: RequestExecution) -> None:
+        """Apply a new configuration to a request in flight.
 
         One whose key is no longer valid is refused unless it has been sent.
         """
-        for execution in list(self.executions):
-            caller = execution.caller
-            route = self.route_table.match(caller.host, caller.path)
-            reason = self._identify(caller, route or execution.route)
-            if reason is not None:
-                execution.refuse(reason)
+        caller = execution.caller
+        route = self.route_table.match(caller.host, caller.path)
+        execution.apply_route(route)
+        reason = self._identify(caller, route or execution.route)
+        if reason is not None:
+            execution.refuse(reason)
 
     def _may_outlast_stop(
         self, caller: CallerRequest, route: Route | None, now: float
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -50,6 +50,9 @@
     now: Callable[[], float]
     # Returns whether this process was paused after a time.
     paused_since: Callable[[float], bool]
+    # Returns whether requests may be sent to the life of a target that an entry
+    # describes, as far as this instance knows.
+    is_in_service: Callable[[TargetEntry], bool]
     on_send_end: SendRecorder
     # Called with a send whose connection ended without an answer, and the error.
     on_send_lost: Callable[[Send, str], None]
@@ -131,6 +134,15 @@
         """Whether requests may be sent: neither displaced nor leaving."""
         return not self.displaced and not self.announcement.leaving
 
+    @property
+    def in_service(self) -> bool:
+        """Whether requests may be written, by the present state of the fleet.
+
+        Unlike the assigned targets, which are chosen when the state changes, this
+        also holds for sends that were started before.
+        """
+        return self.usable and self.hooks.is_in_service(self.entry)
+
     def readmit(self) -> None:
         """End the exclusion of the target, if it is displaced."""
         if self.displacement is not None:
@@ -209,7 +221,7 @@
             self.end_send(send, rejection, None)
             return
         connection = self.connections.take_idle(
-            now, fresh=send.require_fresh_connection
+            send.caller.id, now, fresh=send.require_fresh_connection
         )
         if connection is not None:
             self._write_request(send, connection)
@@ -221,6 +233,8 @@
         """Return why a send may not be written now, None if it may."""
         if self.hooks.crashes_targets(send.caller, now):
             return SendOutcome.SUSPECTED
+        if not self.in_service:
+            return SendOutcome.UNWANTED
         permitted = self.announcement.allows_send(now) and self.take_permit(
             send, now
         )
@@ -294,18 +308,27 @@
             self.record.record_failure(self.now())
 
     def _use_connection(self, connection: ClientConnection) -> None:
-        """Use a new or free connection for a queued send, or keep it idle."""
-        while self.queued:
-            rejection = self._find_rejection(self.queued[0], self.now())
+        """Use a new or free connection for a queued send, or keep it idle.
+
+        Sends that the connection has carried before wait for another one; those
+        that may no longer be written are ended.
+        """
+        for send in list(self.queued):
+            if send.ended or not connection.carried_ids.allows(send.caller.id):
+                continue
+            rejection = self._find_rejection(send, self.now())
             if rejection is None:
-                break
-            self.end_send(self.queued[0], rejection, None)
-        if self.queued:
-            self._write_request(self.queued.popleft(), connection)
-        elif self.closed:
+                self.queued.remove(send)
+                self._write_request(send, connection)
+                return
+            self.end_send(send, rejection, None)
+        if self.closed:
             connection.close()
-        else:
-            self.connections.put_idle(connection)
+            return
+        self.connections.put_idle(connection)
+        if self.queued:
+            self.connections.close_surplus(busy_count=self._busy_count())
+            self._open_connections()
 
     def _write_request(self, send: Send, connection: ClientConnection) -> None:
         """Write the request of a send to its connection."""
@@ -315,6 +338,7 @@
             self.entry, self.announcement.rate_limit, send.kind, now
         )
         connection.buffers = self.buffers
+        connection.carried_ids.add(send.caller.id)
         connection.size.max_body_bytes = max_answer_bytes(
             send.max_records, self.wire.record_bytes
         )
@@ -408,7 +432,7 @@
     def announce_pause(self, pause_s: float) -> None:
         """Send nothing to the target for as long as it asks, in seconds."""
         self.hooks.on_pause(self, pause_s)
-        self._reject_queued()
+        self.reject_queued()
 
     def announce_leaving(self) -> None:
         """Send nothing more to the target, which leaves.
@@ -419,9 +443,9 @@
             return
         self.close()
         self.hooks.on_leaving(self)
-        self._reject_queued()
+        self.reject_queued()
 
-    def _reject_queued(self) -> None:
+    def reject_queued(self) -> None:
         """End the sends that wait for a connection to this target."""
         for send in list(self.queued):
             self.end_send(send, SendOutcome.UNWANTED, None)
