Test unreadable objects beside others in messages of the store

Fails until each object is decoded by itself: one object with half of a surrogate pair or bytes that aren't UTF-8 makes the whole list or watch unreadable, and two objects of 1 MB block the event loop. Replaces test_malformed_change_of_a_peer_is_done_without, which asked that a follower reads the store itself after one bad object of a peer: now the others are applied, as strictly checked, and the bad one is logged.

--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -6,6 +6,7 @@
 import sys
 from functools import partial
 
+import msgspec
 import pytest
 
 from bench.processes import PortAllocator
@@ -260,9 +261,10 @@
 class TestUnexpectedErrors:
     """Errors that must not end what an instance does in the background."""
 
-    async def test_malformed_change_of_a_peer_is_done_without(
+    async def test_malformed_change_of_a_peer_hides_no_other(
         self, standin, ports
     ):
+        """Guards against one bad object that makes all changes unreadable."""
         async with running_fleet(standin, 3, ports) as fleet:
             for reader in fleet[:2]:
                 copy = reader.follower.source.copies.kinds['servers']
@@ -272,9 +274,26 @@
                     revision,
                 )
                 reader.follower.source.copies.notify_followers()
-            await async_until(lambda: fleet[2].reads_store)
+                copy.apply(
+                    [
+                        CopiedObject(
+                            name='t9',
+                            revision=revision + 1,
+                            spec=msgspec.json.encode(target_document()),
+                        )
+                    ],
+                    revision + 1,
+                )
+                reader.follower.source.copies.notify_followers()
+            follower = fleet[2]
+            await async_until(
+                lambda: 't9' in follower.gateway.fleet_state.entries
+            )
+            assert 'bad' not in follower.gateway.fleet_state.entries
+            assert follower.gateway.decisions.counts['object_unreadable'] == 1
+            assert not follower.reads_store
             standin.put('config', 'main', configuration_document(9))
-            await async_until(lambda: fleet[2].gateway.version == 9)
+            await async_until(lambda: follower.gateway.version == 9)
 
     async def test_error_while_a_change_is_applied_is_survived(
         self, standin, ports, monkeypatch
