Decode each object of the store by itself

Cause: a page or a watch reply was decoded as a whole, so one object with half of a surrogate pair or bytes that aren't UTF-8 hid all others; a number out of range led to a pass over all tokens in Python, 1.4 s for 1 MB on the event loop. Change: the array is split without decoding (msgspec.Raw; a bracket scan that pauses every 4096 tokens if the decoder does not accept the message), and each object is decoded strictly. One that can't be decoded is logged once per kind, name and cause (object_unreadable) and counted (unreadable_objects); a target whose name can still be read is not used any more, of other kinds the known object is kept. The same holds for what peers hand on.

--- a/bitternturn/platform/mirror.py
+++ b/bitternturn/platform/mirror.py
@@ -6,12 +6,9 @@
 from typing import Final
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
+from bitternturn.platform.object_messages import ObjectEvent, PlatformObject
 from bitternturn.platform.outage import INITIAL_BACKOFF_S, OutageGate
-from bitternturn.platform.store import (
-    ObjectEvent,
-    PlatformObject,
-    PlatformStore,
-)
+from bitternturn.platform.store import PlatformStore
 
 # Wait of a watch that only checks whether the store responds again.
 PROBE_WAIT_S: Final = 0.05
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.store_position import era_of, revision_of
 from bitternturn.core.tasks import TaskSet, async_supervise
@@ -19,13 +18,17 @@
 from bitternturn.gateway.models import Address, InstanceSettings
 from bitternturn.platform import wire_names
 from bitternturn.platform.mirror import WatchTiming, async_mirror
-from bitternturn.platform.outage import OutageGate, ProbeBackoff
-from bitternturn.platform.store import (
+from bitternturn.platform.object_messages import (
     ObjectEvent,
     ObjectMeta,
     PlatformObject,
-    PlatformStore,
+    UnreadableError,
+    UnreadableObject,
+    decode_spec,
 )
+from bitternturn.platform.outage import OutageGate, ProbeBackoff
+from bitternturn.platform.store import PlatformStore
+from bitternturn.platform.unreadable_log import UnreadableLog
 from bitternturn.policy.relay_selection import (
     should_poll_relay,
     should_read_store,
@@ -144,6 +147,9 @@
         self.tasks = tasks
         self.handlers = handlers
         self.copies = StoreCopies(kinds=handlers, now=gateway.now)
+        self.unreadable = UnreadableLog(
+            decisions=gateway.decisions, metrics=gateway.metrics
+        )
         self.mirror_tasks: list[asyncio.Task[None]] = []
         self.created_at = gateway.now()
         # Index of the reader to poll next, modulo their number. Derived from
@@ -331,13 +337,7 @@
         )
         if isinstance(reply, PeerFailure):
             return ReaderState.UNRESPONSIVE
-        try:
-            self._apply_changes(reply.changes, peer.name)
-        except DECODE_ERRORS as error:
-            self.decisions.write(
-                'changes_unread', peer=peer.name, error=str(error)
-            )
-            return ReaderState.UNRESPONSIVE
+        self._apply_changes(reply.changes, peer.name)
         if reply.changes.fresh:
             self.copies.relayed_until = polled_at + RELAYED_S
             self.gateway.fleet_state.confirmed_at = self.gateway.now()
@@ -361,7 +361,7 @@
         )
 
     def _apply_changes(self, changes: Changes, source: str) -> None:
-        """Apply a peer's changes of all kinds; raises one of DECODE_ERRORS."""
+        """Apply a peer's changes of all kinds."""
         for kind, kind_changes in changes.kinds.items():
             self._apply_kind_changes(kind, kind_changes, source)
 
@@ -377,13 +377,45 @@
                 kind, source, changes.at_revision, 0, len(changes.objects)
             )
             return
-        events = [_decode_change(stored) for stored in changes.objects]
+        events = [
+            self._decode_change(kind, stored) for stored in changes.objects
+        ]
         if changes.whole:
             objects = [event.object for event in events if not event.deleted]
             self._replace_objects(kind, objects, changes.at_revision, source)
         else:
             self._apply_events(kind, events, changes.at_revision, source)
 
+    def _decode_change(self, kind: str, stored: StoredObject) -> ObjectEvent:
+        """Decode a change that a peer has sent."""
+        spec = None
+        if not stored.deleted:
+            spec = self._decode_spec(kind, stored.name, stored.spec)
+        return ObjectEvent(
+            object=PlatformObject(
+                meta=ObjectMeta(name=stored.name, revision=stored.revision),
+                spec=spec,
+            ),
+            deleted=stored.deleted,
+        )
+
+    def _decode_known(self, kind: str, copied: CopiedObject) -> PlatformObject:
+        """Decode an object of the copy."""
+        return PlatformObject(
+            meta=ObjectMeta(name=copied.name, revision=copied.revision),
+            spec=self._decode_spec(kind, copied.name, copied.spec or b'null'),
+        )
+
+    def _decode_spec(self, kind: str, name: str, spec: bytes) -> Any:
+        """Decode the content of an object, UNSET if it can't be decoded."""
+        try:
+            return decode_spec(kind, name, spec)
+        except UnreadableError as error:
+            self.unreadable.record(
+                UnreadableObject(kind=kind, name=name, cause=str(error))
+            )
+            return msgspec.UNSET
+
     def _on_store_list(
         self,
         kind: str,
@@ -416,6 +448,7 @@
         if revision < copy.revision:
             self._log_objects(kind, source, revision, 0, len(objects))
             return
+        objects = self._list_readable(kind, objects)
         self._log_objects(kind, source, revision, len(objects), 0)
         previous = copy.revision
         copy.replace(
@@ -429,6 +462,40 @@
         else:
             self.handlers[kind].replace_all(objects)
 
+    def _list_readable(
+        self, kind: str, objects: Sequence[PlatformObject]
+    ) -> Sequence[PlatformObject]:
+        """Return the objects of a list that can be decoded.
+
+        One that can't changes nothing: of its kind, the one known before is
+        kept. A target is not used any more.
+        """
+        readable = [stored for stored in objects if stored.readable]
+        if kind == wire_names.KIND_TARGETS:
+            return readable
+        known = self.copies.kinds[kind].objects
+        names = {stored.meta.name for stored in objects if not stored.readable}
+        kept = [
+            self._decode_known(kind, known[name])
+            for name in sorted(names & known.keys())
+        ]
+        return [*readable, *kept]
+
+    def _list_readable_events(
+        self, kind: str, events: Sequence[ObjectEvent]
+    ) -> Sequence[ObjectEvent]:
+        """Return events without those whose objects can't be decoded.
+
+        A target of which only the name can be decoded counts as removed.
+        """
+        readable = []
+        for event in events:
+            if event.deleted or event.object.readable:
+                readable.append(event)
+            elif kind == wire_names.KIND_TARGETS:
+                readable.append(ObjectEvent(object=event.object, deleted=True))
+        return readable
+
     def _record_era(self, previous: int, position: int) -> None:
         """Log, once, that the store came back from an older copy."""
         self.gateway.fleet_state.store_failed_at = self.gateway.now()
@@ -457,7 +524,7 @@
         copy = self.copies.kinds[kind]
         new_events = [
             event
-            for event in events
+            for event in self._list_readable_events(kind, events)
             if revision > copy.revision and not _is_known(event, copy)
         ]
         self._log_objects(
@@ -545,22 +612,3 @@
         return msgspec.json.encode(spec)
     except RecursionError:
         return b'null'
-
-
-def _decode_spec(spec: bytes) -> Any:
-    """Return what a peer has sent of an object, None if nested too deeply."""
-    try:
-        return msgspec.json.decode(spec)
-    except RecursionError:
-        return None
-
-
-def _decode_change(stored: StoredObject) -> ObjectEvent:
-    """Decode a change that a peer has sent."""
-    return ObjectEvent(
-        object=PlatformObject(
-            meta=ObjectMeta(name=stored.name, revision=stored.revision),
-            spec=None if stored.deleted else _decode_spec(stored.spec),
-        ),
-        deleted=stored.deleted,
-    )
--- a/bitternturn/platform/store.py
+++ b/bitternturn/platform/store.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from bitternturn.core.decoding import DECODE_ERRORS, decode_tolerantly
+from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import ErrorCode
+from bitternturn.core.json_scan import Paused, ScanError, T
 from bitternturn.core.store_position import (
     era_of,
     make_position,
@@ -16,45 +17,21 @@
 from bitternturn.http import const as http
 from bitternturn.platform import wire_names
 from bitternturn.platform.models import ApiResponse
+from bitternturn.platform.object_messages import (
+    ObjectEvent,
+    ObjectMeta,
+    OnUnreadable,
+    PlatformObject,
+    UnreadableObject,
+    WatchReply,
+    async_complete,
+    decode_list,
+    decode_object,
+    decode_watch,
+)
 from bitternturn.platform.transport import ObjectTransport
 
-
-class ObjectMeta(msgspec.Struct, rename='kebab'):
-    """Metadata of an object in the store."""
-
-    name: str
-    # Position of the last change; the store itself states only the revision.
-    revision: int = 0
-
-
-class PlatformObject(msgspec.Struct, rename='kebab'):
-    """One object; the store does not validate `spec`."""
-
-    meta: ObjectMeta
-    spec: Any = None
-
-
-class ObjectEvent(msgspec.Struct, rename='kebab'):
-    """Creation, update or deletion of one object."""
-
-    object: PlatformObject
-    deleted: bool = False
-
-
-class ListPage(msgspec.Struct, rename='kebab'):
-    """One page of a list."""
-
-    items: list[PlatformObject] = []
-    more: bool = False
-    # Store revision from which to watch.
-    at_rev: int = 0
-
-
-class WatchReply(msgspec.Struct, rename='kebab'):
-    """Response to a watch; `async_watch` turns the revision into a position."""
-
-    events: list[ObjectEvent] = []
-    at_rev: int = 0
+__all__ = ('ObjectEvent', 'ObjectMeta', 'PlatformObject', 'PlatformStore')
 
 
 class PlatformStore:
@@ -63,12 +40,17 @@
     def __init__(self, *, transport: ObjectTransport) -> None:
         """Initialise with the transport of the calls."""
         self.transport = transport
+        # Called with each object that can't be decoded.
+        self.on_unreadable: OnUnreadable = _ignore_unreadable
 
     async def async_list(
         self, kind: str, *, allow_stale: bool = False
     ) -> tuple[list[PlatformObject], int]:
         """Return all objects of a kind and the position to watch from.
 
+        Those whose content can't be decoded are marked, and left out if not
+        even their name can be decoded.
+
         A list that may be seconds old costs less.
 
         That is the position of the first page, so that a watch also yields
@@ -84,16 +66,22 @@
                 arguments['allow-stale'] = 1
             path = _path(kind, arguments)
             response = await self._async_get(path)
-            page = self._decode(response, ListPage, path)
+            page = await self._async_decode(
+                decode_list(kind, response.body, self.on_unreadable), path
+            )
             _place_in_era(page.items, response.era)
             if after and response.era != era_of(position):
                 found, position, after = [], 0, ''
                 continue
             found.extend(page.items)
             position = position or make_position(response.era, page.at_rev)
-            if not page.more or not page.items:
+            last = page.items[-1].meta.name if page.items else after
+            if not page.more:
                 return found, position
-            after = page.items[-1].meta.name
+            if last == after:
+                # Not a name of the page can be decoded.
+                raise self.transport.make_error(ErrorCode.BAD_ANSWER, path)
+            after = last
 
     async def async_watch(
         self,
@@ -116,7 +104,9 @@
             path,
             timeout_s=wait_s + self.transport.timeout_s,
         )
-        changes: WatchReply = self._decode(response, WatchReply, path)
+        changes = await self._async_decode(
+            decode_watch(kind, response.body, self.on_unreadable), path
+        )
         if response.era != era_of(position):
             raise self.transport.make_error(
                 ErrorCode.WATCH_GONE,
@@ -138,7 +128,11 @@
         response = await self._async_send('POST', path, document)
         if response.status != http.STATUS_CONFLICT:
             return
-        existing: PlatformObject = self._decode(response, PlatformObject, path)
+        existing = await self._async_decode(
+            decode_object(kind, response.body, self.on_unreadable), path
+        )
+        if existing is None:
+            raise self.transport.make_error(ErrorCode.BAD_ANSWER, path)
         if existing.spec == spec:
             return
         document['meta'] = {'name': name, 'revision': existing.meta.revision}
@@ -189,13 +183,11 @@
             )
         return response
 
-    def _decode(
-        self, response: ApiResponse, model: type[Any], path: str
-    ) -> Any:
-        """Decode the body of a response as `model`; raises BAD_ANSWER."""
+    async def _async_decode(self, decoding: Paused[T], path: str) -> T:
+        """Return the result of a decoder; raises BAD_ANSWER."""
         try:
-            return decode_tolerantly(response.body, model)
-        except DECODE_ERRORS as error:
+            return await async_complete(decoding)
+        except (*DECODE_ERRORS, ScanError) as error:
             raise self.transport.make_error(
                 ErrorCode.BAD_ANSWER,
                 path,
@@ -203,6 +195,10 @@
             ) from error
 
 
+def _ignore_unreadable(unreadable: UnreadableObject) -> None:
+    """Ignore an object that can't be decoded."""
+
+
 def _place_in_era(objects: Iterable[PlatformObject], era: int) -> None:
     """Turn the revisions of objects into positions."""
     for stored in objects:
--- a/bitternturn/platform/store_follower.py
+++ b/bitternturn/platform/store_follower.py
@@ -17,16 +17,13 @@
     decode_instance,
     encode_instance,
 )
+from bitternturn.platform.object_messages import ObjectEvent, PlatformObject
 from bitternturn.platform.source import (
     RESTART_DELAY_S,
     KindHandler,
     StoreSource,
 )
-from bitternturn.platform.store import (
-    ObjectEvent,
-    PlatformObject,
-    PlatformStore,
-)
+from bitternturn.platform.store import PlatformStore
 from bitternturn.relay.delegation import Delegation, MemberEntry
 
 # Changes of targets are batched, as a draining target still accepts sends for
@@ -101,6 +98,7 @@
             tasks=tasks,
             handlers=self.handlers,
         )
+        store.on_unreadable = self.source.unreadable.record
         self.instances: dict[str, MemberEntry | None] = {}
         # Instances that a restored store does not list, and until when they
         # have time to register again.
--- a/bitternturn/platform/suspect_store.py
+++ b/bitternturn/platform/suspect_store.py
@@ -19,7 +19,8 @@
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.platform import wire_names
 from bitternturn.platform.documents import UNREADABLE_ERRORS
-from bitternturn.platform.store import PlatformObject, PlatformStore
+from bitternturn.platform.object_messages import PlatformObject
+from bitternturn.platform.store import PlatformStore
 from bitternturn.policy.crash_evidence import CrashEvidence, TargetEnd
 from bitternturn.policy.rendezvous import hash_share
 
