--- a/tests/gateway/test_fleet_state.py
+++ b/tests/gateway/test_fleet_state.py
@@ -63,3 +63,49 @@
         state.store_failed_at = 10
         state.remove_entry(TargetId('a'), 11)
         assert not state.entries
+
+
+class TestRestoredStore:
+    """A target that was removed and is listed by a store that went back."""
+
+    @staticmethod
+    def restore(entry, at=10):
+        """Return a state to which the restored store has listed an entry."""
+        state = make_fleet_state(entry)
+        state.remove_entry(TargetId('a'), 1)
+        state.store_failed_at = at
+        state.restore_entries({entry.id: entry}, at)
+        assert not state.entries
+        return state
+
+    def test_target_missing_from_a_later_list_is_gone(self):
+        """Guards against a target that is used without end."""
+        state = self.restore(make_entry(A))
+        state.replace_entries({}, 11)
+        assert not state.settle(20)
+        assert not state.entries
+
+    def test_target_believed_and_then_missing_has_no_grace_period(self):
+        """It was removed twice: its entry has not expired in the outage."""
+        state = self.restore(make_entry(A))
+        state.settle(13.5)
+        state.replace_entries({'a': make_entry(A)}, 14)
+        assert set(state.entries) == {'a'}
+        state.replace_entries({}, 15)
+        assert not state.entries
+
+    def test_target_that_writes_again_has_a_grace_period(self):
+        state = self.restore(make_entry(A))
+        state.settle(13.5)
+        state.update_entry(make_entry(A))
+        state.replace_entries({}, 15)
+        assert set(state.entries) == {'a'}
+
+    def test_removal_is_remembered_for_the_next_era(self):
+        state = self.restore(make_entry(A))
+        state.replace_entries({}, 55)
+        # Forgets removals that are too long ago.
+        state.update_entry(make_entry(B))
+        state.remove_entry(TargetId('b'), 65)
+        state.restore_entries({'a': make_entry(A)}, 70)
+        assert not state.entries
