--- a/bitternturn/core/json_scan.py
+++ b/bitternturn/core/json_scan.py
@@ -24,9 +24,7 @@
 )
 _SPACE: Final = re.compile(rb'\s*+')
 _KEY: Final = re.compile(rb'\s*+"((?:[^"\\]++|\\.)*+)"\s*+:\s*+', re.DOTALL)
-_SCALAR: Final = re.compile(
-    rb'"(?:[^"\\]++|\\.)*+"|[^\s,"\[\]{}]++', re.DOTALL
-)
+_SCALAR: Final = re.compile(rb'"(?:[^"\\]++|\\.)*+"|[^\s,"\[\]{}]++', re.DOTALL)
 
 
 class ScanError(ValueError):
@@ -99,7 +97,9 @@
     return elements, position + 1
 
 
-def split_members(body: bytes, keep: frozenset[str]) -> Paused[dict[str, bytes]]:
+def split_members(
+    body: bytes, keep: frozenset[str]
+) -> Paused[dict[str, bytes]]:
     """Return the values of some members of the object that is the body.
 
     Raises ScanError.
--- a/bitternturn/platform/object_messages.py
+++ b/bitternturn/platform/object_messages.py
@@ -279,9 +279,7 @@
     )
 
 
-def _decode_bounded(
-    raw: bytes, model: Any, may_be_large: bool = False
-) -> Any:
+def _decode_bounded(raw: bytes, model: Any, may_be_large: bool = False) -> Any:
     """Decode JSON unless it takes too long; raises UnreadableError."""
     if len(raw) > MAX_OBJECT_BYTES:
         if not may_be_large:
@@ -306,9 +304,7 @@
     return meta
 
 
-def _decode_envelope(
-    body: bytes, model: type[Any], array: str
-) -> Paused[Any]:
+def _decode_envelope(body: bytes, model: type[Any], array: str) -> Paused[Any]:
     """Decode a message without the objects in its array.
 
     Raises one of DECODE_ERRORS or ScanError.
