Drop a doubted target that a later list lacks

Change: doubted targets that a list lacks are dropped, and the time of their removal is updated. One that was believed and is then missing was removed before, so it has no grace period unless it has written its entry again.

--- a/bitternturn/gateway/fleet_state.py
+++ b/bitternturn/gateway/fleet_state.py
@@ -30,6 +30,9 @@
         # Entries of a restored store that contradict what was known, and when
         # they are believed.
         self.doubted: dict[TargetId, tuple[TargetEntry, float]] = {}
+        # Doubted entries that were believed without being written again. Once
+        # missing they have no grace period: they were removed before.
+        self.believed: dict[TargetId, TargetEntry] = {}
         self.store_failed_at: float | None = None
         # When the store, or a peer that reads it, last confirmed that the
         # configuration is the newest.
@@ -56,11 +59,13 @@
     ) -> None:
         """Replace all target entries; unchanged doubted ones stay doubted."""
         self.targets_known = True
-        for target in set(self.entries) - set(entries):
+        for target in {*self.entries, *self.doubted} - set(entries):
             self.remove_entry(target, now)
         for entry in entries.values():
             doubted, _ = self.doubted.get(entry.id, (None, 0))
-            if entry != doubted:
+            if entry == self.believed.get(entry.id):
+                self._set_entry(entry)
+            elif entry != doubted:
                 self.update_entry(entry)
 
     def restore_entries(
@@ -93,6 +98,11 @@
 
     def update_entry(self, entry: TargetEntry) -> None:
         """Add or update an entry unless it is from an earlier start."""
+        self.believed.pop(entry.id, None)
+        self._set_entry(entry)
+
+    def _set_entry(self, entry: TargetEntry) -> None:
+        """Add or update an entry, whether its target has written it or not."""
         self.doubted.pop(entry.id, None)
         self.missing_until.pop(entry.id, None)
         current = self.entries.get(entry.id)
@@ -100,16 +110,22 @@
             self.entries[entry.id] = entry
 
     def remove_entry(self, target: TargetId, now: float) -> None:
-        """Remove a target, after a grace period if it may have expired."""
-        self.doubted.pop(target, None)
+        """Remove a target, after a grace period if it may have expired.
+
+        A doubted one was removed before: only the time of that is updated.
+        """
+        doubted, _ = self.doubted.pop(target, (None, 0))
         current = self.entries.get(target)
         if current is None:
+            if doubted is not None:
+                self._remember_removal(doubted, now)
             return
         failed_at = self.store_failed_at
         may_return = (
             failed_at is not None
             and now - failed_at < const.STORE_FAILURE_WINDOW_S
             and current.state is TargetState.READY
+            and target not in self.believed
         )
         if may_return:
             self.missing_until.setdefault(
@@ -121,15 +137,19 @@
     def _forget(self, target: TargetId, now: float) -> None:
         """Remove a target and remember its removal."""
         self.missing_until.pop(target, None)
+        self.believed.pop(target, None)
         entry = self.entries.pop(target, None)
-        if entry is None:
-            return
+        if entry is not None:
+            self._remember_removal(entry, now)
+
+    def _remember_removal(self, entry: TargetEntry, now: float) -> None:
+        """Remember when a target was removed, and forget old removals."""
         self.removed = {
             name: (started_at_ms, removed_at)
             for name, (started_at_ms, removed_at) in self.removed.items()
             if now - removed_at < const.REMOVED_MEMORY_S
         }
-        self.removed[target] = (entry.started_at_ms, now)
+        self.removed[entry.id] = (entry.started_at_ms, now)
 
     def settle(self, now: float) -> bool:
         """Remove missing entries and believe doubted ones whose time is over.
@@ -141,6 +161,7 @@
         ]
         for entry in believed:
             self.update_entry(entry)
+            self.believed[entry.id] = entry
         expired = [
             target
             for target, until in self.missing_until.items()
