Ask known peers if the store rejects an instance

Cause: an instance that the store rejects polled only its seeds. Change: after two polls of readers and relays that fail in a row, an instance that can't read the store asks the registered instances, one each 0.5 s in turn, and applies their changes. Such a request does not wait and does not make the peer a source that others follow.

--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -82,6 +82,13 @@
     initial_s=FOLLOWER_MAX_BACKOFF_S / 2,
     max_s=FOLLOWER_MAX_BACKOFF_S,
 )
+# Interval at which an instance asks the other instances that it knows, one after
+# the other, while neither the store nor its readers and relays answer. With two
+# peers that are silent in a row a change takes effect within 5 s.
+ASK_INTERVAL_S = 0.5
+ASK_TIMEOUT_S = relay_const.FOLLOW_REPLY_MARGIN_S
+# Polls of readers and relays that fail in a row before others are asked.
+FAILED_POLLS_BEFORE_ASKING = 2
 # Up to this number of instances each reads the store itself and may probe an
 # unavailable one every second.
 SMALL_FLEET_SIZE = 16
@@ -119,6 +126,9 @@
 class StoreSource:
     """Follows the store directly or through readers.
 
+    An instance that neither the store nor another source answers asks the other
+    instances that it knows, as its seeds may be gone.
+
     In a small fleet every instance reads the store. In a large one only the
     readers do, which are the seeds in the settings. The other instances, the
     followers, poll the readers in rotation, so that the number of calls to the
@@ -155,6 +165,8 @@
         # Index of the reader to poll next, modulo their number. Derived from
         # the name at first, to spread the instances over the readers.
         self.next_reader = zlib.crc32(settings.name.encode())
+        # The same for the peer to ask next.
+        self.next_asked = self.next_reader
         # Latest era of the store that was seen to begin.
         self.era = 0
         # Polls since the last one that found an up-to-date source.
@@ -164,11 +176,10 @@
         """Start to follow all kinds in the background."""
         if self.is_reader or not self.readers:
             self.start_reading()
-        self.tasks.spawn(
-            async_supervise(
-                self._async_follow_readers, restart_delay_s=RESTART_DELAY_S
+        for job in (self._async_follow_readers, self._async_ask_peers):
+            self.tasks.spawn(
+                async_supervise(job, restart_delay_s=RESTART_DELAY_S)
             )
-        )
 
     @property
     def is_reader(self) -> bool:
@@ -321,35 +332,73 @@
         peer = relay or self._next_reader()
         if peer is None:
             return ReaderState.UNRESPONSIVE
+        changes = await self._async_exchange(
+            peer,
+            wait_s=relay_const.FOLLOW_POLL_TIMEOUT_S,
+            timeout_s=POLL_TIMEOUT_S,
+        )
+        if changes is None:
+            return ReaderState.UNRESPONSIVE
+        if changes.fresh:
+            return ReaderState.UP_TO_DATE
+        if relay is not None:
+            return (
+                ReaderState.UP_TO_DATE
+                if changes.relayed
+                else ReaderState.NOT_RELAYED
+            )
+        self.gateway.fleet_state.store_failed_at = self.gateway.now()
+        return ReaderState.FAILING
+
+    async def _async_exchange(
+        self, peer: Peer, *, wait_s: float, timeout_s: float
+    ) -> Changes | None:
+        """Get and apply the changes of a peer; return None without a reply."""
         polled_at = self.gateway.now()
         reply = await async_request(
             peer,
             Frame(
                 follow=Follow(
                     revisions=self.copies.revisions(),
-                    wait_ms=int(
-                        relay_const.FOLLOW_POLL_TIMEOUT_S
-                        * wire_names.MS_PER_SECOND
-                    ),
+                    wait_ms=int(wait_s * wire_names.MS_PER_SECOND),
                 ),
             ),
-            POLL_TIMEOUT_S,
+            timeout_s,
         )
         if isinstance(reply, PeerFailure):
-            return ReaderState.UNRESPONSIVE
+            return None
         self._apply_changes(reply.changes, peer.name)
         if reply.changes.fresh:
             self.copies.relayed_until = polled_at + RELAYED_S
             self.gateway.fleet_state.confirmed_at = self.gateway.now()
-            return ReaderState.UP_TO_DATE
-        if relay is not None:
-            return (
-                ReaderState.UP_TO_DATE
-                if reply.changes.relayed
-                else ReaderState.NOT_RELAYED
-            )
-        self.gateway.fleet_state.store_failed_at = self.gateway.now()
-        return ReaderState.FAILING
+        return reply.changes
+
+    async def _async_ask_peers(self) -> None:
+        """Ask known peers while there is no other source."""
+        while True:
+            await asyncio.sleep(ASK_INTERVAL_S)
+            rejected = self.failed_polls >= FAILED_POLLS_BEFORE_ASKING
+            if rejected and not self.copies.up_to_date:
+                await self._async_ask_next_peer()
+
+    async def _async_ask_next_peer(self) -> None:
+        """Ask the next known peer that is available, if there is one."""
+        now = self.gateway.now()
+        peers = [
+            peer
+            for peer in self.delegation.list_members()
+            if peer.address != self.settings.peers and peer.is_available(now)
+        ]
+        if not peers:
+            return
+        self.next_asked += 1
+        peer = peers[self.next_asked % len(peers)]
+        changes = await self._async_exchange(
+            peer, wait_s=0, timeout_s=ASK_TIMEOUT_S
+        )
+        self.gateway.metrics.increment(
+            'peers_asked', answered=str(changes is not None).lower()
+        )
 
     def _next_reader(self) -> Peer | None:
         """Return the client of the next reader, None without readers."""
--- a/bitternturn/relay/copies.py
+++ b/bitternturn/relay/copies.py
@@ -199,9 +199,11 @@
         """Return the changes since revisions.
 
         If there is none, wait for one for up to `wait_s`, unless the copies
-        are not up to date.
+        are not up to date. A peer that does not wait asks once and does not
+        count as a follower.
         """
-        self.followed_at = self.now()
+        if wait_s > 0:
+            self.followed_at = self.now()
         changes = self._collect_changes(revisions)
         if (changes.fresh or changes.relayed) and not changes.kinds:
             changed = self.changed
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -99,6 +99,15 @@
         available = [name for name in names if self._is_usable(name, now)]
         return [self.peers[name] for name in available[:RELAYS_PER_DOMAIN]]
 
+    def list_members(self) -> list[Peer]:
+        """Return the registered instances, in the order of their names."""
+        names = sorted(
+            member.name
+            for members in self.members.values()
+            for member in members
+        )
+        return [self.peers[name] for name in names]
+
     def get_or_add_peer(self, address: Address) -> Peer:
         """Return the peer at an address; add it if it is not registered."""
         for peer in self.peers.values():
