Test that a stopped group of tasks leaves none behind

Fails: tasks that are started while a TaskSet stops outlive it. In tests/gateway/test_gather.py the same shows as warnings, which are errors now.

--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -22,6 +22,11 @@
     serving,
 )
 
+# Guards against tasks of a gateway that outlive its test.
+pytestmark = pytest.mark.filterwarnings(
+    'error::pytest.PytestUnraisableExceptionWarning'
+)
+
 # Timeout that no test reaches, even on a busy host.
 LONG_S = 20.0
 
