Stop the tasks that a TaskSet's tasks start while it stops

Cause: a gateway in a test of tests/gateway was never stopped. As its targets end with the test, lost connections make its links suspect and start _async_probe, and the event loop closes before it runs. TaskSet.async_stop had the same gap: it ended only the tasks of the moment it was called.

--- a/bitternturn/core/json_scan.py
+++ b/bitternturn/core/json_scan.py
@@ -10,9 +10,9 @@
 from collections.abc import Generator
 from typing import Final, TypeVar
 
-T = TypeVar('T')
+Result = TypeVar('Result')
 # Generator that yields at pauses and returns a result.
-Paused = Generator[None, None, T]
+Paused = Generator[None, None, Result]
 
 # Tokens between two pauses: 1 to 2 ms.
 TOKENS_PER_PAUSE: Final = 4096
--- a/bitternturn/core/tasks.py
+++ b/bitternturn/core/tasks.py
@@ -32,11 +32,16 @@
         return task
 
     async def async_stop(self) -> None:
-        """Cancel all tasks and wait until they have ended."""
-        tasks = list(self.running)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancel all tasks and wait until they have ended.
+
+        Those that they start meanwhile are cancelled as well: a task left over
+        at the end of the event loop is never awaited.
+        """
+        while self.running:
+            tasks = list(self.running)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         """Remove a finished task and log its exception, if any."""
--- a/bitternturn/platform/object_messages.py
+++ b/bitternturn/platform/object_messages.py
@@ -16,8 +16,8 @@
 from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.json_scan import (
     Paused,
+    Result,
     ScanError,
-    T,
     split_elements,
     split_members,
 )
@@ -40,6 +40,9 @@
 MAX_RESUMES: Final = 16
 MAX_CAUSE_LENGTH: Final = 80
 
+# Raised for a message that can't be split into its objects.
+MESSAGE_ERRORS: Final = (*DECODE_ERRORS, ScanError)
+
 _SLOW_NUMBER: Final = re.compile(
     rb'[\[:,\s]-?(?:[\d.]{17}|\d[\d.]*+[eE])', re.ASCII
 )
@@ -132,13 +135,17 @@
     """An object is not decoded, for the cause in the message."""
 
 
-async def async_complete(decoding: Paused[T]) -> T:
+def ignore_unreadable(unreadable: UnreadableObject) -> None:
+    """Ignore an object that can't be decoded."""
+
+
+async def async_complete(decoding: Paused[Result]) -> Result:
     """Return the result of a decoder; lets other tasks run at its pauses."""
     while True:
         try:
             next(decoding)
         except StopIteration as end:
-            result: T = end.value
+            result: Result = end.value
             return result
         await asyncio.sleep(0)
 
@@ -146,7 +153,7 @@
 def decode_list(
     kind: str, body: bytes, on_unreadable: OnUnreadable
 ) -> Paused[ListPage]:
-    """Decode a page; raises one of DECODE_ERRORS or ScanError.
+    """Decode a page; raises one of MESSAGE_ERRORS.
 
     Objects of which not even the name can be decoded are left out.
     """
@@ -163,7 +170,7 @@
 def decode_watch(
     kind: str, body: bytes, on_unreadable: OnUnreadable
 ) -> Paused[WatchReply]:
-    """Decode a response to a watch; raises one of DECODE_ERRORS or ScanError.
+    """Decode a response to a watch; raises one of MESSAGE_ERRORS.
 
     Events of which not even the name can be decoded are left out.
     """
@@ -307,7 +314,7 @@
 def _decode_envelope(body: bytes, model: type[Any], array: str) -> Paused[Any]:
     """Decode a message without the objects in its array.
 
-    Raises one of DECODE_ERRORS or ScanError.
+    Raises one of MESSAGE_ERRORS.
     """
     with contextlib.suppress(*DECODE_ERRORS):
         return msgspec.json.decode(body, type=model)
--- a/bitternturn/platform/store.py
+++ b/bitternturn/platform/store.py
@@ -6,28 +6,21 @@
 
 import msgspec
 
-from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import ErrorCode
-from bitternturn.core.json_scan import Paused, ScanError, T
+from bitternturn.core.json_scan import Paused, Result
 from bitternturn.core.store_position import (
     era_of,
     make_position,
     revision_of,
 )
 from bitternturn.http import const as http
-from bitternturn.platform import wire_names
+from bitternturn.platform import object_messages, wire_names
 from bitternturn.platform.models import ApiResponse
 from bitternturn.platform.object_messages import (
     ObjectEvent,
     ObjectMeta,
-    OnUnreadable,
     PlatformObject,
-    UnreadableObject,
     WatchReply,
-    async_complete,
-    decode_list,
-    decode_object,
-    decode_watch,
 )
 from bitternturn.platform.transport import ObjectTransport
 
@@ -41,7 +34,9 @@
         """Initialise with the transport of the calls."""
         self.transport = transport
         # Called with each object that can't be decoded.
-        self.on_unreadable: OnUnreadable = _ignore_unreadable
+        self.on_unreadable: object_messages.OnUnreadable = (
+            object_messages.ignore_unreadable
+        )
 
     async def async_list(
         self, kind: str, *, allow_stale: bool = False
@@ -67,7 +62,10 @@
             path = _path(kind, arguments)
             response = await self._async_get(path)
             page = await self._async_decode(
-                decode_list(kind, response.body, self.on_unreadable), path
+                object_messages.decode_list(
+                    kind, response.body, self.on_unreadable
+                ),
+                path,
             )
             _place_in_era(page.items, response.era)
             if after and response.era != era_of(position):
@@ -105,7 +103,10 @@
             timeout_s=wait_s + self.transport.timeout_s,
         )
         changes = await self._async_decode(
-            decode_watch(kind, response.body, self.on_unreadable), path
+            object_messages.decode_watch(
+                kind, response.body, self.on_unreadable
+            ),
+            path,
         )
         if response.era != era_of(position):
             raise self.transport.make_error(
@@ -129,7 +130,10 @@
         if response.status != http.STATUS_CONFLICT:
             return
         existing = await self._async_decode(
-            decode_object(kind, response.body, self.on_unreadable), path
+            object_messages.decode_object(
+                kind, response.body, self.on_unreadable
+            ),
+            path,
         )
         if existing is None:
             raise self.transport.make_error(ErrorCode.BAD_ANSWER, path)
@@ -183,11 +187,13 @@
             )
         return response
 
-    async def _async_decode(self, decoding: Paused[T], path: str) -> T:
+    async def _async_decode(
+        self, decoding: Paused[Result], path: str
+    ) -> Result:
         """Return the result of a decoder; raises BAD_ANSWER."""
         try:
-            return await async_complete(decoding)
-        except (*DECODE_ERRORS, ScanError) as error:
+            return await object_messages.async_complete(decoding)
+        except object_messages.MESSAGE_ERRORS as error:
             raise self.transport.make_error(
                 ErrorCode.BAD_ANSWER,
                 path,
@@ -195,10 +201,6 @@
             ) from error
 
 
-def _ignore_unreadable(unreadable: UnreadableObject) -> None:
-    """Ignore an object that can't be decoded."""
-
-
 def _place_in_era(objects: Iterable[PlatformObject], era: int) -> None:
     """Turn the revisions of objects into positions."""
     for stored in objects:
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import os
 import random
+import weakref
 
 from bitternturn.core.ids import (
     FailureDomain,
@@ -44,6 +45,8 @@
     cold_rate_slack=5,
     shutdown_grace_s=6,
 )
+# Gateways of the current test, whose tasks are stopped at its end.
+MADE_GATEWAYS = weakref.WeakSet()
 UNUSED_ADDRESS = Address(host='127.0.0.1', port=9)
 SETTINGS = InstanceSettings(
     name='instance-1',
@@ -130,9 +133,16 @@
         rng=random.Random(1),
     )
     gateway.update_instances([name])
+    MADE_GATEWAYS.add(gateway)
     return gateway
 
 
+async def async_stop_gateways():
+    """Stop the tasks of all gateways that were made."""
+    for gateway in list(MADE_GATEWAYS):
+        await gateway.tasks.async_stop()
+
+
 def spy_on_log(gateway):
     """Return a list that collects the fields of the lines from now on."""
     lines = []
