--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bitternturn.core.ids import FailureDomain
+from bitternturn.gateway import links
 from bitternturn.gateway.links import MIN_PROBE_INTERVAL_S, LinkState
 from bitternturn.standins.platform_target import (
     PlatformTarget,
@@ -78,15 +79,15 @@
     """Provide a gateway that has used its links."""
     targets = [PlatformTarget(id=f't{it}', delay_s=0.01) for it in range(14)]
     async with running_targets(*targets):
-        links = TargetLinks(targets=targets)
-        await links.async_start()
-        linked = LinkedGateway(targets, links)
+        proxies = TargetLinks(targets=targets)
+        await proxies.async_start()
+        linked = LinkedGateway(targets, proxies)
         try:
             await linked.async_ask()
             yield linked
         finally:
             await linked.gateway.tasks.async_stop()
-            await links.async_stop()
+            await proxies.async_stop()
 
 
 class TestCutOffLink:
@@ -127,6 +128,33 @@
             assert not target.record.is_ejected(now)
             assert not target.record.is_slow(now)
 
+    async def test_answers_before_the_cut_do_not_hide_it(
+        self, linked, monkeypatch
+    ):
+        """Guards against a probe that takes long on a busy host.
+
+        An answer that arrived after its begin, but before the link was cut,
+        says nothing of the link at its end.
+        """
+        accepts_any = links._async_accepts_any
+        attempts = []
+
+        async def async_accepts_any(entries, timeout_s):
+            attempts.append(timeout_s)
+            if len(attempts) == 1:
+                # The process is late: the targets are tried again.
+                await linked.async_ask(1)
+                linked.links.cut(Cut.SILENT)
+                await asyncio.sleep(links.MAX_PROBE_DELAY_S + 2 * timeout_s)
+                return False
+            return await accepts_any(entries, timeout_s)
+
+        monkeypatch.setattr(links, '_async_accepts_any', async_accepts_any)
+        linked.gateway.links.begin_probe(linked.link)
+        async with asyncio.timeout(MIN_PROBE_INTERVAL_S):
+            while linked.link.state is not LinkState.CUT_OFF:
+                await asyncio.sleep(0.01)
+
     async def test_open_connections_that_live_on_are_used(self, linked):
         linked.links.cut(Cut.REFUSE)
         for number in range(1, 5):
