Judge a link by answers since the last attempt of its probe

Cause of tests/relay/test_target_paths.py::TestDelegates:: test_sends_under_way_move_when_a_delegate_finds_out under load: on a busy host a probe repeats its attempts until one is on time, in the traces for 0.6 to 1.3 s. When the last one failed, an answer since the begin of the probe counted as a sign that the link works, though it was from before the cut. The delegate took the link for connected for at least 0.5 s more and held its parts until the response was due. Change: only answers since the begin of the last attempt count. Result: test_answers_before_the_cut_do_not_hide_it passes, it failed 3 of 3 times.

--- a/bitternturn/gateway/links.py
+++ b/bitternturn/gateway/links.py
@@ -72,6 +72,8 @@
         self.check_timer: asyncio.TimerHandle | None = None
         # End of the last probe, and of the last cut.
         self.probed_at = -math.inf
+        # Begin of the last attempt of the current probe.
+        self.tried_at = -math.inf
         self.restored_at = -math.inf
         # Callers that wait for the verdict of the current probe.
         self.waiting: list[LinkVerdict] = []
@@ -212,11 +214,12 @@
 
     async def _async_probe(self, link: DomainLink) -> None:
         """Find out whether a link works, and wait until it does."""
-        begun_at = self.now()
         unheard = len(link.health.unheard)
         try:
             connected = await self._async_try(link)
-            if not connected and link.health.heard_at < begun_at:
+            # A probe may have begun long ago on a busy host, and answers from
+            # before a cut say nothing of the link now.
+            if not connected and link.health.heard_at < link.tried_at:
                 await self._async_wait_for_return(link, unheard)
         finally:
             self._finish_probe(link)
@@ -282,6 +285,7 @@
         Without a result in time on a busy host, the targets are tried again.
         """
         while True:
+            link.tried_at = self.now()
             entries = [
                 entry
                 for entry in self.list_entries()
