--- a/bitternturn/core/json_scan.py
+++ b/bitternturn/core/json_scan.py
@@ -39,10 +39,7 @@
 def find_end(body: bytes, start: int) -> Paused[int]:
     """Return the position after the value at a position; raises ScanError."""
     if body[start : start + 1] not in {b'[', b'{'}:
-        scalar = _SCALAR.match(body, start)
-        if scalar is None:
-            raise ScanError(start)
-        return scalar.end()
+        return _find_scalar_end(body, start)
     depth = 0
     position = start
     count = 0
@@ -64,6 +61,23 @@
             yield
 
 
+def _find_scalar_end(body: bytes, start: int) -> int:
+    """Return the position after a string, number or word."""
+    scalar = _SCALAR.match(body, start)
+    if scalar is None:
+        raise ScanError(start)
+    return scalar.end()
+
+
+def _find_element_end(body: bytes, start: int) -> Paused[tuple[int, int]]:
+    """Return the end of an element and the position of what separates it."""
+    end = yield from find_end(body, start)
+    following = _skip_space(body, end)
+    if body[following : following + 1] not in {b',', b']'}:
+        raise ScanError(following)
+    return end, following
+
+
 def split_elements(
     body: bytes, start: int, resume: re.Pattern[bytes], max_resumes: int
 ) -> Paused[tuple[list[bytes], int]]:
@@ -77,17 +91,13 @@
     position = _skip_space(body, start + 1)
     while body[position : position + 1] != b']':
         try:
-            end = yield from find_end(body, position)
-            following = _skip_space(body, end)
-            if body[following : following + 1] not in {b',', b']'}:
-                raise ScanError(following)
+            end, following = yield from _find_element_end(body, position)
         except ScanError:
             found = resume.search(body, position + 1)
             if found is None or resumes == max_resumes:
                 raise
             resumes += 1
-            following = found.start()
-            end = following
+            end = following = found.start()
         elements.append(body[position:end])
         if len(elements) % TOKENS_PER_PAUSE == 0:
             yield
--- a/bitternturn/platform/object_messages.py
+++ b/bitternturn/platform/object_messages.py
@@ -226,7 +226,9 @@
             else:
                 return large
         self._report(meta, cause)
-        return meta and PlatformObject(meta=meta, spec=msgspec.UNSET)
+        if meta is None:
+            return None
+        return PlatformObject(meta=meta, spec=msgspec.UNSET)
 
     def read_event(self, raw: bytes, at_rev: int) -> Paused[ObjectEvent | None]:
         """Decode an event, or at least the name of its object.
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -530,21 +530,6 @@
         ]
         return [*readable, *kept]
 
-    def _list_readable_events(
-        self, kind: str, events: Sequence[ObjectEvent]
-    ) -> Sequence[ObjectEvent]:
-        """Return events without those whose objects can't be decoded.
-
-        A target of which only the name can be decoded counts as removed.
-        """
-        readable = []
-        for event in events:
-            if event.deleted or event.object.readable:
-                readable.append(event)
-            elif kind == wire_names.KIND_TARGETS:
-                readable.append(ObjectEvent(object=event.object, deleted=True))
-        return readable
-
     def _record_era(self, previous: int, position: int) -> None:
         """Log, once, that the store came back from an older copy."""
         self.gateway.fleet_state.store_failed_at = self.gateway.now()
@@ -573,7 +558,7 @@
         copy = self.copies.kinds[kind]
         new_events = [
             event
-            for event in self._list_readable_events(kind, events)
+            for event in _list_readable_events(kind, events)
             if revision > copy.revision and not _is_known(event, copy)
         ]
         self._log_objects(
@@ -637,6 +622,22 @@
             self.decisions.write('store_regained', of=kind)
 
 
+def _list_readable_events(
+    kind: str, events: Sequence[ObjectEvent]
+) -> Sequence[ObjectEvent]:
+    """Return events without those whose objects can't be decoded.
+
+    A target of which only the name can be decoded counts as removed.
+    """
+    readable = []
+    for event in events:
+        if event.deleted or event.object.readable:
+            readable.append(event)
+        elif kind == wire_names.KIND_TARGETS:
+            readable.append(ObjectEvent(object=event.object, deleted=True))
+    return readable
+
+
 def _is_known(event: ObjectEvent, copy: KindCopy) -> bool:
     """Return whether a copy contains a change or a later one."""
     meta = event.object.meta
