--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from bitternturn.core.decoding import DECODE_ERRORS
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.store_position import era_of, revision_of
 from bitternturn.core.tasks import TaskSet, async_supervise
@@ -19,13 +18,17 @@
 from bitternturn.gateway.models import Address, InstanceSettings
 from bitternturn.platform import wire_names
 from bitternturn.platform.mirror import WatchTiming, async_mirror
-from bitternturn.platform.outage import OutageGate, ProbeBackoff
-from bitternturn.platform.store import (
+from bitternturn.platform.object_messages import (
     ObjectEvent,
     ObjectMeta,
     PlatformObject,
-    PlatformStore,
+    UnreadableError,
+    UnreadableObject,
+    decode_spec,
 )
+from bitternturn.platform.outage import OutageGate, ProbeBackoff
+from bitternturn.platform.store import PlatformStore
+from bitternturn.platform.unreadable_log import UnreadableLog
 from bitternturn.policy.relay_selection import (
     should_poll_relay,
     should_read_store,
@@ -79,6 +82,13 @@
     initial_s=FOLLOWER_MAX_BACKOFF_S / 2,
     max_s=FOLLOWER_MAX_BACKOFF_S,
 )
+# Interval at which an instance asks the other instances that it knows, one after
+# the other, while neither the store nor its readers and relays answer. With two
+# peers that are silent in a row a change takes effect within 5 s.
+ASK_INTERVAL_S = 0.5
+ASK_TIMEOUT_S = relay_const.FOLLOW_REPLY_MARGIN_S
+# Polls of readers and relays that fail in a row before others are asked.
+FAILED_POLLS_BEFORE_ASKING = 2
 # Up to this number of instances each reads the store itself and may probe an
 # unavailable one every second.
 SMALL_FLEET_SIZE = 16
@@ -116,6 +126,9 @@
 class StoreSource:
     """Follows the store directly or through readers.
 
+    An instance that neither the store nor another source answers asks the other
+    instances that it knows, as its seeds may be gone.
+
     In a small fleet every instance reads the store. In a large one only the
     readers do, which are the seeds in the settings. The other instances, the
     followers, poll the readers in rotation, so that the number of calls to the
@@ -144,11 +157,16 @@
         self.tasks = tasks
         self.handlers = handlers
         self.copies = StoreCopies(kinds=handlers, now=gateway.now)
+        self.unreadable = UnreadableLog(
+            decisions=gateway.decisions, metrics=gateway.metrics
+        )
         self.mirror_tasks: list[asyncio.Task[None]] = []
         self.created_at = gateway.now()
         # Index of the reader to poll next, modulo their number. Derived from
         # the name at first, to spread the instances over the readers.
         self.next_reader = zlib.crc32(settings.name.encode())
+        # The same for the peer to ask next.
+        self.next_asked = self.next_reader
         # Latest era of the store that was seen to begin.
         self.era = 0
         # Polls since the last one that found an up-to-date source.
@@ -158,11 +176,10 @@
         """Start to follow all kinds in the background."""
         if self.is_reader or not self.readers:
             self.start_reading()
-        self.tasks.spawn(
-            async_supervise(
-                self._async_follow_readers, restart_delay_s=RESTART_DELAY_S
+        for job in (self._async_follow_readers, self._async_ask_peers):
+            self.tasks.spawn(
+                async_supervise(job, restart_delay_s=RESTART_DELAY_S)
             )
-        )
 
     @property
     def is_reader(self) -> bool:
@@ -315,41 +332,73 @@
         peer = relay or self._next_reader()
         if peer is None:
             return ReaderState.UNRESPONSIVE
+        changes = await self._async_exchange(
+            peer,
+            wait_s=relay_const.FOLLOW_POLL_TIMEOUT_S,
+            timeout_s=POLL_TIMEOUT_S,
+        )
+        if changes is None:
+            return ReaderState.UNRESPONSIVE
+        if changes.fresh:
+            return ReaderState.UP_TO_DATE
+        if relay is not None:
+            return (
+                ReaderState.UP_TO_DATE
+                if changes.relayed
+                else ReaderState.NOT_RELAYED
+            )
+        self.gateway.fleet_state.store_failed_at = self.gateway.now()
+        return ReaderState.FAILING
+
+    async def _async_exchange(
+        self, peer: Peer, *, wait_s: float, timeout_s: float
+    ) -> Changes | None:
+        """Get and apply the changes of a peer; return None without a reply."""
         polled_at = self.gateway.now()
         reply = await async_request(
             peer,
             Frame(
                 follow=Follow(
                     revisions=self.copies.revisions(),
-                    wait_ms=int(
-                        relay_const.FOLLOW_POLL_TIMEOUT_S
-                        * wire_names.MS_PER_SECOND
-                    ),
+                    wait_ms=int(wait_s * wire_names.MS_PER_SECOND),
                 ),
             ),
-            POLL_TIMEOUT_S,
+            timeout_s,
         )
         if isinstance(reply, PeerFailure):
-            return ReaderState.UNRESPONSIVE
-        try:
-            self._apply_changes(reply.changes, peer.name)
-        except DECODE_ERRORS as error:
-            self.decisions.write(
-                'changes_unread', peer=peer.name, error=str(error)
-            )
-            return ReaderState.UNRESPONSIVE
+            return None
+        self._apply_changes(reply.changes, peer.name)
         if reply.changes.fresh:
             self.copies.relayed_until = polled_at + RELAYED_S
             self.gateway.fleet_state.confirmed_at = self.gateway.now()
-            return ReaderState.UP_TO_DATE
-        if relay is not None:
-            return (
-                ReaderState.UP_TO_DATE
-                if reply.changes.relayed
-                else ReaderState.NOT_RELAYED
-            )
-        self.gateway.fleet_state.store_failed_at = self.gateway.now()
-        return ReaderState.FAILING
+        return reply.changes
+
+    async def _async_ask_peers(self) -> None:
+        """Ask known peers while there is no other source."""
+        while True:
+            await asyncio.sleep(ASK_INTERVAL_S)
+            rejected = self.failed_polls >= FAILED_POLLS_BEFORE_ASKING
+            if rejected and not self.copies.up_to_date:
+                await self._async_ask_next_peer()
+
+    async def _async_ask_next_peer(self) -> None:
+        """Ask the next known peer that is available, if there is one."""
+        now = self.gateway.now()
+        peers = [
+            peer
+            for peer in self.delegation.list_members()
+            if peer.address != self.settings.peers and peer.is_available(now)
+        ]
+        if not peers:
+            return
+        self.next_asked += 1
+        peer = peers[self.next_asked % len(peers)]
+        changes = await self._async_exchange(
+            peer, wait_s=0, timeout_s=ASK_TIMEOUT_S
+        )
+        self.gateway.metrics.increment(
+            'peers_asked', answered=str(changes is not None).lower()
+        )
 
     def _next_reader(self) -> Peer | None:
         """Return the client of the next reader, None without readers."""
@@ -361,7 +410,7 @@
         )
 
     def _apply_changes(self, changes: Changes, source: str) -> None:
-        """Apply a peer's changes of all kinds; raises one of DECODE_ERRORS."""
+        """Apply a peer's changes of all kinds."""
         for kind, kind_changes in changes.kinds.items():
             self._apply_kind_changes(kind, kind_changes, source)
 
@@ -377,13 +426,45 @@
                 kind, source, changes.at_revision, 0, len(changes.objects)
             )
             return
-        events = [_decode_change(stored) for stored in changes.objects]
+        events = [
+            self._decode_change(kind, stored) for stored in changes.objects
+        ]
         if changes.whole:
             objects = [event.object for event in events if not event.deleted]
             self._replace_objects(kind, objects, changes.at_revision, source)
         else:
             self._apply_events(kind, events, changes.at_revision, source)
 
+    def _decode_change(self, kind: str, stored: StoredObject) -> ObjectEvent:
+        """Decode a change that a peer has sent."""
+        spec = None
+        if not stored.deleted:
+            spec = self._decode_spec(kind, stored.name, stored.spec)
+        return ObjectEvent(
+            object=PlatformObject(
+                meta=ObjectMeta(name=stored.name, revision=stored.revision),
+                spec=spec,
+            ),
+            deleted=stored.deleted,
+        )
+
+    def _decode_known(self, kind: str, copied: CopiedObject) -> PlatformObject:
+        """Decode an object of the copy."""
+        return PlatformObject(
+            meta=ObjectMeta(name=copied.name, revision=copied.revision),
+            spec=self._decode_spec(kind, copied.name, copied.spec or b'null'),
+        )
+
+    def _decode_spec(self, kind: str, name: str, spec: bytes) -> Any:
+        """Decode the content of an object, UNSET if it can't be decoded."""
+        try:
+            return decode_spec(kind, name, spec)
+        except UnreadableError as error:
+            self.unreadable.record(
+                UnreadableObject(kind=kind, name=name, cause=str(error))
+            )
+            return msgspec.UNSET
+
     def _on_store_list(
         self,
         kind: str,
@@ -416,6 +497,7 @@
         if revision < copy.revision:
             self._log_objects(kind, source, revision, 0, len(objects))
             return
+        objects = self._list_readable(kind, objects)
         self._log_objects(kind, source, revision, len(objects), 0)
         previous = copy.revision
         copy.replace(
@@ -429,6 +511,25 @@
         else:
             self.handlers[kind].replace_all(objects)
 
+    def _list_readable(
+        self, kind: str, objects: Sequence[PlatformObject]
+    ) -> Sequence[PlatformObject]:
+        """Return the objects of a list that can be decoded.
+
+        One that can't changes nothing: of its kind, the one known before is
+        kept. A target is not used any more.
+        """
+        readable = [stored for stored in objects if stored.readable]
+        if kind == wire_names.KIND_TARGETS:
+            return readable
+        known = self.copies.kinds[kind].objects
+        names = {stored.meta.name for stored in objects if not stored.readable}
+        kept = [
+            self._decode_known(kind, known[name])
+            for name in sorted(names & known.keys())
+        ]
+        return [*readable, *kept]
+
     def _record_era(self, previous: int, position: int) -> None:
         """Log, once, that the store came back from an older copy."""
         self.gateway.fleet_state.store_failed_at = self.gateway.now()
@@ -457,7 +558,7 @@
         copy = self.copies.kinds[kind]
         new_events = [
             event
-            for event in events
+            for event in _list_readable_events(kind, events)
             if revision > copy.revision and not _is_known(event, copy)
         ]
         self._log_objects(
@@ -521,6 +622,22 @@
             self.decisions.write('store_regained', of=kind)
 
 
+def _list_readable_events(
+    kind: str, events: Sequence[ObjectEvent]
+) -> Sequence[ObjectEvent]:
+    """Return events without those whose objects can't be decoded.
+
+    A target of which only the name can be decoded counts as removed.
+    """
+    readable = []
+    for event in events:
+        if event.deleted or event.object.readable:
+            readable.append(event)
+        elif kind == wire_names.KIND_TARGETS:
+            readable.append(ObjectEvent(object=event.object, deleted=True))
+    return readable
+
+
 def _is_known(event: ObjectEvent, copy: KindCopy) -> bool:
     """Return whether a copy contains a change or a later one."""
     meta = event.object.meta
@@ -545,22 +662,3 @@
         return msgspec.json.encode(spec)
     except RecursionError:
         return b'null'
-
-
-def _decode_spec(spec: bytes) -> Any:
-    """Return what a peer has sent of an object, None if nested too deeply."""
-    try:
-        return msgspec.json.decode(spec)
-    except RecursionError:
-        return None
-
-
-def _decode_change(stored: StoredObject) -> ObjectEvent:
-    """Decode a change that a peer has sent."""
-    return ObjectEvent(
-        object=PlatformObject(
-            meta=ObjectMeta(name=stored.name, revision=stored.revision),
-            spec=None if stored.deleted else _decode_spec(stored.spec),
-        ),
-        deleted=stored.deleted,
-    )
