Bound what callers make a process hold

Cause: the listener kept whatever a connection sent: bodies without the last bytes, all requests sent ahead, and responses that nobody read. A body in chunks of one byte was parsed in one turn of the event loop. Connections were limited to 1,024 whatever the descriptors of the machine, and the newest were refused.

Change: all listeners of a process share a budget of 0.15 of `memory-mb` (`http/memory.py`). Above it, connections are evicted by size and age, those below 8 KiB never; incomplete requests get 503 as not run. Reading stops when 16 KiB are ahead of a request that is handled, no request is handled while 16 KiB of responses are unsent, and input that needs many parser events takes turns (`http/parser_turns.py`). A body must make progress in each header timeout, a response in each idle timeout. `max-fds` bounds connections, and a new one replaces one that sent nothing or holds much. A refusal is followed by discarding input for a second, so that it is not lost in a reset. The listener of peers bounds silent connections and incomplete frames.

--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -19,6 +19,8 @@
 
 # Memory of an instance whose settings state none, in megabytes.
 DEFAULT_MEMORY_MB: Final = 200.0
+# Enough for the default number of callers' connections and the reserve.
+DEFAULT_MAX_DESCRIPTORS: Final = 4096
 
 
 # Id, start in Unix milliseconds, host and port of one life of a target.
@@ -198,6 +200,8 @@
     first_start: bool = False
     # Memory that the process may use, in megabytes.
     memory_mb: float = DEFAULT_MEMORY_MB
+    # Number of file descriptors that the process may have open.
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/bitternturn/http/const.py
+++ b/bitternturn/http/const.py
@@ -22,6 +22,43 @@
 
 READ_BYTES: Final = 64 * 1024
 
+# Limits of what callers make a listener hold.
+# Bytes that a connection of a caller reads at once.
+SERVER_READ_BYTES: Final = 16 * 1024
+# Bytes behind the current request from which on reading stops until its
+# response is written.
+MAX_BYTES_AHEAD: Final = 16 * 1024
+# Unsent bytes of responses from which on no further request is handled.
+MAX_UNSENT_BYTES: Final = 16 * 1024
+# Connections that hold up to this size are not counted by `CallerMemory`: an
+# ordinary request is smaller.
+SMALL_HOLDING_BYTES: Final = 8 * 1024
+# Default budget of `CallerMemory`.
+DEFAULT_CALLER_MEMORY_BYTES: Final = 64 * 1024 * 1024
+# Memory of a body as a multiple of its size: it is copied into the request, and
+# may wait in the write buffer of the connection to a target.
+BODY_COPIES: Final = 2
+# Responses up to this size are written with one call; larger ones would be
+# copied for that.
+MAX_JOINED_BYTES: Final = 64 * 1024
+# Events of the parser that a connection handles before others get a turn. An
+# event takes about 4 us.
+MAX_EVENTS_PER_TURN: Final = 64
+# Bytes that must arrive within each timeout while a body is read. Slower ones
+# would keep their connection and memory for days.
+MIN_BODY_PROGRESS_BYTES: Final = 1024
+# Time in which input is discarded after a refusal, in seconds: a peer that is
+# still sending would otherwise get a reset instead of the response.
+LINGER_S: Final = 1.0
+MAX_LINGER_BYTES: Final = 256 * 1024
+# Retry-After of a request that was refused for lack of memory, in seconds.
+REFUSED_RETRY_AFTER_S: Final = 1
+# Connections that are accepted in one turn of the event loop; they are open
+# before the limit of connections is applied to them.
+ACCEPTED_PER_TURN: Final = 16
+# Connections that the system may queue while others are accepted.
+LISTEN_BACKLOG: Final = 128
+
 STATUS_OK: Final = 200
 STATUS_MULTIPLE_CHOICES: Final = 300
 STATUS_BAD_REQUEST: Final = 400
--- a/bitternturn/http/server.py
+++ b/bitternturn/http/server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -11,7 +13,15 @@
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.tasks import TaskSet
 from bitternturn.http import const
+from bitternturn.http.holding import ConnectionHolding, choose_for_room
+from bitternturn.http.memory import (
+    CallerMemory,
+    Eviction,
+    EvictionListener,
+    EvictionReason,
+)
 from bitternturn.http.models import Request, Response, make_error_response
+from bitternturn.http.parser_turns import ParserTurns
 
 LOGGER = logbook.Logger('http.server')
 
@@ -32,6 +42,10 @@
 DEFAULT_LIMITS = ServerLimits()
 
 
+def ignore_eviction(eviction: Eviction) -> None:
+    """Record nothing about an eviction."""
+
+
 class HttpServer:
     """Listens on one address and passes complete requests to a handler."""
 
@@ -40,10 +54,23 @@
         *,
         handler: Handler,
         limits: ServerLimits = DEFAULT_LIMITS,
+        memory: CallerMemory | None = None,
+        turns: ParserTurns | None = None,
+        on_eviction: EvictionListener = ignore_eviction,
     ) -> None:
-        """Initialise; `async_start` listens."""
+        """Initialise; `async_start` listens.
+
+        The listeners of a process share `memory` and `turns`.
+        """
         self.handler = handler
         self.limits = limits
+        self.memory = memory or CallerMemory(
+            max_bytes=const.DEFAULT_CALLER_MEMORY_BYTES
+        )
+        self.turns = turns or ParserTurns()
+        self.on_eviction = on_eviction
+        # Shared by all connections: the parser copies what was read at once.
+        self.read_buffer = memoryview(bytearray(const.SERVER_READ_BYTES))
         self.connections: set[ServerConnection] = set()
         self.tasks = TaskSet()
         self.draining = False
@@ -58,7 +85,9 @@
             lambda: ServerConnection(server=self),
             host,
             port,
+            backlog=const.ACCEPTED_PER_TURN,
         )
+        extend_backlog(self._server)
         self.host, self.port = self._server.sockets[0].getsockname()[:2]
 
     def close_listener(self) -> None:
@@ -80,7 +109,6 @@
         while self.connections:
             await asyncio.wait(
                 [connection.closed for connection in self.connections],
-                return_when=asyncio.FIRST_COMPLETED,
             )
 
     async def async_stop(self) -> None:
@@ -90,8 +118,27 @@
             connection.abort()
         await self.tasks.async_stop()
 
+    def make_room(self, newcomer: 'ServerConnection') -> bool:
+        """Evict a connection for a new one; return whether there was any."""
+        chosen = choose_for_room(
+            it.holding for it in self.connections if it is not newcomer
+        )
+        if chosen is not None:
+            chosen.evict(EvictionReason.CONNECTIONS)
+        return chosen is not None
+
 
-class ServerConnection(asyncio.Protocol):
+def extend_backlog(server: asyncio.Server) -> None:
+    """Let the system queue more connections than are accepted in a turn.
+
+    asyncio uses one number for both.
+    """
+    for listener in server.sockets:
+        with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
+            duplicate.listen(const.LISTEN_BACKLOG)
+
+
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection: reads requests, runs the handler, writes responses."""
 
     def __init__(self, *, server: HttpServer) -> None:
@@ -108,6 +155,18 @@
         self.transport: asyncio.Transport | None = None
         self.request: h11.Request | None = None
         self.body = bytearray()
+        # Size of the body that is being read or handled.
+        self.body_bytes = 0
+        # Bytes received since the timeout of the request was started.
+        self.progress_bytes = 0
+        # Unsent bytes of responses when the timeout was started.
+        self.unsent_bytes = 0
+        self.holding = ConnectionHolding(connection=self)
+        # Whether a part of the input waits for a turn of the parser.
+        self.awaits_turn = False
+        # Whether the input is discarded after a refusal, and how much was.
+        self.lingering = False
+        self.discarded_bytes = 0
         self.is_first_request = True
         self.handler_task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -120,19 +179,19 @@
         self.transport = transport
         address = transport.get_extra_info('peername') or ('', 0)
         self.peer = f'{address[0]}:{address[1]}'
+        transport.set_write_buffer_limits(high=const.MAX_UNSENT_BYTES)
         self.server.connections.add(self)
-        if len(self.server.connections) > self.server.limits.max_connections:
-            self._reject(
-                const.STATUS_UNAVAILABLE,
-                ErrorCode.OVERLOADED,
-                'connections',
-            )
+        full = len(self.server.connections) > self.server.limits.max_connections
+        if full and not self.server.make_room(self):
+            self.holding.report(EvictionReason.CONNECTIONS)
+            self.refuse(EvictionReason.CONNECTIONS)
             return
         self._start_timer(self.server.limits.header_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler, as its response can't be delivered."""
         self.server.connections.discard(self)
+        self.server.memory.discard(self.holding)
         self._cancel_timer()
         self.writable.set()
         if self.handler_task is not None:
@@ -141,24 +200,36 @@
             self.closed.set_result(None)
 
     def pause_writing(self) -> None:
-        """Pause a stream while the peer reads slowly."""
+        """Handle no further request while the peer reads slowly."""
         self.writable.clear()
 
     def resume_writing(self) -> None:
-        """Resume a paused stream."""
+        """Resume a paused stream or the next request."""
         self.writable.set()
+        self._continue()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into."""
+        return self.server.read_buffer
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
         """Feed the parser and process a request that is complete."""
         if self.transport is None or self.transport.is_closing():
             return
+        if self.lingering:
+            self.discarded_bytes += nbytes
+            if self.discarded_bytes > const.MAX_LINGER_BYTES:
+                self.abort()
+            return
+        if self.request is None and self.handler_task is None:
+            self._start_head()
+        self.progress_bytes += nbytes
         try:
-            self.h11.receive_data(data)
+            self.h11.receive_data(bytes(self.server.read_buffer[:nbytes]))
         except h11.RemoteProtocolError as error:
             self._reject_malformed(error)
             return
-        if self.handler_task is None:
-            self._process_events()
+        self._continue()
 
     def eof_received(self) -> bool:
         """Close when the peer closes its side."""
@@ -171,30 +242,83 @@
 
     def close(self) -> None:
         """Close after the write buffer is flushed."""
-        if self.transport is not None:
-            self.transport.close()
+        if self.transport is None:
+            return
+        self.transport.close()
+        self.unsent_bytes = self.transport.get_write_buffer_size()
+        if self.unsent_bytes:
+            self._start_timer(self.server.limits.idle_timeout_s)
 
     def abort(self) -> None:
         """Close without flushing the write buffer."""
         if self.transport is not None:
             self.transport.abort()
 
-    def _process_events(self) -> None:
-        """Process events of the parser until a request is complete."""
-        while self.handler_task is None:
+    def refuse(self, reason: EvictionReason) -> None:
+        """Refuse a request as not run, and close.
+
+        Input is discarded for a time unless the descriptor is needed.
+        """
+        self._reject(
+            const.STATUS_UNAVAILABLE,
+            ErrorCode.OVERLOADED,
+            reason.value,
+            lingers=reason is not EvictionReason.CONNECTIONS,
+        )
+
+    def take_turn(self) -> bool:
+        """Parse a part of the input; return whether more is left."""
+        more = self._process_events()
+        if not more:
+            self.awaits_turn = False
+            self._update_holdings()
+        return more
+
+    def _continue(self) -> None:
+        """Parse what can be parsed now, and bound what is held."""
+        if not self.awaits_turn and self._process_events():
+            self.awaits_turn = True
+            self.server.turns.add(self)
+        self._update_holdings()
+
+    def _update_holdings(self) -> None:
+        """Update the memory budget; stop reading while enough waits."""
+        if self.transport is None or self.lingering or self.closed.done():
+            return
+        self.server.memory.update(self.holding, self.holding.held_bytes())
+        bytes_ahead = len(self.h11.trailing_data[0])
+        blocked = self.handler_task is not None or not self.writable.is_set()
+        if self.awaits_turn or (
+            blocked and bytes_ahead >= const.MAX_BYTES_AHEAD
+        ):
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def _process_events(self) -> bool:
+        """Process some events of the parser; return whether more may follow."""
+        for _ in range(const.MAX_EVENTS_PER_TURN):
+            if not self._can_process():
+                return False
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
                 self._reject_malformed(error)
-                return
+                return False
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                return False
             if isinstance(event, h11.ConnectionClosed):
                 self.close()
-                return
+                return False
             self._handle_event(event)
-            if self.transport is None or self.transport.is_closing():
-                return
+        return self._can_process()
+
+    def _can_process(self) -> bool:
+        """Whether the next event of the parser may be handled now."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        busy = self.handler_task is not None or self.lingering
+        return self.writable.is_set() and not busy
 
     def _handle_event(self, event: object) -> None:
         """Handle one event of the parser."""
@@ -202,7 +326,8 @@
             self._start_request(event)
         elif isinstance(event, h11.Data):
             self.body += event.data
-            if len(self.body) > self.server.limits.max_body_bytes:
+            self.body_bytes = len(self.body)
+            if self.body_bytes > self.server.limits.max_body_bytes:
                 self._reject(
                     const.STATUS_CONTENT_TOO_LARGE,
                     ErrorCode.BODY_TOO_LARGE,
@@ -211,6 +336,12 @@
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch_request()
 
+    def _start_head(self) -> None:
+        """Start the timeout of a head with its first bytes."""
+        if not self.is_first_request and not self.h11.trailing_data[0]:
+            self.holding.restart()
+            self._start_timer(self.server.limits.header_timeout_s)
+
     def _start_request(self, event: h11.Request) -> None:
         """Validate the head of a request and start to read its body."""
         names = [name for name, _ in event.headers]
@@ -222,7 +353,8 @@
             )
             return
         self.request = event
-        self.body = bytearray()
+        self.holding.restart()
+        self.progress_bytes = 0
         self._start_timer(self.server.limits.header_timeout_s)
         expects = self.h11.they_are_waiting_for_100_continue
         if expects and self.transport is not None:
@@ -255,6 +387,7 @@
             first_on_connection=self.is_first_request,
         )
         self.is_first_request = False
+        self.body = bytearray()
         self.handler_task = self.server.tasks.spawn(self._async_answer(request))
 
     async def _async_answer(self, request: Request) -> None:
@@ -307,26 +440,36 @@
         self._send(h11.EndOfMessage())
 
     def _send(self, *events: h11.Event) -> None:
-        """Write events with a single call of the transport."""
+        """Write events, small ones with a single call of the transport."""
         if self.transport is None or self.transport.is_closing():
             return
-        self.transport.write(
-            b''.join(self.h11.send(event) or b'' for event in events),
-        )
+        parts = [self.h11.send(event) or b'' for event in events]
+        if sum(map(len, parts)) <= const.MAX_JOINED_BYTES:
+            parts = [b''.join(parts)]
+        for part in parts:
+            self.transport.write(part)
 
     def _finish_response(self) -> None:
         """Prepare for the next request, or close."""
         self.handler_task = None
         self.request = None
+        self.body_bytes = 0
+        self.holding.restart()
         reusable = (
             self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
         )
         if self.server.draining or not reusable:
             self.close()
+            self._update_holdings()
             return
         self.h11.start_next_cycle()
-        self._start_timer(self.server.limits.idle_timeout_s)
-        self._process_events()
+        if self.transport is not None:
+            self.unsent_bytes = self.transport.get_write_buffer_size()
+        timeout_s = self.server.limits.idle_timeout_s
+        if self.h11.trailing_data[0] and not self.unsent_bytes:
+            timeout_s = self.server.limits.header_timeout_s
+        self._start_timer(timeout_s)
+        self._continue()
 
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         """Reject a request that the parser can't read."""
@@ -336,19 +479,45 @@
             code = ErrorCode.HEADERS_TOO_LARGE
         self._reject(status, code, 'read head')
 
-    def _reject(self, status: int, code: ErrorCode, step: str) -> None:
+    def _reject(
+        self,
+        status: int,
+        code: ErrorCode,
+        step: str,
+        *,
+        lingers: bool = True,
+    ) -> None:
         """Respond with an error unless a response was started, and close."""
         if self.handler_task is not None:
             self.abort()
             return
         if self.h11.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            headers = {'connection': 'close'}
+            if status == const.STATUS_UNAVAILABLE:
+                headers['retry-after'] = str(const.REFUSED_RETRY_AFTER_S)
             response = make_error_response(
                 BitternturnError(code=code, step=step, peer=self.peer),
                 status=status,
-                headers={'connection': 'close'},
+                headers=headers,
             )
             self._write_response(response)
-        self.close()
+        self.request = None
+        self.body = bytearray()
+        self.body_bytes = 0
+        self.server.memory.discard(self.holding)
+        if lingers:
+            self._linger()
+        else:
+            self.close()
+
+    def _linger(self) -> None:
+        """End the response, and discard input until the peer closes."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.lingering = True
+        self.transport.write_eof()
+        self.transport.resume_reading()
+        self._start_timer(const.LINGER_S)
 
     def _start_timer(self, timeout_s: float) -> None:
         """Restart the timeout of the request or the idle connection."""
@@ -364,15 +533,43 @@
 
     def _on_timeout(self) -> None:
         """Reject an incomplete request, or close an idle connection."""
-        if self.request is None and self.h11.trailing_data == (b'', False):
+        assert self.transport is not None
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if self.lingering:
+            self.abort()
+        elif unsent_bytes:
+            self._check_unsent(unsent_bytes)
+        elif self._is_progressing():
+            self.progress_bytes = 0
+            self._start_timer(self.server.limits.header_timeout_s)
+        elif self.request is None and not self.h11.trailing_data[0]:
             self.close()
-            return
-        self._reject(
-            const.STATUS_REQUEST_TIMEOUT,
-            ErrorCode.REQUEST_TIMEOUT,
-            'read request',
+        else:
+            self.holding.report(EvictionReason.STALLED_REQUEST)
+            self._reject(
+                const.STATUS_REQUEST_TIMEOUT,
+                ErrorCode.REQUEST_TIMEOUT,
+                'read request',
+            )
+
+    def _is_progressing(self) -> bool:
+        """Whether a body still arrives, or waits for this process."""
+        if self.awaits_turn:
+            return True
+        return (
+            self.request is not None
+            and self.progress_bytes >= const.MIN_BODY_PROGRESS_BYTES
         )
 
+    def _check_unsent(self, unsent_bytes: int) -> None:
+        """Close if the peer has read nothing of a response for a time."""
+        if unsent_bytes >= self.unsent_bytes:
+            self.holding.report(EvictionReason.UNREAD_RESPONSE)
+            self.abort()
+            return
+        self.unsent_bytes = unsent_bytes
+        self._start_timer(self.server.limits.idle_timeout_s)
+
 
 def _encode_headers(response: Response) -> list[tuple[bytes, bytes]]:
     """Convert the headers for h11."""
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -16,9 +16,9 @@
 from bitternturn.gateway.reporting import log_traffic
 from bitternturn.http import const as http
 from bitternturn.http.models import Request, Response
-from bitternturn.http.server import HttpServer, ServerLimits
 from bitternturn.platform import wire_names
 from bitternturn.platform.budget import CallBudget
+from bitternturn.platform.caller_limits import make_caller_resources
 from bitternturn.platform.http_messages import WIRE
 from bitternturn.platform.settings_file import load_settings
 from bitternturn.platform.store import PlatformStore
@@ -82,9 +82,18 @@
             delegation=delegation,
             tasks=self.tasks,
         )
-        self.caller_server = HttpServer(handler=self.gateway.async_handle)
-        self.probe_server = HttpServer(handler=self.async_handle_probe)
-        self.metrics_server = HttpServer(handler=self.async_handle_metrics)
+        self.resources = make_caller_resources(
+            settings, self.gateway.metrics, decisions
+        )
+        self.caller_server = self.resources.make_server(
+            self.gateway.async_handle, callers=True
+        )
+        self.probe_server = self.resources.make_server(
+            self.async_handle_probe, callers=False
+        )
+        self.metrics_server = self.resources.make_server(
+            self.async_handle_metrics, callers=False
+        )
         self.relay_server = RelayServer(
             gateway=self.gateway,
             copies=self.follower.source.copies,
@@ -173,13 +182,7 @@
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply changed limits to the listener of callers."""
-        self.caller_server.limits = ServerLimits(
-            max_body_bytes=limits.body_bytes,
-            max_header_bytes=limits.header_bytes,
-            header_timeout_s=limits.header_timeout_s,
-            idle_timeout_s=limits.idle_timeout_s,
-            max_connections=http.DEFAULT_MAX_CONNECTIONS,
-        )
+        self.caller_server.limits = self.resources.make_limits(limits)
 
     async def _async_log_traffic(self) -> None:
         """Log the bytes by kind since the start of the process."""
--- a/bitternturn/platform/process.py
+++ b/bitternturn/platform/process.py
@@ -1,9 +1,11 @@
 """Process set-up: settings, decision log and daemon."""
 
 import asyncio
+import ctypes
 import sys
 from functools import partial
 from pathlib import Path
+from typing import Final
 
 from bitternturn.core.clock import boot_time
 from bitternturn.core.errors import BitternturnError
@@ -17,10 +19,17 @@
 from bitternturn.platform.settings_file import load_settings
 
 EXIT_INVALID = 2
+# Parameter of `mallopt`, see malloc.h of glibc.
+M_MMAP_THRESHOLD: Final = -3
+# Size from which on blocks are returned to the system when they are freed. By
+# default the threshold grows up to 32 MB with the blocks that are freed, and
+# large bodies leave gaps in the heap that no later one fits into.
+MMAP_THRESHOLD_BYTES: Final = 128 * 1024
 
 
 def run(path: Path) -> int:
     """Serve with the settings in a file; return the exit code."""
+    return_large_blocks()
     monitor = PauseMonitor(now=boot_time)
     try:
         with asyncio.Runner(
@@ -33,6 +42,13 @@
     return 0
 
 
+def return_large_blocks() -> None:
+    """Make the allocator return large blocks, where it can be told so."""
+    mallopt = getattr(ctypes.CDLL(None), 'mallopt', None)
+    if mallopt is not None:
+        mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES)
+
+
 async def _async_run(path: Path, monitor: PauseMonitor) -> None:
     """Load the settings, start the decision log and run the daemon."""
     settings = load_settings(path)
--- a/bitternturn/platform/settings_file.py
+++ b/bitternturn/platform/settings_file.py
@@ -8,6 +8,7 @@
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.ids import FailureDomain
 from bitternturn.gateway.models import (
+    DEFAULT_MAX_DESCRIPTORS,
     DEFAULT_MEMORY_MB,
     Address,
     ChangeBounds,
@@ -56,6 +57,7 @@
     cores: float = 1
     link_mbps: float = 1000
     memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_DESCRIPTORS
 
 
 class WireListeners(msgspec.Struct, rename='kebab'):
@@ -121,6 +123,7 @@
         cores=fields.limits.cpu_share * fields.limits.cores,
         link_mbps=fields.limits.link_mbps,
         memory_mb=fields.limits.memory_mb,
+        max_descriptors=fields.limits.max_fds,
         seeds=tuple(read_address(seed) for seed in fields.seed_nodes),
         store=read_address(fields.platform.address),
         global_limits=GlobalLimits(
--- a/bitternturn/relay/connection.py
+++ b/bitternturn/relay/connection.py
@@ -9,6 +9,7 @@
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.gateway.models import Address
 from bitternturn.http.client import TCP_KEEPALIVE_OPTIONS
+from bitternturn.http.response_size import BodyBuffers
 from bitternturn.relay import const
 from bitternturn.relay.traffic import Direction, RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame
@@ -23,14 +24,16 @@
         on_frame: Callable[['RelayConnection', Frame], None],
         on_lost: Callable[['RelayConnection'], None],
         traffic: RelayTraffic,
+        buffers: BodyBuffers | None = None,
     ) -> None:
-        """Initialise without a transport."""
+        """Initialise without a transport; `buffers` bounds all buffers."""
         self.on_frame = on_frame
         self.on_lost = on_lost
         self.traffic = traffic
         self.peer_host = ''
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
+        self.buffers = buffers
 
     @property
     def usable(self) -> bool:
@@ -50,6 +53,20 @@
     def data_received(self, data: bytes) -> None:
         """Buffer data and pass on complete frames; close on invalid ones."""
         self.buffer += data
+        self._read_frames()
+        self._update_buffers()
+
+    def _update_buffers(self) -> None:
+        """Update the size of the incomplete frame."""
+        if self.buffers is None:
+            return
+        if self.usable and self.buffer:
+            self.buffers.update(self.close, len(self.buffer))
+        else:
+            self.buffers.discard(self.close)
+
+    def _read_frames(self) -> None:
+        """Pass on complete frames; close on invalid ones."""
         while len(self.buffer) >= const.LENGTH_BYTES:
             prefix = int.from_bytes(self.buffer[: const.LENGTH_BYTES])
             size = prefix & ~const.COMPRESSED_FLAG
@@ -73,6 +90,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the loss of the connection."""
+        if self.buffers is not None:
+            self.buffers.discard(self.close)
         self.on_lost(self)
 
     def send(self, frame: Frame) -> None:
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -5,6 +5,12 @@
 # Size of the length prefix of a frame.
 LENGTH_BYTES: Final = 4
 MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
+# Share of the memory of the process for incomplete frames of all connections
+# that were accepted. The connection with the largest one is closed first.
+FRAME_MEMORY_SHARE: Final = 0.125
+# Accepted connections that have not sent a frame yet. Peers send one at once;
+# the oldest connection is closed first.
+MAX_SILENT_CONNECTIONS: Final = 32
 # Bit of the length prefix that marks a compressed frame.
 COMPRESSED_FLAG: Final = 1 << 31
 # Larger frames are compressed: configurations shrink to a tenth, lists of ids
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -4,8 +4,13 @@
 
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.core.tasks import TaskSet
+from bitternturn.gateway.const import BYTES_PER_MEGABYTE
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.models import Address
+from bitternturn.http.const import ACCEPTED_PER_TURN
+from bitternturn.http.response_size import BodyBuffers
+from bitternturn.http.server import extend_backlog
+from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.incoming_batch import IncomingBatch
@@ -31,6 +36,18 @@
         self.traffic = traffic
         self.gateway = gateway
         self.connections: dict[RelayConnection, dict[int, IncomingBatch]] = {}
+        # Connections without a frame so far, the oldest first.
+        self.silent: dict[RelayConnection, None] = {}
+        self.buffers = BodyBuffers(
+            max_bytes=max(
+                const.MAX_FRAME_BYTES + const.LENGTH_BYTES,
+                int(
+                    gateway.settings.memory_mb
+                    * BYTES_PER_MEGABYTE
+                    * const.FRAME_MEMORY_SHARE
+                ),
+            ),
+        )
         self.server: asyncio.Server | None = None
         # Applies what peers have observed, None if it is ignored.
         self.observations: ObservationExchange | None = None
@@ -43,7 +60,9 @@
             self._accept,
             address.host,
             address.port,
+            backlog=ACCEPTED_PER_TURN,
         )
+        extend_backlog(self.server)
         port: int = self.server.sockets[0].getsockname()[1]
         return port
 
@@ -53,8 +72,15 @@
             on_frame=self.handle_frame,
             on_lost=self.handle_lost,
             traffic=self.traffic,
+            buffers=self.buffers,
         )
         self.connections[connection] = {}
+        self.silent[connection] = None
+        if len(self.silent) > const.MAX_SILENT_CONNECTIONS:
+            oldest = next(iter(self.silent))
+            del self.silent[oldest]
+            self.gateway.metrics.increment('silent_peers_closed')
+            oldest.close()
         return connection
 
     def notify_leaving(self) -> None:
@@ -84,6 +110,7 @@
     def handle_frame(self, connection: RelayConnection, frame: Frame) -> None:
         """Handle a message of a peer."""
         batches = self.connections.setdefault(connection, {})
+        self.silent.pop(connection, None)
         if frame.HasField('sends'):
             self._notify_sender(connection)
             batch = IncomingBatch(
@@ -130,6 +157,7 @@
 
     def handle_lost(self, connection: RelayConnection) -> None:
         """Cancel the sends of a lost connection."""
+        self.silent.pop(connection, None)
         for batch in self.connections.pop(connection, {}).values():
             batch.stop()
 
