--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,6 +29,7 @@
     'fuzz',
     'limits',
     'suspects',
+    'callers',
 )
 
 flags.DEFINE_boolean('quick', False, 'Run with short phases, 50 s at most.')
--- a/bench/fuzz_inputs.py
+++ b/bench/fuzz_inputs.py
@@ -35,6 +35,23 @@
     ',',
     'x' * 20_000,
 )
+# What an endless message starts with, and what it repeats: lines of a head,
+# body bytes, chunks, chunk extensions, trailers and requests sent ahead.
+_HEAD = b'POST /v1/query/x HTTP/1.1\r\nhost: x\r\n'
+_CHUNKED_HEAD = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
+ENDLESS_MESSAGES = (
+    (_HEAD, b'x-more: and more\r\n'),
+    (b'GET /', b'x' * 64),
+    (_HEAD + b'x: y', b'\r\n z'),
+    (_HEAD + b'content-length: 99999999\r\n\r\n', b'x' * 1024),
+    (_CHUNKED_HEAD, b'1\r\nx\r\n'),
+    (_CHUNKED_HEAD, b'400\r\n%b\r\n' % (b'x' * 1024)),
+    (_CHUNKED_HEAD, b'1;%b\r\nx\r\n' % (b'y' * 1024)),
+    (_CHUNKED_HEAD + b'1', b';y'),
+    (_CHUNKED_HEAD + b'0\r\n', b'x-more: and more\r\n'),
+    (b'', _HEAD + b'content-length: 0\r\n\r\n'),
+    (b'', b'\r\n'),
+)
 MIN_RANDOM_BYTES, MAX_RANDOM_BYTES = 1, 200
 
 
@@ -59,6 +76,17 @@
     return bytes(corrupted)
 
 
+def cut_message(rng: random.Random, valid: bytes) -> bytes:
+    """Return a message without its end, perhaps corrupted before it.
+
+    Often only the last bytes are missing: the receiver then holds the rest.
+    """
+    if rng.random() < 0.3:
+        valid = corrupt_bytes(rng, valid)
+    missing = rng.choice((1, 2, 10, rng.randint(1, max(1, len(valid)))))
+    return valid[: max(0, len(valid) - missing)]
+
+
 def corrupt_json(rng: random.Random, valid: Any) -> bytes:
     """Return JSON with a replaced value or deep nesting, or corrupted bytes."""
     kind = rng.randrange(8)
--- a/bench/fuzz_listeners.py
+++ b/bench/fuzz_listeners.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
@@ -25,6 +25,9 @@
 ANSWER_TIMEOUT_S = 0.4
 PEER_TIMEOUT_S = 0.5
 CONCURRENT_INPUTS = 64
+RECONNECT_S = 0.5
+ENDLESS_WRITE_BYTES = 8 * 1024
+ENDLESS_INTERVAL_S = 0.1
 PEER_METHODS = ('Exchange', 'Probe', 'Fetch', 'Handover', 'Claim', 'Timeline')
 
 
@@ -56,6 +59,62 @@
         writer.transport.abort()
 
 
+class OpenMessages:
+    """Connections with messages that do not end, kept open.
+
+    Each sends a partial message once, or repeats a part of an endless one until
+    the listener closes; it then connects again.
+    """
+
+    def __init__(self, port: int) -> None:
+        """Initialise without connections."""
+        self.port = port
+        self.tasks: list[asyncio.Task[None]] = []
+        self.connection_count = 0
+
+    def start(self, messages: Iterable[tuple[bytes, bytes]]) -> None:
+        """Send messages: the start, and the part that is repeated, if any."""
+        for start, repeated in messages:
+            self.tasks.append(
+                asyncio.create_task(self._async_keep_sending(start, repeated))
+            )
+
+    async def async_close(self) -> None:
+        """Close all connections; raises what failed unexpectedly."""
+        for task in self.tasks:
+            task.cancel()
+        for result in await asyncio.gather(*self.tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
+
+    async def _async_keep_sending(self, start: bytes, repeated: bytes) -> None:
+        """Send a message whenever the connection has been closed."""
+        while True:
+            self.connection_count += 1
+            try:
+                await self._async_send(start, repeated)
+            except OSError:
+                await asyncio.sleep(RECONNECT_S)
+
+    async def _async_send(self, start: bytes, repeated: bytes) -> None:
+        """Send a message on one connection until it is closed."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        # Many repetitions are sent at once, so that the writes do not use up
+        # the processor time of the listener, which shares the event loop.
+        repetitions = repeated * (ENDLESS_WRITE_BYTES // max(1, len(repeated)))
+        try:
+            writer.write(start)
+            while repetitions:
+                writer.write(repetitions)
+                await writer.drain()
+                await asyncio.sleep(ENDLESS_INTERVAL_S)
+            while await reader.read(1 << 16):
+                continue
+            await asyncio.sleep(RECONNECT_S)
+        finally:
+            writer.transport.abort()
+
+
 def make_http_request(
     rng: random.Random,
     method: str,
--- a/bench/scenarios/fuzz.py
+++ b/bench/scenarios/fuzz.py
@@ -8,15 +8,18 @@
 
 from bench.crash_collector import CrashCollector
 from bench.fuzz_inputs import (
+    ENDLESS_MESSAGES,
     corrupt_bytes,
     corrupt_json,
     corrupt_text,
+    cut_message,
     make_toml_corrupter,
     maybe_corrupt_json,
     sample_headers,
 )
 from bench.fuzz_listeners import (
     PEER_METHODS,
+    OpenMessages,
     async_send_all,
     async_send_all_to_peer,
     corrupted_answers,
@@ -70,6 +73,7 @@
 }
 DIRECT_INPUTS = 2500
 LISTENER_INPUTS = 1500
+PARTIAL_MESSAGES = 100
 SETTLE_TIMEOUT_S = 15.0
 SETTLE_POLL_S = 0.05
 ANSWER_ROUNDS = 100
@@ -269,6 +273,28 @@
     ]
 
 
+def open_messages(rng: random.Random, tier: EmbeddedTier) -> list[OpenMessages]:
+    """Start messages that do not end, to callers' and operators' listeners."""
+    running = tier.instances[0]
+    found = []
+    for port in (running.instance.caller_server.port, running.operators.port):
+        messages = OpenMessages(port)
+        partial = (
+            make_http_request(
+                rng,
+                'POST',
+                f'/v1/query/{INDEX}',
+                CALLER_HEADERS,
+                make_valid_body(rng, tier),
+            )
+            for _ in range(PARTIAL_MESSAGES)
+        )
+        messages.start((cut_message(rng, valid), b'') for valid in partial)
+        messages.start(ENDLESS_MESSAGES)
+        found.append(messages)
+    return found
+
+
 async def async_settle(tier: EmbeddedTier) -> tuple[int, bool]:
     """Wait, up to a timeout, for a full answer and for closed connections.
 
@@ -323,10 +349,12 @@
         async with asyncio.timeout(SETTLE_TIMEOUT_S):
             while any(it.instance.not_ready_reason() for it in tier.instances):  # noqa: ASYNC110
                 await asyncio.sleep(SETTLE_POLL_S)
-        inputs = {
-            **await async_fuzz_listeners(rng, tier),
-            **await async_fuzz_answers(rng, collector, tier),
-        }
+        inputs = await async_fuzz_listeners(rng, tier)
+        opened = open_messages(rng, tier)
+        inputs |= await async_fuzz_answers(rng, collector, tier)
+        for messages in opened:
+            await messages.async_close()
+        inputs['open_messages'] = sum(it.connection_count for it in opened)
         open_connections, answered = await async_settle(tier)
         inputs |= fuzz_parsers(rng, collector, tier)
     finally:
