Reject responses with an invalid status

h11 accepts statuses up to 999 and reads a 204 as one without a body whatever follows. Such a response is now a fault of the target: the exchange ends with BAD_ANSWER and its connection closes, so that the send is LOST. It counts as a failure, is retried only if the request may run twice, and else ends with 502. A status in the message of a peer that does not fit the outcome makes the send FAILED without an answer; peers of older builds pass on any number.

--- a/bitternturn/http/client.py
+++ b/bitternturn/http/client.py
@@ -10,7 +10,7 @@
 from h11._headers import Headers
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
-from bitternturn.http.const import MAX_RESPONSE_BYTES
+from bitternturn.http import const
 from bitternturn.http.headers import encode_headers
 from bitternturn.http.models import Response
 from bitternturn.http.response_size import BodyBuffers, ResponseSize
@@ -51,7 +51,7 @@
         self.response_started = False
         # Called when the connection is lost or closed.
         self.on_closed: Callable[[], None] | None = None
-        self.size = ResponseSize(max_body_bytes=MAX_RESPONSE_BYTES)
+        self.size = ResponseSize(max_body_bytes=const.MAX_RESPONSE_BYTES)
         # Bounds the bodies of several connections together, None if nothing
         # does.
         self.buffers: BodyBuffers | None = None
@@ -254,6 +254,10 @@
         while True:
             event = self.h11.next_event()
             if isinstance(event, h11.Response):
+                fault = self._find_head_fault(event)
+                if fault:
+                    self._fail(ErrorCode.BAD_ANSWER, fault)
+                    return
                 self._response_head = event
                 if self._chunks is not None:
                     self._deliver(self._make_response())
@@ -272,6 +276,24 @@
             else:
                 return
 
+    def _find_head_fault(self, head: h11.Response) -> str:
+        """Return what the parser accepts but HTTP does not allow, else empty.
+
+        The parser accepts statuses up to 999, and takes the body after a 204
+        for bytes of a later response.
+        """
+        if head.status_code > const.MAX_STATUS:
+            return f'status {head.status_code} does not exist'
+        if head.status_code != const.STATUS_NO_CONTENT:
+            return ''
+        headers = dict(head.headers)
+        has_body = (
+            headers.get(b'content-length', b'0').strip(b'0')
+            or b'transfer-encoding' in headers
+            or self.h11.trailing_data[0]
+        )
+        return 'status 204 with a body' if has_body else ''
+
     def _on_body_data(self, data: bytes) -> None:
         """Append received data to the body, or enqueue it as a chunk."""
         if self._chunks is not None:
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -13,7 +13,11 @@
     TargetAnswer,
 )
 from bitternturn.gateway.send import Send
-from bitternturn.http.const import STATUS_OK
+from bitternturn.http.const import (
+    MAX_STATUS,
+    STATUS_MULTIPLE_CHOICES,
+    STATUS_OK,
+)
 from bitternturn.relay import const
 from bitternturn.relay.outcomes import decode_outcome
 from bitternturn.relay.peer import Peer, PeerFailure
@@ -192,6 +196,11 @@
             send.report_silence()
             return
         outcome = decode_outcome(part.outcome)
+        valid = _has_valid_status(part)
+        if not valid:
+            # A peer of an older build passes on any status; the request may
+            # have run.
+            outcome = SendOutcome.FAILED
         self._record_path(send, outcome)
         if part.leaving:
             send.target.announce_leaving()
@@ -199,7 +208,7 @@
             send.target.announce_pause(part.pause_ms / MS_PER_SECOND)
         self._apply_rate_limit(send, part, outcome)
         answer = None
-        if outcome in REPLY_OUTCOMES:
+        if outcome in REPLY_OUTCOMES and valid:
             answer = self._read_answer(send, part, answer_index)
         took_s = part.took_ms / MS_PER_SECOND
         send.target.end_send(send, outcome, answer, took_s)
@@ -303,6 +312,16 @@
     ]
 
 
+def _has_valid_status(part: Part) -> bool:
+    """Return whether the status of a whole answer fits its outcome."""
+    if not part.HasField('answer'):
+        return True
+    status = part.answer.status
+    if part.outcome == relay_pb2.SEND_OUTCOME_ANSWERED:
+        return STATUS_OK <= status < STATUS_MULTIPLE_CHOICES
+    return STATUS_OK <= status <= MAX_STATUS
+
+
 class SendHandle:
     """Handle of a delegated send; `close` cancels it at the peer."""
 
