--- a/bitternturn/policy/target_selection.py
+++ b/bitternturn/policy/target_selection.py
@@ -33,6 +33,8 @@
 STUCK_FACTOR: Final = 3.0
 # Additional cost of a target in cold start.
 COLD_COST: Final = 1.0
+# Additional cost of a target without any share of its load, for sends above it.
+PACE_COST: Final = 2.0
 
 # Multiple of the typical latency above which an answer is slow.
 SLOW_RATIO: Final = 3.0
@@ -151,6 +153,8 @@
     cold: bool
     # Whether sends wait for a connection and none is being opened.
     full: bool
+    # Share of its usual load if a send would exceed it, see `TargetPace`, else 1.
+    exceeded_share: float = 1
 
 
 def expected_cost(candidate: Candidate, now: float) -> float:
@@ -158,6 +162,7 @@
     cost = candidate.record.cost(now)
     cost *= 1 + candidate.in_flight / max(1, candidate.slots)
     cost += DOMAIN_COSTS[candidate.domain_rank]
+    cost += PACE_COST * (1 - candidate.exceeded_share)
     if candidate.cold:
         cost += COLD_COST
     if candidate.oldest_ratio > STUCK_FACTOR:
