Limit targets that start or return to their pace

The pool starts the pace of a target that is new, cold, ready again, back from a pause or a limit, or ejected, feeds it with the ends of its sends, and selects among the targets that are within their share. If none is, all are considered, with a cost by share. The limit of cold targets is checked before as it was. Nothing changes while no such event occurs.

--- /dev/null
+++ b/bitternturn/gateway/pace.py
@@ -0,0 +1,190 @@
+"""Pace of the targets of an instance: what starts it, and what is reported."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from typing import TYPE_CHECKING
+
+from bitternturn.core.ids import ServiceName
+from bitternturn.gateway.decision_log import DecisionLog
+from bitternturn.gateway.metrics import GatewayMetrics
+from bitternturn.gateway.models import SendOutcome, TargetEntry, TargetLife
+from bitternturn.gateway.send import Send
+from bitternturn.policy.pace import (
+    LATE_RATIO,
+    MIN_OPEN_SHARE,
+    PaceCause,
+    PaceChange,
+    TargetPace,
+    find_open_targets,
+)
+from bitternturn.policy.rendezvous import hash_share
+
+if TYPE_CHECKING:
+    from bitternturn.gateway.target import Target
+
+# Outcomes by which an overloaded target shows that it gets too much.
+FLOOD_OUTCOMES = frozenset(
+    (
+        SendOutcome.NOT_RUN,
+        SendOutcome.LOST,
+        SendOutcome.UNREACHABLE,
+        SendOutcome.DECLINED,
+    )
+)
+# Causes for which all targets of a service may be limited at the same time: such
+# targets do not bear their load, however much there is. The other causes also
+# occur while all targets are overloaded, when limits would only move the load.
+UNCONDITIONAL_CAUSES = frozenset(
+    (PaceCause.NEW, PaceCause.COLD, PaceCause.RETURN)
+)
+
+
+class TargetPaces:
+    """Starts and reports the pace of targets, and applies it to the selection."""
+
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        decisions: DecisionLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        """Initialise without targets."""
+        self.own_name = own_name
+        self.decisions = decisions
+        self.metrics = metrics
+        # Targets that new requests may use.
+        self.ready: Mapping[ServiceName, Sequence[Target]] = {}
+        # Lives of targets that have been ready.
+        self.seen: set[TargetLife] = set()
+
+    def make(self, entry: TargetEntry) -> TargetPace:
+        """Return the pace of a target, which is not limited."""
+        return TargetPace(first_credit=hash_share(entry.id, self.own_name))
+
+    @property
+    def limited_count(self) -> int:
+        """Number of targets that get a share of their load only."""
+        return sum(target.pace.limited for target in self._targets())
+
+    @property
+    def lowest_share(self) -> float:
+        """Lowest share of a target, 1 if none is limited."""
+        return min((target.pace.share for target in self._targets()), default=1)
+
+    def update_ready(
+        self, ready: Mapping[ServiceName, Sequence['Target']], now: float
+    ) -> None:
+        """Limit targets that have become ready beside others of their service.
+
+        Without others there is nothing to compare with, as at the start of this
+        instance or after the loss of all entries.
+        """
+        before = {target.entry.life for target in self._targets()}
+        served = {service for service, known in self.ready.items() if known}
+        self.ready = ready
+        for target in self._targets():
+            life = target.entry.life
+            if target.entry.service in served and life not in before:
+                returned = life in self.seen
+                cause = PaceCause.RETURN if returned else PaceCause.NEW
+                self.start(target, cause, now)
+        self.seen = {
+            *(target.entry.life for target in self._targets()),
+            *self.seen,
+        }
+
+    def forget(self, listed: set[TargetLife]) -> None:
+        """Forget lives that are no longer listed."""
+        self.seen &= listed
+
+    def start(self, target: 'Target', cause: PaceCause, now: float) -> None:
+        """Limit a target that has started or returned."""
+        if not self._may_limit(target, cause):
+            return
+        change = target.pace.start(cause, now)
+        self._report(target, change)
+
+    def record_outcome(
+        self, send: Send, outcome: SendOutcome, latency_s: float, now: float
+    ) -> None:
+        """Record what the end of a send shows of the pace of its target."""
+        target = send.target
+        ratio = latency_s / send.latency_estimate.mean_s
+        aborted = outcome is SendOutcome.LOST and send.aborted
+        change = None
+        if outcome is SendOutcome.ANSWERED:
+            change = target.pace.record_answer(
+                ratio, started_at=send.started_at, now=now
+            )
+        elif ratio > LATE_RATIO if aborted else outcome in FLOOD_OUTCOMES:
+            change = target.pace.record_flooding(
+                started_at=send.started_at, now=now
+            )
+        self._report(target, change)
+        if target.record.is_ejected(now) and not target.pace.limited:
+            self.start(target, PaceCause.FAILURES, now)
+
+    def find_open(
+        self,
+        targets: Sequence['Target'],
+        typical_latency_s: float,
+        now: float,
+    ) -> Sequence['Target']:
+        """Return the usable targets to which a request is within their shares."""
+        for target in targets:
+            if target.pace.limited:
+                self._update(target, typical_latency_s, now)
+        return find_open_targets(targets, get_pace=lambda it: it.pace)
+
+    def _update(
+        self, target: 'Target', typical_latency_s: float, now: float
+    ) -> None:
+        """Record sends that are late already, or take a step that is due.
+
+        The answers to delegated sends are reported together, so that the time
+        without a report says nothing.
+        """
+        oldest_at = min(
+            (send.started_at for send in target.sends - target.delegated),
+            default=now,
+        )
+        late_s = LATE_RATIO * typical_latency_s
+        if now - oldest_at > late_s:
+            change = target.pace.record_flooding(started_at=oldest_at, now=now)
+        else:
+            change = target.pace.step(now)
+        self._report(target, change)
+
+    def _targets(self) -> Iterator['Target']:
+        """Yield the targets that new requests may use."""
+        for targets in self.ready.values():
+            yield from targets
+
+    def _may_limit(self, target: 'Target', cause: PaceCause) -> bool:
+        """Return whether other targets can take what a target does not get."""
+        peers = self.ready.get(target.entry.service, ())
+        if target.pace.limited or cause in UNCONDITIONAL_CAUSES:
+            return True
+        open_count = sum(
+            not peer.pace.limited for peer in peers if peer is not target
+        )
+        return open_count > 0 and open_count >= MIN_OPEN_SHARE * len(peers)
+
+    def _report(self, target: 'Target', change: PaceChange | None) -> None:
+        """Log and count a change."""
+        if change is None:
+            return
+        pace = target.pace
+        self.metrics.increment(
+            'pace_changes', change=change.value, cause=pace.cause.value
+        )
+        self.decisions.write(
+            'target_pace',
+            target=target.entry.id,
+            service=target.entry.service,
+            change=change.value,
+            cause=pace.cause.value,
+            share=round(pace.share, 3),
+            latency_ratio=None if pace.ratio is None else round(pace.ratio, 2),
+            falls=pace.fall_count,
+        )
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -28,6 +28,7 @@
     Service,
     TargetEntry,
 )
+from bitternturn.gateway.pace import TargetPaces
 from bitternturn.gateway.rate_limits import RateLimits
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.send_reporting import (
@@ -45,6 +46,7 @@
     FurtherSendBudget,
     instance_slack,
 )
+from bitternturn.policy.pace import PaceCause
 from bitternturn.policy.target_pauses import (
     MAX_PAUSE_S,
     choose_return_at,
@@ -105,6 +107,11 @@
             metrics=self.metrics,
             rng=rng,
         )
+        self.paces = TargetPaces(
+            own_name=settings.name,
+            decisions=decisions,
+            metrics=self.metrics,
+        )
         # End of the last pause that a target has asked for.
         self.pauses_end_at: float = 0
         self.crash_suspects = CrashSuspects(
@@ -130,6 +137,12 @@
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
+            on_outcome=lambda send, outcome, latency_s: (
+                self.paces.record_outcome(send, outcome, latency_s, self.now())
+            ),
+            on_limit_lifted=lambda target: self.paces.start(
+                target, PaceCause.LIMIT, self.now()
+            ),
         )
         # Targets of each service that new requests use, and those that are used
         # when none of them is available.
@@ -215,10 +228,19 @@
                 entry for entry in ready if self.targets[entry.id].usable
             ]
             self._assign_targets(service, reachable)
+        self.paces.update_ready(
+            {
+                service: [*targets, *self.standby[service]]
+                for service, targets in self.ready.items()
+            },
+            self.now(),
+        )
+        self.paces.forget({entry.life for entry in entries.values()})
 
     def _update_target(self, entry: TargetEntry) -> None:
         """Create or update one target."""
         target = self.targets.get(entry.id)
+        known_cold_s: float = 0
         if target is None:
             target = Target(
                 entry=entry,
@@ -227,13 +249,16 @@
                 buffers=self.answer_buffers,
                 announcement=self.announcements.get(entry.life),
                 rate_limits=self.rate_limits,
+                pace=self.paces.make(entry),
                 link=self.links.get(entry.failure_domain),
                 hooks=self.target_hooks,
             )
             self.targets[entry.id] = target
+        else:
+            known_cold_s = target.entry.cold_remaining_s
+        if entry.cold_remaining_s > known_cold_s:
             target.cold_until = self.now() + entry.cold_remaining_s
-        elif entry.cold_remaining_s > target.entry.cold_remaining_s:
-            target.cold_until = self.now() + entry.cold_remaining_s
+            self.paces.start(target, PaceCause.COLD, self.now())
         if entry != target.entry:
             target.readmit()
         target.entry = entry
@@ -313,6 +338,7 @@
         was_paused = now < target.announcement.paused_until
         target.announcement.announce_pause(until, now)
         self.pauses_end_at = max(self.pauses_end_at, until)
+        self.paces.start(target, PaceCause.PAUSE, until)
         if was_paused:
             return
         self.decisions.write(
@@ -537,8 +563,10 @@
         # A target near its rate limit keeps its permits for parts that have no
         # other target.
         spare = [target for target in available if target.has_spare(now)]
+        within_limits = spare or available
         return choose_target(
-            spare or available,
+            self.paces.find_open(within_limits, typical_latency_s, now)
+            or within_limits,
             describe=lambda target: target.as_candidate(typical_latency_s, now),
             jitter=lambda: self.rng.uniform(*COST_JITTER),
             now=now,
@@ -565,6 +593,7 @@
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
         send.target.cold_send_limit.record_send(now)
+        send.target.pace.record_send()
         self.dispatch(send, now)
 
     def may_sponsor(self, target: Target, now: float) -> bool:
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -33,6 +33,7 @@
 from bitternturn.http.models import Response
 from bitternturn.http.response_size import BodyBuffers
 from bitternturn.policy.cold_send_limit import ColdSendLimit
+from bitternturn.policy.pace import TargetPace
 from bitternturn.policy.target_selection import (
     Candidate,
     TargetStatistics,
@@ -66,6 +67,10 @@
     # that can't be read.
     on_pause: Callable[['Target', float], None]
     on_unread_pause: Callable[['Target'], None]
+    # Called with a send, its outcome and latency, if they show its target.
+    on_outcome: Callable[[Send, SendOutcome, float], None]
+    # Called once a target no longer names a rate limit.
+    on_limit_lifted: Callable[['Target'], None]
 
 
 class Target:
@@ -80,6 +85,7 @@
         buffers: BodyBuffers,
         announcement: Announcement,
         rate_limits: RateLimits,
+        pace: TargetPace,
         link: DomainLink,
         hooks: TargetHooks,
     ) -> None:
@@ -89,6 +95,7 @@
         self.buffers = buffers
         self.announcement = announcement
         self.rate_limits = rate_limits
+        self.pace = pace
         # Direct link to the failure domain of the target.
         self.link = link
         self.hooks = hooks
@@ -150,6 +157,7 @@
             domain_rank=self.domain_rank,
             cold=now < self.cold_until,
             full=bool(self.queued) and not self.connections.opening_count,
+            exceeded_share=1 if self.pace.allows_send() else self.pace.share,
         )
 
     def within_cold_limit(self, now: float) -> bool:
@@ -403,7 +411,10 @@
         now = self.now()
         if per_s is not None:
             self.announcement.announced_at = now
+        was_limited = limit.per_s is not None
         self.rate_limits.update(self.entry, limit, per_s, now)
+        if was_limited and limit.per_s is None:
+            self.hooks.on_limit_lifted(self)
 
     def announce_pause(self, pause_s: float) -> None:
         """Send nothing to the target for as long as it asks, in seconds."""
@@ -465,6 +476,7 @@
         latency_s = now - send.started_at if took_s is None else took_s
         if not is_fault_of_link(send, outcome):
             record_outcome(self.record, send, outcome, latency_s, now)
+            self.hooks.on_outcome(send, outcome, latency_s)
         connection = send.connection
         exchange_bytes = 0
         if isinstance(connection, ClientConnection):
