--- a/bitternturn/gateway/announcements.py
+++ b/bitternturn/gateway/announcements.py
@@ -59,11 +59,20 @@
     def __init__(self) -> None:
         """Initialise without announcements."""
         self.by_life: dict[TargetLife, Announcement] = {}
+        # End of the last pause that a target has asked for.
+        self.pauses_end_at: float = 0
 
     def get(self, life: TargetLife) -> Announcement:
         """Return the announcement of a life, created at its first use."""
         return self.by_life.setdefault(life, Announcement())
 
+    def announce_pause(
+        self, announcement: Announcement, until: float, now: float
+    ) -> None:
+        """Record that a target wants no requests until a time."""
+        announcement.announce_pause(until, now)
+        self.pauses_end_at = max(self.pauses_end_at, until)
+
     def forget_old(self, listed: Collection[TargetLife], now: float) -> None:
         """Forget lives that are not listed and have announced nothing lately."""
         for life, announcement in list(self.by_life.items()):
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -177,7 +177,7 @@
         if return_delay_s > 0:
             reason = (
                 RefusalReason.PAUSED_TARGETS
-                if arrived_at < self.pauses_end_at
+                if arrived_at < self.announcements.pauses_end_at
                 else RefusalReason.LIMITED_TARGETS
             )
             return self._refuse(caller, reason, return_delay_s)
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -112,8 +112,6 @@
             decisions=decisions,
             metrics=self.metrics,
         )
-        # End of the last pause that a target has asked for.
-        self.pauses_end_at: float = 0
         self.crash_suspects = CrashSuspects(
             decisions=decisions, metrics=self.metrics
         )
@@ -137,6 +135,7 @@
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
+            make_pace=self.paces.make,
             on_outcome=lambda send, outcome, latency_s: (
                 self.paces.record_outcome(send, outcome, latency_s, self.now())
             ),
@@ -249,7 +248,6 @@
                 buffers=self.answer_buffers,
                 announcement=self.announcements.get(entry.life),
                 rate_limits=self.rate_limits,
-                pace=self.paces.make(entry),
                 link=self.links.get(entry.failure_domain),
                 hooks=self.target_hooks,
             )
@@ -336,8 +334,7 @@
         now = self.now()
         until = choose_return_at(pause_s, now=now, uniform=self.rng.uniform)
         was_paused = now < target.announcement.paused_until
-        target.announcement.announce_pause(until, now)
-        self.pauses_end_at = max(self.pauses_end_at, until)
+        self.announcements.announce_pause(target.announcement, until, now)
         self.paces.start(target, PaceCause.PAUSE, until)
         if was_paused:
             return
@@ -367,10 +364,13 @@
         Waits for permits are spread over the callers; those for the end of a
         pause are already spread over the instances.
         """
-        if now >= self.pauses_end_at and not self.rate_limits.limited:
+        if (
+            now >= self.announcements.pauses_end_at
+            and not self.rate_limits.limited
+        ):
             return 0
         wait_s = self._wanted_at(services, min_services, now) - now
-        if now < self.pauses_end_at:
+        if now < self.announcements.pauses_end_at:
             return wait_s
         return spread_return(wait_s, uniform=self.rng.uniform)
 
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -67,6 +67,8 @@
     # that can't be read.
     on_pause: Callable[['Target', float], None]
     on_unread_pause: Callable[['Target'], None]
+    # Returns the pace of a target, which is not limited.
+    make_pace: Callable[[TargetEntry], TargetPace]
     # Called with a send, its outcome and latency, if they show its target.
     on_outcome: Callable[[Send, SendOutcome, float], None]
     # Called once a target no longer names a rate limit.
@@ -85,7 +87,6 @@
         buffers: BodyBuffers,
         announcement: Announcement,
         rate_limits: RateLimits,
-        pace: TargetPace,
         link: DomainLink,
         hooks: TargetHooks,
     ) -> None:
@@ -95,7 +96,7 @@
         self.buffers = buffers
         self.announcement = announcement
         self.rate_limits = rate_limits
-        self.pace = pace
+        self.pace = hooks.make_pace(entry)
         # Direct link to the failure domain of the target.
         self.link = link
         self.hooks = hooks
