--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -473,7 +473,7 @@
             target.announcement.rate_limit.share_per_s
             for target in gateway.targets.values()
         ),
-        'paced_targets': lambda: gateway.paces.limited_count,
+        'paced_targets': lambda: len(gateway.paces.limited),
         'lowest_pace_share': lambda: gateway.paces.lowest_share,
         'log_lines_dropped': lambda: gateway.decisions.writer.dropped,
     }
--- a/bitternturn/gateway/pace.py
+++ b/bitternturn/gateway/pace.py
@@ -54,6 +54,9 @@
         self.metrics = metrics
         # Targets that new requests may use.
         self.ready: Mapping[ServiceName, Sequence[Target]] = {}
+        # Targets that are limited, so that the selection costs nothing more while
+        # there are none.
+        self.limited: set[Target] = set()
         # Lives of targets that have been ready.
         self.seen: set[TargetLife] = set()
 
@@ -61,15 +64,10 @@
         """Return the pace of a target, which is not limited."""
         return TargetPace(first_credit=hash_share(entry.id, self.own_name))
 
-    @property
-    def limited_count(self) -> int:
-        """Number of targets that get a share of their load only."""
-        return sum(target.pace.limited for target in self._targets())
-
     @property
     def lowest_share(self) -> float:
         """Lowest share of a target, 1 if none is limited."""
-        return min((target.pace.share for target in self._targets()), default=1)
+        return min((target.pace.share for target in self.limited), default=1)
 
     def update_ready(
         self, ready: Mapping[ServiceName, Sequence['Target']], now: float
@@ -88,6 +86,9 @@
                 returned = life in self.seen
                 cause = PaceCause.RETURN if returned else PaceCause.NEW
                 self.start(target, cause, now)
+        self.limited = {
+            target for target in self._targets() if target.pace.limited
+        }
         self.seen = {
             *(target.entry.life for target in self._targets()),
             *self.seen,
@@ -102,6 +103,7 @@
         if not self._may_limit(target, cause):
             return
         change = target.pace.start(cause, now)
+        self.limited.add(target)
         self._report(target, change)
 
     def record_outcome(
@@ -109,6 +111,10 @@
     ) -> None:
         """Record what the end of a send shows of the pace of its target."""
         target = send.target
+        if not target.pace.limited:
+            if target.record.is_ejected(now):
+                self.start(target, PaceCause.FAILURES, now)
+            return
         ratio = latency_s / send.latency_estimate.mean_s
         aborted = outcome is SendOutcome.LOST and send.aborted
         change = None
@@ -121,8 +127,6 @@
                 started_at=send.started_at, now=now
             )
         self._report(target, change)
-        if target.record.is_ejected(now) and not target.pace.limited:
-            self.start(target, PaceCause.FAILURES, now)
 
     def find_open(
         self,
@@ -131,6 +135,8 @@
         now: float,
     ) -> Sequence['Target']:
         """Return the usable targets to which a request is within their shares."""
+        if not self.limited:
+            return targets
         for target in targets:
             if target.pace.limited:
                 self._update(target, typical_latency_s, now)
@@ -174,6 +180,8 @@
         """Log and count a change."""
         if change is None:
             return
+        if change is PaceChange.COMPLETED:
+            self.limited.discard(target)
         pace = target.pace
         self.metrics.increment(
             'pace_changes', change=change.value, cause=pace.cause.value
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -158,7 +158,7 @@
             domain_rank=self.domain_rank,
             cold=now < self.cold_until,
             full=bool(self.queued) and not self.connections.opening_count,
-            exceeded_share=1 if self.pace.allows_send() else self.pace.share,
+            exceeded_share=self.pace.exceeded_share,
         )
 
     def within_cold_limit(self, now: float) -> bool:
--- a/bitternturn/policy/pace.py
+++ b/bitternturn/policy/pace.py
@@ -187,6 +187,13 @@
         """Return whether a send is within the share."""
         return not self.limited or self.credit >= 1 - EPSILON
 
+    @property
+    def exceeded_share(self) -> float:
+        """The share if a send would exceed it, else 1."""
+        if self.share >= 1 or self.allows_send():
+            return 1
+        return self.share
+
     def record_send(self) -> None:
         """Record a send, also one above the share."""
         self.credit = max(0, self.credit - 1)
--- a/tests/policy/pace_simulation.py
+++ b/tests/policy/pace_simulation.py
@@ -177,7 +177,6 @@
 
     def describe(self, view, mean_s, now):
         oldest_s = now - min(view.started.values(), default=now)
-        allowed = view.pace.allows_send()
         return Candidate(
             record=view.record,
             in_flight=len(view.started),
@@ -186,7 +185,7 @@
             domain_rank=0,
             cold=False,
             full=False,
-            exceeded_share=1 if allowed else view.pace.share,
+            exceeded_share=view.pace.exceeded_share,
         )
 
     def receive(self, now, number, request):
