--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -173,7 +173,7 @@
         if return_delay_s > 0:
             reason = (
                 RefusalReason.PAUSED_TARGETS
-                if arrived_at < self.pauses_end_at
+                if arrived_at < self.announcements.pauses_end_at
                 else RefusalReason.LIMITED_TARGETS
             )
             return self._refuse(caller, reason, return_delay_s)
@@ -475,6 +475,8 @@
             target.announcement.rate_limit.share_per_s
             for target in gateway.targets.values()
         ),
+        'paced_targets': lambda: len(gateway.paces.limited),
+        'lowest_pace_share': lambda: gateway.paces.lowest_share,
         'log_lines_dropped': lambda: gateway.decisions.writer.dropped,
     }
     for name, read in gauges.items():
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -30,6 +30,7 @@
     TargetEntry,
     TargetState,
 )
+from bitternturn.gateway.pace import TargetPaces
 from bitternturn.gateway.rate_limits import RateLimits
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.send_reporting import (
@@ -47,6 +48,7 @@
     FurtherSendBudget,
     instance_slack,
 )
+from bitternturn.policy.pace import PaceCause
 from bitternturn.policy.target_pauses import (
     MAX_PAUSE_S,
     choose_return_at,
@@ -107,8 +109,11 @@
             metrics=self.metrics,
             rng=rng,
         )
-        # End of the last pause that a target has asked for.
-        self.pauses_end_at: float = 0
+        self.paces = TargetPaces(
+            own_name=settings.name,
+            decisions=decisions,
+            metrics=self.metrics,
+        )
         self.crash_suspects = CrashSuspects(
             decisions=decisions, metrics=self.metrics
         )
@@ -133,6 +138,13 @@
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
+            make_pace=self.paces.make,
+            on_outcome=lambda send, outcome, latency_s: (
+                self.paces.record_outcome(send, outcome, latency_s, self.now())
+            ),
+            on_limit_lifted=lambda target: self.paces.start(
+                target, PaceCause.LIMIT, self.now()
+            ),
         )
         # Targets of each service that new requests use, and those that are used
         # when none of them is available.
@@ -219,6 +231,14 @@
                 entry for entry in ready if self.targets[entry.id].usable
             ]
             self._assign_targets(service, reachable)
+        self.paces.update_ready(
+            {
+                service: [*targets, *self.standby[service]]
+                for service, targets in self.ready.items()
+            },
+            self.now(),
+        )
+        self.paces.forget({entry.life for entry in entries.values()})
         # Last, since the sends that end here are retried at once.
         for target in known:
             if target.queued and not target.in_service:
@@ -227,6 +247,7 @@
     def _update_target(self, entry: TargetEntry) -> None:
         """Create or update one target."""
         target = self.targets.get(entry.id)
+        known_cold_s: float = 0
         if target is None:
             target = Target(
                 entry=entry,
@@ -239,9 +260,11 @@
                 hooks=self.target_hooks,
             )
             self.targets[entry.id] = target
+        else:
+            known_cold_s = target.entry.cold_remaining_s
+        if entry.cold_remaining_s > known_cold_s:
             target.cold_until = self.now() + entry.cold_remaining_s
-        elif entry.cold_remaining_s > target.entry.cold_remaining_s:
-            target.cold_until = self.now() + entry.cold_remaining_s
+            self.paces.start(target, PaceCause.COLD, self.now())
         if entry != target.entry:
             target.readmit()
         target.entry = entry
@@ -319,8 +342,8 @@
         now = self.now()
         until = choose_return_at(pause_s, now=now, uniform=self.rng.uniform)
         was_paused = now < target.announcement.paused_until
-        target.announcement.announce_pause(until, now)
-        self.pauses_end_at = max(self.pauses_end_at, until)
+        self.announcements.announce_pause(target.announcement, until, now)
+        self.paces.start(target, PaceCause.PAUSE, until)
         if was_paused:
             return
         self.decisions.write(
@@ -349,10 +372,13 @@
         Waits for permits are spread over the callers; those for the end of a
         pause are already spread over the instances.
         """
-        if now >= self.pauses_end_at and not self.rate_limits.limited:
+        if (
+            now >= self.announcements.pauses_end_at
+            and not self.rate_limits.limited
+        ):
             return 0
         wait_s = self._wanted_at(services, min_services, now) - now
-        if now < self.pauses_end_at:
+        if now < self.announcements.pauses_end_at:
             return wait_s
         return spread_return(wait_s, uniform=self.rng.uniform)
 
@@ -545,8 +571,10 @@
         # A target near its rate limit keeps its permits for parts that have no
         # other target.
         spare = [target for target in available if target.has_spare(now)]
+        within_limits = spare or available
         return choose_target(
-            spare or available,
+            self.paces.find_open(within_limits, typical_latency_s, now)
+            or within_limits,
             describe=lambda target: target.as_candidate(typical_latency_s, now),
             jitter=lambda: self.rng.uniform(*COST_JITTER),
             now=now,
@@ -573,6 +601,7 @@
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
         send.target.cold_send_limit.record_send(now)
+        send.target.pace.record_send()
         self.dispatch(send, now)
 
     def may_sponsor(self, target: Target, now: float) -> bool:
