Spread the returns of refused callers by priority

All callers whose request was not run were told to return after 0.1 s, so they returned together and repeated the overload. Each is now booked into a slot of 20 ms with room beside those that are at least as urgent, at half of the recent rate of answers, within a third of the time that it has left.

A single refusal still gets 0.100 s.

--- a/bitternturn/gateway/const.py
+++ b/bitternturn/gateway/const.py
@@ -38,9 +38,6 @@
 DEADLINE_MARGIN_S: Final = 0.015
 # Minimum remaining time for a new send, in seconds; no target answers faster.
 MIN_SEND_TIME_S: Final = 0.004
-# Retry-After when the targets did not run the request, in seconds: such load
-# usually passes soon.
-BUSY_RETRY_AFTER_S: Final = 0.1
 # Retry-After when too few services have a target, in seconds.
 UNAVAILABLE_RETRY_AFTER_S: Final = 0.3
 # Retry-After while the instance has not loaded its state yet, in seconds.
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -31,6 +31,7 @@
     record_refusal,
     record_request_end,
 )
+from bitternturn.gateway.returns import CallerReturns
 from bitternturn.gateway.routes import RouteTable, WeightedRoundRobin
 from bitternturn.gateway.tenants import TenantTable
 from bitternturn.gateway.wire import Wire
@@ -41,6 +42,7 @@
     Verdict,
 )
 from bitternturn.policy.crash_evidence import PROBE_S, probe_delay_s
+from bitternturn.policy.return_times import MIN_RETURN_S
 
 
 def _ignore_limits(limits: CallerLimits) -> None:
@@ -92,6 +94,7 @@
         self.left_at = math.inf
         self.stop_at = math.inf
         self.executions: set[RequestExecution] = set()
+        self.returns = CallerReturns()
         self.answer_delay = AnswerDelay(
             cores=settings.cores,
             link_mbps=settings.link_mbps,
@@ -123,6 +126,7 @@
             return
         self.route_table = RouteTable(routes=configuration.routes)
         self.tenants = TenantTable(tenants=configuration.tenants)
+        self.returns.clear()
         self.wide_services = _wide_services(configuration.routes)
         self.configured_at = self.now()
         if configuration.limits is not None:
@@ -344,6 +348,9 @@
         record_request_end(self, execution, result.verdict.value, arrived_at)
         answers = result.answers
         if result.verdict is Verdict.ANSWER:
+            self.returns.record_answer(
+                execution.route, execution.parts[0].service, self.now()
+            )
             if not execution.route.shards:
                 return self.wire.write_answer(answers[0])
             merged = merge_answers(
@@ -376,11 +383,12 @@
                 execution.min_parts,
                 self.now(),
             )
-            retry_after_s = max(const.BUSY_RETRY_AFTER_S, return_delay_s)
+            if return_delay_s <= 0:
+                return_delay_s = self._book_return(execution, arrived_at)
             return self.wire.write_refusal(
                 execution.caller,
                 RefusalReason.NOT_RUN,
-                retry_after_s,
+                max(MIN_RETURN_S, return_delay_s),
             )
         failure = result.parts[0].failure
         if failure is not None and may_forward_failure(
@@ -393,6 +401,20 @@
         )
         return self.wire.write_refusal(execution.caller, reason, None)
 
+    def _book_return(
+        self, execution: RequestExecution, arrived_at: float
+    ) -> float:
+        """Return after how long a caller should return that was not served."""
+        now = self.now()
+        wait_s = _wait_s(execution.caller, execution.route)
+        return self.returns.book(
+            execution.caller,
+            execution.route,
+            execution.parts[0].service,
+            remaining_s=wait_s - (now - arrived_at),
+            now=now,
+        )
+
     def _refuse(
         self,
         caller: CallerRequest,
