Reject at arrival what overloaded targets have no room for

In an overload all requests waited in the queues of the targets, and the most urgent ones or small tenants were rejected like all others. An instance now estimates the room of each service by its own sends: rejections by most of the targets that also answer begin an overload, the answers give the room. Requests that cannot end in time, less urgent ones and those of tenants above their share are rejected at arrival, except for a small share. Failures, lost connections and a single target do not count as overload. Wide requests are decided by the fullest shards that an answer needs.

--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -19,7 +19,9 @@
     RefusalReason,
     RepeatPolicy,
     Route,
+    SendOutcome,
 )
+from bitternturn.gateway.overload import Overload
 from bitternturn.gateway.parts import (
     Deadlines,
     RequestResult,
@@ -33,6 +35,7 @@
 )
 from bitternturn.gateway.returns import CallerReturns
 from bitternturn.gateway.routes import RouteTable, WeightedRoundRobin
+from bitternturn.gateway.send import Send
 from bitternturn.gateway.tenants import TenantTable
 from bitternturn.gateway.wire import Wire
 from bitternturn.http.models import Request, Response
@@ -81,7 +84,9 @@
             wire=wire,
             decisions=decisions,
             rng=rng,
+            on_outcome=self._record_outcome,
         )
+        self.overload = Overload(decisions=decisions, metrics=self.metrics)
         self.on_limits = on_limits
         self.route_table = RouteTable(routes=())
         self.tenants = TenantTable()
@@ -127,6 +132,9 @@
         self.route_table = RouteTable(routes=configuration.routes)
         self.tenants = TenantTable(tenants=configuration.tenants)
         self.returns.clear()
+        self.overload.reconfigure(
+            configuration.services, configuration.tenants or ()
+        )
         self.wide_services = _wide_services(configuration.routes)
         self.configured_at = self.now()
         if configuration.limits is not None:
@@ -142,6 +150,14 @@
             self._apply_to_request(execution)
         self.refresh_targets()
 
+    def _record_outcome(
+        self, send: Send, outcome: SendOutcome, latency_s: float
+    ) -> None:
+        """Record what the end of a send shows of its target."""
+        now = self.now()
+        self.paces.record_outcome(send, outcome, latency_s, now)
+        self.overload.record_outcome(send, outcome, latency_s, now)
+
     def handle_pause(self, length_s: float) -> None:
         """Handle that the process handled no event for some seconds."""
         self.rate_limits.void_permits(self.now())
@@ -181,6 +197,17 @@
                 else RefusalReason.LIMITED_TARGETS
             )
             return self._refuse(caller, reason, return_delay_s)
+        if self._is_overloaded(caller, route, services, arrived_at):
+            retry_after_s = self.returns.book(
+                caller,
+                route,
+                services[0],
+                remaining_s=_wait_s(caller, route),
+                now=arrived_at,
+            )
+            return self.wire.write_refusal(
+                caller, RefusalReason.BUSY, retry_after_s
+            )
         if route.shards and not self.can_serve(services, route.min_parts()):
             return self._refuse(
                 caller,
@@ -278,13 +305,29 @@
                 )
             await suspects.async_wait_for_change(wait_until - now)
 
-    def _services(self, route: Route) -> Sequence[ServiceName]:
+    def _services(self, route: Route) -> tuple[ServiceName, ...]:
         """Return the shards of a route, or the next service of a split."""
         if route.shards:
             return route.shards
         service = self.round_robin.next_service(route)
         return () if service is None else (service,)
 
+    def _is_overloaded(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        services: tuple[ServiceName, ...],
+        now: float,
+    ) -> bool:
+        """Return whether the overload of targets leaves no room for a request."""
+        return self.overload.rejects(
+            caller,
+            route,
+            services,
+            remaining_s=_timeout_s(caller, route) - const.DEADLINE_MARGIN_S,
+            now=now,
+        )
+
     async def _async_execute(
         self,
         caller: CallerRequest,
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -62,6 +62,7 @@
 )
 from bitternturn.policy.unresponsive_targets import UnresponsiveTargets
 
+OutcomeRecorder = Callable[[Send, SendOutcome, float], None]
 SponsorDecision = Callable[[TargetEntry, float], bool]
 
 # Range of random factors on the cost of targets, which spreads the sends over
@@ -79,8 +80,13 @@
         wire: Wire,
         decisions: DecisionLog,
         rng: random.Random,
+        on_outcome: OutcomeRecorder,
     ) -> None:
-        """Initialise an empty pool."""
+        """Initialise an empty pool.
+
+        `on_outcome` is called with each send, its outcome and latency, if they
+        show its target.
+        """
         self.settings = settings
         self.wire = wire
         self.rng = rng
@@ -139,9 +145,7 @@
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
             make_pace=self.paces.make,
-            on_outcome=lambda send, outcome, latency_s: (
-                self.paces.record_outcome(send, outcome, latency_s, self.now())
-            ),
+            on_outcome=on_outcome,
             on_limit_lifted=lambda target: self.paces.start(
                 target, PaceCause.LIMIT, self.now()
             ),
