Order sends that wait by priority and deadline

Sends that waited for a connection, and those that a delegate starts for peers, went in the order of arrival, so that urgent requests waited behind all others. With equal priorities and deadlines the order is that of arrival, as before.

In a test with one connection, requests with priorities 2, 2, 2 and 0 are sent in the order first, urgent, earlier deadline, later deadline; before, in the order of arrival.

--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -34,6 +33,7 @@
 from bitternturn.http.response_size import BodyBuffers
 from bitternturn.policy.cold_send_limit import ColdSendLimit
 from bitternturn.policy.pace import TargetPace
+from bitternturn.policy.send_order import SendQueue
 from bitternturn.policy.target_selection import (
     Candidate,
     TargetStatistics,
@@ -123,7 +123,7 @@
             ),
             on_end=partial(hooks.on_end, entry),
         )
-        self.queued: deque[Send] = deque()
+        self.queued: SendQueue[Send] = SendQueue()
         self.sends: set[Send] = set()
         # Those of `sends` that peers make.
         self.delegated: set[Send] = set()
@@ -235,7 +235,9 @@
         if connection is not None:
             self._write_request(send, connection)
             return
-        self.queued.append(send)
+        self.queued.add(
+            send, priority=send.caller.priority, deadline=send.deadline
+        )
         self._open_connections()
 
     def _find_rejection(self, send: Send, now: float) -> SendOutcome | None:
@@ -312,7 +314,7 @@
             linked = self.link.usable
             outcome = SendOutcome.UNREACHABLE if linked else SendOutcome.NO_PATH
         if self.queued:
-            self.end_send(self.queued[0], outcome, None)
+            self.end_send(next(iter(self.queued)), outcome, None)
         elif outcome is SendOutcome.UNREACHABLE:
             self.record.record_failure(self.now())
 
@@ -322,12 +324,12 @@
         Sends that the connection has carried before wait for another one; those
         that may no longer be written are ended.
         """
-        for send in list(self.queued):
+        for send in self.queued.candidates():
             if send.ended or not connection.carried_ids.allows(send.caller.id):
                 continue
             rejection = self._find_rejection(send, self.now())
             if rejection is None:
-                self.queued.remove(send)
+                self.queued.take(send)
                 self._write_request(send, connection)
                 return
             self.end_send(send, rejection, None)
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -52,6 +52,8 @@
 # Minimum number of parts of a request with few shards that are worth a message
 # to a peer in their failure domain.
 MIN_DELEGATED_PARTS: Final = 3
+# Greatest priority that a message can state.
+MAX_PRIORITY: Final = 2**32 - 1
 # Number of sends for a peer that are started before other events are handled.
 SENDS_PER_TURN: Final = 4
 # Delay that batches ends of sends into one report, after the first report or
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -19,6 +19,7 @@
 from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.outcomes import encode_outcome
+from bitternturn.relay.start_queue import StartQueue
 from bitternturn.schema import relay_pb2
 from bitternturn.schema.relay_pb2 import Frame, Part, Parts, Receipt, Sends
 
@@ -36,8 +37,10 @@
         connection: RelayConnection,
         number: int,
         request: Sends,
+        starts: StartQueue,
     ) -> None:
         """Initialise; `start` begins the sends."""
+        self.starts = starts
         self.gateway = gateway
         self.connection = connection
         self.number = number
@@ -55,6 +58,7 @@
             remaining_s=None,
             headers=[(it.name, it.value) for it in request.headers],
             body=request.body,
+            priority=request.priority,
         )
         self.sends: dict[int, Send] = {}
         # Targets of the sends that have not started, by index.
@@ -74,6 +78,11 @@
         # Records the sends that are late.
         self.overdue_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def priority(self) -> int:
+        """Priority of the request; an old build states none, which is 0."""
+        return self.request.priority
+
     @property
     def finished(self) -> bool:
         """Whether every send has ended and been reported."""
@@ -112,15 +121,13 @@
             )
             # Cancellations that have been received with the request, as after a
             # pause of this process, are handled before the sends start.
-            asyncio.get_running_loop().call_soon(self._start_waiting)
+            self.starts.add(self)
 
-    def _start_waiting(self) -> None:
-        """Start some of the waiting sends, and the others in later turns."""
+    def start_some(self) -> None:
+        """Start some of the waiting sends."""
         now = self.gateway.now()
         for index in list(self.waiting)[: const.SENDS_PER_TURN]:
             self._start_send(index, self.waiting.pop(index), now)
-        if self.waiting:
-            asyncio.get_running_loop().call_soon(self._start_waiting)
 
     def _start_send(self, index: int, target: Target, now: float) -> None:
         """Start the send to one target."""
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -113,6 +113,7 @@
                 want_receipt=True,
                 whole_answers=not first.max_records,
                 fresh_connection=first.require_fresh_connection,
+                priority=encode_priority(first.caller.priority),
                 permitted=[
                     index
                     for index, send in enumerate(self.sends)
@@ -349,3 +350,8 @@
     def close(self) -> None:
         """Cancel the send."""
         self.batch.cancel(self.index)
+
+
+def encode_priority(priority: int) -> int:
+    """Return a priority as it is sent; that of a route may be any number."""
+    return max(0, min(const.MAX_PRIORITY, priority))
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -15,6 +15,7 @@
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.incoming_batch import IncomingBatch
 from bitternturn.relay.observations import ObservationExchange
+from bitternturn.relay.start_queue import StartQueue
 from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Leaving, Links
 
@@ -48,6 +49,7 @@
                 ),
             ),
         )
+        self.starts = StartQueue()
         self.server: asyncio.Server | None = None
         # Applies what peers have observed, None if it is ignored.
         self.observations: ObservationExchange | None = None
@@ -118,6 +120,7 @@
                 connection=connection,
                 number=frame.number,
                 request=frame.sends,
+                starts=self.starts,
             )
             batches[frame.number] = batch
             batch.start()
--- a/tests/gateway/test_waiting_sends.py
+++ b/tests/gateway/test_waiting_sends.py
@@ -286,3 +286,32 @@
             response = await gateway.async_handle(make_request())
         assert response.status == 404
         assert not target.requests
+
+
+class TestOrder:
+    """Urgent requests must not wait behind others for a connection."""
+
+    async def test_urgent_requests_are_sent_first(self):
+        busy = PlatformTarget(id='busy', delay_s=0.1)
+        async with running_targets(busy):
+            gateway = make_gateway()
+            configure(
+                gateway,
+                make_route(**FIELDS, priority=2),
+                make_route(**FIELDS, name='r-2', prefix='/b/', priority=0),
+            )
+            register(gateway, make_entry(busy))
+            gateway.targets['busy'].connections.max_count = 1
+            requests = [
+                make_waiting_request(0),
+                make_waiting_request(1),
+                make_request('q2', path='/a/x/y', left_ms=LEFT_MS // 2),
+                make_request('q3', path='/b/x', left_ms=LEFT_MS),
+            ]
+            asked = []
+            for request in requests:
+                asked.append(asyncio.create_task(gateway.async_handle(request)))
+                await async_until(lambda: busy.requests)
+            responses = await asyncio.gather(*asked)
+        assert {response.status for response in responses} == {200}
+        assert [it.id for it in busy.requests] == ['q0', 'q3', 'q2', 'q1']
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -288,6 +288,21 @@
         assert response.headers['x-missing-parts'] == '0'
 
 
+class TestPriority:
+    @pytest.mark.parametrize(
+        ('priority', 'stated'), [(0, 0), (3, 3), (2**40, 2**32 - 1), (-1, 0)]
+    )
+    async def test_delegates_get_the_priority(self, priority, stated):
+        """Without it, a delegate would order all sends alike."""
+        requested = []
+        async with fleet_over(make_targets(), priority=priority) as fleet:
+            for peer in peers_of(fleet):
+                peer.send_request = spy_on(peer.send_request, requested)
+            response = await fleet.entry.async_handle(make_request())
+        assert response.status == 200
+        assert {sends.priority for sends in requested} == {stated}
+
+
 class TestFewShards:
     """Requests that the entry instance sends, except across domains."""
 
--- a/tests/relay/test_incoming_batch.py
+++ b/tests/relay/test_incoming_batch.py
@@ -328,3 +328,67 @@
         remove(server, targets)
         server.handle_frame(RecordingConnection(), make_sends(1, targets[0]))
         await async_until(lambda: targets[0].requests)
+
+
+class TestPriority:
+    """Urgent requests of peers that wait behind others come late."""
+
+    async def start_order(self, server, targets, priorities):
+        """Return the ids of the requests in the order of their starts."""
+        order = []
+        for target in targets:
+            state = server.gateway.targets[target.id]
+            state.start = lambda send, now: order.append(send.caller.id)
+        connection = RecordingConnection()
+        for number, priority in enumerate(priorities):
+            server.handle_frame(
+                connection, make_sends(number, *targets, priority=priority)
+            )
+        await async_until(lambda: len(order) == len(priorities) * len(targets))
+        return order
+
+    async def test_urgent_sends_start_first(self, delegate):
+        server, targets = delegate
+        order = await self.start_order(server, targets, [3, 0, 1])
+        assert order == [
+            *['q1'] * len(targets),
+            *['q2'] * len(targets),
+            *['q0'] * len(targets),
+        ]
+
+    async def test_equal_priorities_start_in_turn(self, delegate):
+        """Old builds state no priority; their sends take turns as before."""
+        server, targets = delegate
+        order = await self.start_order(server, targets, [0, 0])
+        assert order == [*['q0'] * 4, *['q1'] * 4, *['q0'] * 2, *['q1'] * 2]
+
+    async def test_less_urgent_sends_do_not_starve(self, delegate):
+        server, targets = delegate
+        started = []
+        for target in targets:
+            state = server.gateway.targets[target.id]
+            state.start = lambda send, now: started.append(send.caller.id)
+        connection = RecordingConnection()
+        server.handle_frame(connection, make_sends(0, *targets, priority=1))
+        number = 0
+        while 'q0' not in started:
+            number += 1
+            assert number < 20
+            server.handle_frame(connection, make_sends(number, *targets))
+            await asyncio.sleep(0)
+
+    async def test_failing_start_does_not_stop_the_others(self, delegate):
+        """Otherwise no sends of peers would start any longer."""
+        server, targets = delegate
+        connection = RecordingConnection()
+        state = server.gateway.targets[targets[0].id]
+        start, state.start = state.start, None
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        server.handle_frame(connection, make_sends(1, targets[0]))
+        server.handle_frame(connection, make_sends(2, targets[1]))
+        await async_until(lambda: targets[1].requests)
+        state.start = start
+        server.handle_frame(connection, make_sends(3, targets[0]))
+        await async_until(lambda: targets[0].requests)
+        assert [it.id for it in targets[0].requests] == ['q3']
