--- a/bitternturn/platform/process.py
+++ b/bitternturn/platform/process.py
@@ -24,7 +24,7 @@
 # Size from which on blocks are returned to the system when they are freed. By
 # default the threshold grows up to 32 MB with the blocks that are freed, and
 # large bodies leave gaps in the heap that no later one fits into.
-MMAP_THRESHOLD_BYTES: Final = 128 * 1024
+MMAP_THRESHOLD_BYTES: Final = 131_072
 
 
 def run(path: Path) -> int:
--- a/bitternturn/standins/timed_server.py
+++ b/bitternturn/standins/timed_server.py
@@ -39,6 +39,10 @@
         )
         self.host, self.port = self._server.sockets[0].getsockname()[:2]
 
+    def make_room(self, newcomer: ServerConnection) -> bool:
+        """Keep the connections: targets refuse those above their limit."""
+        return False
+
 
 class TimedConnection(ServerConnection):
     """One connection of a `TimedServer`."""
