--- a/bitternturn/http/server.py
+++ b/bitternturn/http/server.py
@@ -13,6 +13,7 @@
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.tasks import TaskSet
 from bitternturn.http import const
+from bitternturn.http.deadline import Deadline
 from bitternturn.http.holding import ConnectionHolding, choose_for_room
 from bitternturn.http.memory import (
     CallerMemory,
@@ -169,7 +170,9 @@
         self.discarded_bytes = 0
         self.is_first_request = True
         self.handler_task: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        # Timeout of the request, the idle connection or an unread response.
+        self.deadline = Deadline(on_due=self._on_timeout)
+        self.reading = True
         self.writable = asyncio.Event()
         self.writable.set()
 
@@ -186,13 +189,14 @@
             self.holding.report(EvictionReason.CONNECTIONS)
             self.refuse(EvictionReason.CONNECTIONS)
             return
-        self._start_timer(self.server.limits.header_timeout_s)
+        self.deadline.start(self.server.limits.header_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler, as its response can't be delivered."""
         self.server.connections.discard(self)
         self.server.memory.discard(self.holding)
-        self._cancel_timer()
+        self.deadline.clear()
+        self.deadline.stop_timer()
         self.writable.set()
         if self.handler_task is not None:
             self.handler_task.cancel()
@@ -247,7 +251,7 @@
         self.transport.close()
         self.unsent_bytes = self.transport.get_write_buffer_size()
         if self.unsent_bytes:
-            self._start_timer(self.server.limits.idle_timeout_s)
+            self.deadline.start(self.server.limits.idle_timeout_s)
 
     def abort(self) -> None:
         """Close without flushing the write buffer."""
@@ -285,15 +289,23 @@
         """Update the memory budget; stop reading while enough waits."""
         if self.transport is None or self.lingering or self.closed.done():
             return
+        unparsed_bytes = self.holding.unparsed_bytes()
         self.server.memory.update(self.holding, self.holding.held_bytes())
-        bytes_ahead = len(self.h11.trailing_data[0])
         blocked = self.handler_task is not None or not self.writable.is_set()
-        if self.awaits_turn or (
-            blocked and bytes_ahead >= const.MAX_BYTES_AHEAD
-        ):
-            self.transport.pause_reading()
-        else:
+        self._set_reading(
+            not self.awaits_turn
+            and not (blocked and unparsed_bytes >= const.MAX_BYTES_AHEAD)
+        )
+
+    def _set_reading(self, reading: bool) -> None:
+        """Start or stop to read, if that is a change."""
+        if reading == self.reading or self.transport is None:
+            return
+        self.reading = reading
+        if reading:
             self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
 
     def _process_events(self) -> bool:
         """Process some events of the parser; return whether more may follow."""
@@ -340,7 +352,7 @@
         """Start the timeout of a head with its first bytes."""
         if not self.is_first_request and not self.h11.trailing_data[0]:
             self.holding.restart()
-            self._start_timer(self.server.limits.header_timeout_s)
+            self.deadline.start(self.server.limits.header_timeout_s)
 
     def _start_request(self, event: h11.Request) -> None:
         """Validate the head of a request and start to read its body."""
@@ -355,7 +367,7 @@
         self.request = event
         self.holding.restart()
         self.progress_bytes = 0
-        self._start_timer(self.server.limits.header_timeout_s)
+        self.deadline.start(self.server.limits.header_timeout_s)
         expects = self.h11.they_are_waiting_for_100_continue
         if expects and self.transport is not None:
             self.transport.write(
@@ -369,7 +381,7 @@
         """Start the handler for a complete request."""
         head = self.request
         assert head is not None
-        self._cancel_timer()
+        self.deadline.clear()
         target = head.target.decode('ascii')
         path, _, query = target.partition('?')
         request = Request(
@@ -468,7 +480,7 @@
         timeout_s = self.server.limits.idle_timeout_s
         if self.h11.trailing_data[0] and not self.unsent_bytes:
             timeout_s = self.server.limits.header_timeout_s
-        self._start_timer(timeout_s)
+        self.deadline.start(timeout_s)
         self._continue()
 
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
@@ -516,20 +528,8 @@
             return
         self.lingering = True
         self.transport.write_eof()
-        self.transport.resume_reading()
-        self._start_timer(const.LINGER_S)
-
-    def _start_timer(self, timeout_s: float) -> None:
-        """Restart the timeout of the request or the idle connection."""
-        self._cancel_timer()
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(timeout_s, self._on_timeout)
-
-    def _cancel_timer(self) -> None:
-        """Cancel the timeout, if any."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self._set_reading(True)
+        self.deadline.start(const.LINGER_S)
 
     def _on_timeout(self) -> None:
         """Reject an incomplete request, or close an idle connection."""
@@ -541,7 +541,7 @@
             self._check_unsent(unsent_bytes)
         elif self._is_progressing():
             self.progress_bytes = 0
-            self._start_timer(self.server.limits.header_timeout_s)
+            self.deadline.start(self.server.limits.header_timeout_s)
         elif self.request is None and not self.h11.trailing_data[0]:
             self.close()
         else:
@@ -568,7 +568,7 @@
             self.abort()
             return
         self.unsent_bytes = unsent_bytes
-        self._start_timer(self.server.limits.idle_timeout_s)
+        self.deadline.start(self.server.limits.idle_timeout_s)
 
 
 def _encode_headers(response: Response) -> list[tuple[bytes, bytes]]:
