Keep the requests of tenants within their quotas over all instances

The first instance in the rendezvous order of a tenant holds a token bucket of the nominal rate and grants permits to the others over the relay; the next two hold small buckets and are asked when it does not answer within 40 ms. The sizes divide what the bound leaves above the nominal quota, so that the sum stays within it with restarts, partitions and one new member that others do not know yet. Requests above the quota get 429, those without an answer 503, before any other work. Without quota-window-s in the settings there are no quotas.

A state machine first found that a restarted instance that did not know the member to which it had passed the quota held it again: members must not become fewer.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -302,6 +302,7 @@
             part.in_flight.remove(send)
         not_run = outcome in NOT_RUN_OUTCOMES
         part.maybe_run = part.maybe_run or not not_run
+        self.caller.maybe_run |= part.maybe_run
         if part.closed or self.on_end is None:
             return
         now = self.dispatcher.now()
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Gateway that routes callers' requests and sends them to targets."""
 
 import asyncio
+import dataclasses
 import math
 import random
 from collections.abc import Callable, Iterable, Sequence
@@ -26,13 +27,14 @@
     may_forward_failure,
 )
 from bitternturn.gateway.pool import TargetPool
+from bitternturn.gateway.quotas import MIN_WAIT_S, Quotas
 from bitternturn.gateway.reporting import (
     record_pause,
     record_refusal,
     record_request_end,
 )
 from bitternturn.gateway.routes import RouteTable, WeightedRoundRobin
-from bitternturn.gateway.tenants import TenantTable
+from bitternturn.gateway.tenants import TenantLabels, TenantTable
 from bitternturn.gateway.wire import Wire
 from bitternturn.http.models import Request, Response
 from bitternturn.policy.answer_timing import (
@@ -81,8 +83,19 @@
             rng=rng,
         )
         self.on_limits = on_limits
+        self.quotas = Quotas(
+            own_name=settings.name,
+            bound=settings.quota_bound,
+            now=self.now,
+            decisions=decisions,
+            rng=rng,
+        )
+        self.target_hooks = dataclasses.replace(
+            self.target_hooks, may_write=self.quotas.may_write
+        )
         self.route_table = RouteTable(routes=())
         self.tenants = TenantTable()
+        self.tenant_labels = TenantLabels()
         self.round_robin = WeightedRoundRobin()
         self.route_stats: dict[RouteName, RouteStats] = {}
         # Whether new requests are refused, since the instance is draining.
@@ -115,6 +128,11 @@
         confirmed_at = self.fleet_state.confirmed_at
         return None if confirmed_at is None else round(now - confirmed_at, 1)
 
+    def update_instances(self, instances: Sequence[str]) -> None:
+        """Update the instances that share limits and quotas with this one."""
+        super().update_instances(instances)
+        self.quotas.update_members(self.rate_limits.names)
+
     # Configuration
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -133,6 +151,7 @@
             routes=len(configuration.routes),
         )
         self._identify_waiting()
+        self.quotas.update_tenants(configuration.tenants)
         self.refresh_targets()
 
     def handle_pause(self, length_s: float) -> None:
@@ -192,17 +211,25 @@
     async def _async_check_caller(
         self, caller: CallerRequest, route: Route
     ) -> Response | None:
-        """Refuse a request without a valid key, or one that crashes targets.
+        """Refuse a request without a valid key or above the quota.
+
+        Refuses one that crashes targets as well.
 
         Returns None if it may be sent.
         """
         reason = self._identify(caller, route)
-        if reason is None and self.crash_suspects.evidence:
+        if reason is not None:
+            return self._refuse(caller, reason, None)
+        over = await self.quotas.async_admit(caller)
+        if over is not None:
+            retry_after_s = max(MIN_WAIT_S, over.retry_at - self.now())
+            return self._refuse(caller, over.reason, retry_after_s)
+        if self.crash_suspects.evidence:
             refusal = await self._async_check_suspicion(caller)
             if refusal is not None:
                 return refusal
-            # The configuration may have changed meanwhile.
-            reason = self._identify(caller, route)
+        # The configuration may have changed meanwhile.
+        reason = self._identify(caller, route)
         return None if reason is None else self._refuse(caller, reason, None)
 
     def _identify(
@@ -328,6 +355,8 @@
             raise
         finally:
             self.executions.discard(execution)
+        if not result.maybe_run:
+            self.quotas.give_back(caller)
         response = self._answer(execution, result, arrived_at)
         self.answer_delay.record(self.now() - result.due_at)
         return response
@@ -398,6 +427,7 @@
         retry_after_s: float | None,
     ) -> Response:
         """Record and return the refusal of a request that was not sent."""
+        self.quotas.give_back(caller)
         record_refusal(self, caller, reason, retry_after_s)
         return self.wire.write_refusal(caller, reason, retry_after_s)
 
@@ -473,6 +503,7 @@
             target.announcement.rate_limit.share_per_s
             for target in gateway.targets.values()
         ),
+        'quotas_held': lambda: gateway.quotas.count_held(),
         'log_lines_dropped': lambda: gateway.decisions.writer.dropped,
     }
     for name, read in gauges.items():
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -16,6 +16,7 @@
     Version,
 )
 from bitternturn.policy.const import COVERAGE_TOLERANCE
+from bitternturn.policy.quota import Permit, QuotaBound
 
 # Memory of an instance whose settings state none, in megabytes.
 DEFAULT_MEMORY_MB: Final = 200.0
@@ -218,6 +219,8 @@
     first_start: bool = False
     # Memory that the process may use, in megabytes.
     memory_mb: float = DEFAULT_MEMORY_MB
+    # Bound of the quotas of tenants; None if they are not enforced.
+    quota_bound: QuotaBound | None = None
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -248,6 +251,10 @@
     tenant: str = ''
     # Priority of the tenant, else of the route; 0 is the most urgent.
     priority: int = 0
+    # Permit of the tenant's quota, None without a quota, and whether a target may
+    # have run the request, so that the permit is used up.
+    permit: Permit | None = None
+    maybe_run: bool = False
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -384,6 +391,10 @@
     NO_ROUTE = 'no_route'
     # The API key is missing, repeated or unknown.
     UNAUTHORIZED = 'unauthorized'
+    # The tenant has used up its quota.
+    OVER_QUOTA = 'over_quota'
+    # No instance that grants permits of the quota has one or responds.
+    QUOTA_UNKNOWN = 'quota_unknown'
     NOT_READY = 'not_ready'
     DRAINING = 'draining'
     NO_TARGET = 'no_target'
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -9,6 +9,7 @@
 from bitternturn.gateway.identity import identify_request
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import CallerRequest, RefusalReason
+from bitternturn.gateway.tenants import TenantLabels
 
 
 class InstanceState(Protocol):
@@ -17,6 +18,7 @@
     metrics: GatewayMetrics
     decisions: DecisionLog
     configured_at: float
+    tenant_labels: TenantLabels
 
     @property
     def in_flight(self) -> int:
@@ -63,6 +65,8 @@
     now = gateway.now()
     progress = execution.progress()
     latency_s = now - arrived_at
+    caller = execution.caller
+    named = {'tenant': caller.tenant} if caller.tenant else {}
     gateway.metrics.record_latency(
         'request_latency',
         latency_s,
@@ -96,6 +100,7 @@
             for part in execution.parts
             if part.answer is None
         ),
+        **named,
     )
 
 
@@ -107,10 +112,18 @@
 ) -> None:
     """Count and log a request that was refused without any send."""
     now = gateway.now()
-    evidence = {}
+    evidence: dict[str, str] = {}
     if reason is RefusalReason.CRASHES_TARGETS:
         evidence['request_key'] = identify_request(caller)
     gateway.metrics.increment('refused', reason=reason.value)
+    if caller.tenant:
+        evidence['tenant'] = caller.tenant
+        gateway.metrics.increment(
+            'tenant_refused',
+            tenant=gateway.tenant_labels.find(caller.tenant),
+            priority=str(caller.priority),
+            reason=reason.value,
+        )
     gateway.decisions.write(
         'refused',
         request_id=caller.id,
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -66,6 +66,10 @@
     # that can't be read.
     on_pause: Callable[['Target', float], None]
     on_unread_pause: Callable[['Target'], None]
+    # Whether the quota of the tenant allows a request to be written now.
+    may_write: Callable[[CallerRequest, float], bool] = lambda _caller, _now: (
+        True
+    )
 
 
 class Target:
@@ -221,6 +225,8 @@
         """Return why a send may not be written now, None if it may."""
         if self.hooks.crashes_targets(send.caller, now):
             return SendOutcome.SUSPECTED
+        if not self.hooks.may_write(send.caller, now):
+            return SendOutcome.UNWANTED
         permitted = self.announcement.allows_send(now) and self.take_permit(
             send, now
         )
--- a/bitternturn/gateway/tenants.py
+++ b/bitternturn/gateway/tenants.py
@@ -16,6 +16,24 @@
 # Longest API key. A longer one in a request is not hashed.
 MAX_API_KEY_BYTES: Final = 1024
 SECRET_BYTES: Final = 32
+# Tenants that metrics name, the first ones that are refused; each name takes
+# memory as long as the process runs.
+MAX_TENANT_LABELS: Final = 50
+OTHER_TENANTS: Final = '(others)'
+
+
+class TenantLabels:
+    """Names of tenants in metrics, whose number is limited."""
+
+    def __init__(self) -> None:
+        """Initialise without names."""
+        self.names: set[str] = set()
+
+    def find(self, tenant: str) -> str:
+        """Return the name of a tenant, or one that stands for all others."""
+        if len(self.names) < MAX_TENANT_LABELS:
+            self.names.add(tenant)
+        return tenant if tenant in self.names else OTHER_TENANTS
 
 
 class TenantTable:
--- a/bitternturn/platform/http_messages.py
+++ b/bitternturn/platform/http_messages.py
@@ -49,6 +49,8 @@
 STATUS_BY_REASON: Final = {
     RefusalReason.NO_ROUTE: http.STATUS_NOT_FOUND,
     RefusalReason.UNAUTHORIZED: http.STATUS_UNAUTHORIZED,
+    RefusalReason.OVER_QUOTA: http.STATUS_TOO_MANY_REQUESTS,
+    RefusalReason.QUOTA_UNKNOWN: http.STATUS_UNAVAILABLE,
     RefusalReason.NOT_READY: http.STATUS_UNAVAILABLE,
     RefusalReason.DRAINING: http.STATUS_UNAVAILABLE,
     RefusalReason.NO_TARGET: http.STATUS_UNAVAILABLE,
--- a/bitternturn/platform/settings_file.py
+++ b/bitternturn/platform/settings_file.py
@@ -1,5 +1,6 @@
 """The settings file that the platform writes for each process."""
 
+import math
 from pathlib import Path
 
 import msgspec
@@ -15,6 +16,7 @@
     InstanceSettings,
 )
 from bitternturn.platform.wire_names import MS_PER_SECOND
+from bitternturn.policy.quota import QuotaBound
 
 STEP_LOAD = 'load settings'
 # Must match deploy/system.toml; used when the settings file names no address.
@@ -40,6 +42,11 @@
     evacuate_ms: float = 5000
     # Time until a draining target gets nothing more.
     drain_ms: float = 3000
+    # Window in which the requests of a tenant are bounded; without it, there are
+    # no quotas. What a window may hold above the nominal quota.
+    quota_window_s: float | None = None
+    quota_excess: float = 0.1
+    quota_slack: float = 20
 
 
 class WirePlatform(msgspec.Struct, rename='kebab'):
@@ -138,6 +145,25 @@
             drain_s=ms_to_seconds(fields.bounds.drain_ms),
         ),
         first_start=fields.bootstrap,
+        quota_bound=_decode_quota_bound(fields.bounds),
+    )
+
+
+def _decode_quota_bound(bounds: WireFleetLimits) -> QuotaBound | None:
+    """Convert the bound of quotas, if there is one; raises BitternturnError."""
+    if bounds.quota_window_s is None:
+        return None
+    valid = (
+        0 < bounds.quota_window_s < math.inf
+        and 0 <= bounds.quota_excess < math.inf
+        and 0 <= bounds.quota_slack < math.inf
+    )
+    if not valid:
+        raise _invalid_settings('$.bounds: quota out of range')
+    return QuotaBound(
+        window_s=bounds.quota_window_s,
+        excess=bounds.quota_excess,
+        slack=bounds.quota_slack,
     )
 
 
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -32,6 +32,7 @@
 from bitternturn.relay import const
 from bitternturn.relay.outgoing_batch import OutgoingBatch
 from bitternturn.relay.peer import Peer
+from bitternturn.relay.quota_messages import PeerQuotaMessages
 from bitternturn.relay.traffic import RelayTraffic
 
 # Name of the peer, id of the request, and whether the peer's budget has to allow
@@ -71,6 +72,9 @@
         gateway.sponsor = self.sponsor
         gateway.rate_limits.find_delegate_rank = self.find_own_rank
         gateway.rate_limits.needs_own_permit = self.needs_own_permit
+        gateway.quotas.messages = PeerQuotaMessages(
+            find_peers=lambda: self.peers, now=gateway.now
+        )
 
     def update_members(self, entries: Sequence[MemberEntry]) -> None:
         """Update the peers from the registered instances."""
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -71,6 +71,7 @@
     def make_frame(self) -> Frame | None:
         """Return the request with all sends that have not ended."""
         self.sends = [send for send in self.sends if not send.ended]
+        self._reject_without_permit()
         if not self.sends:
             self._close()
             return None
@@ -173,6 +174,15 @@
         has_answer = bool(self.limit) or part.HasField('answer')
         return bool(part.stamp) and has_answer
 
+    def _reject_without_permit(self) -> None:
+        """End the sends if the permit of the quota has expired meanwhile."""
+        now = self.gateway.now()
+        sends = self.sends
+        if sends and not self.gateway.quotas.may_write(sends[0].caller, now):
+            self.sends = []
+            for send in sends:
+                send.target.end_send(send, SendOutcome.UNWANTED, None)
+
     def cancel(self, index: int) -> None:
         """Cancel one send at the peer."""
         self.peer.send_followup(
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -10,6 +10,7 @@
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.incoming_batch import IncomingBatch
 from bitternturn.relay.observations import ObservationExchange
+from bitternturn.relay.quota_messages import handle_quota_frame
 from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Leaving, Links
 
@@ -104,6 +105,9 @@
                     known.cancel(index)
         elif frame.HasField('observations') and self.observations is not None:
             self._handle_observations(self.observations, connection, frame)
+        quota_reply = handle_quota_frame(self.gateway.quotas, frame)
+        if quota_reply is not None:
+            connection.send(quota_reply)
 
     def _handle_observations(
         self,
