Let the state machine of quotas find more faults

Before, the machine passed with a confirmation that fills the bucket and with permits that save up credit; now it fails for both. 13 mutations were tried: 6 fail the machine, the others fail tests/policy/test_quota.py. tests/policy/test_quota_machine.py passes.

--- a/tests/policy/test_quota_machine.py
+++ b/tests/policy/test_quota_machine.py
@@ -202,12 +202,15 @@
 
     @rule()
     def restart_holder(self):
+        """The holder ends when its credit has just been used."""
+        self.rest_and_ask(0.1, False)
         holder = rank_holders(TENANT, self.names)[0]
         members = self.fleet.instances[holder].members
         self.fleet.instances[holder] = QuotaInstance(
             self.fleet, holder, members
         )
         self.confirm()
+        self.ask_everywhere(1, 0.05, 0.001)
 
     @precondition(lambda self: len(self.fleet.instances) > 1)
     @rule(choice=CHOICES)
