--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -76,6 +76,10 @@
     on_outcome: Callable[[Send, SendOutcome, float], None]
     # Called once a target no longer names a rate limit.
     on_limit_lifted: Callable[['Target'], None]
+    # Whether the quota of the tenant allows a request to be written now.
+    may_write: Callable[[CallerRequest, float], bool] = lambda _caller, _now: (
+        True
+    )
 
 
 class Target:
@@ -242,7 +246,7 @@
         """Return why a send may not be written now, None if it may."""
         if self.hooks.crashes_targets(send.caller, now):
             return SendOutcome.SUSPECTED
-        if not self.in_service:
+        if not self.in_service or not self.hooks.may_write(send.caller, now):
             return SendOutcome.UNWANTED
         permitted = self.announcement.allows_send(now) and self.take_permit(
             send, now
--- a/bitternturn/platform/object_messages.py
+++ b/bitternturn/platform/object_messages.py
@@ -28,8 +28,9 @@
 # the event loop for up to 0.3 s for 1 MB.
 MAX_OBJECT_BYTES: Final = 16_384
 # Numbers with an exponent or at least 17 digits in an object above that size;
-# each takes up to 7 us to decode, others 10 ns. A configuration has none.
-MAX_SLOW_NUMBERS: Final = 1000
+# each takes up to 7 us to decode, others 10 ns. Weights of a split may be such
+# numbers.
+MAX_SLOW_NUMBERS: Final = 10_000
 # Lists and objects within such an object: 65,536 take some 20 ms to decode. A
 # route has up to 4 in 300 bytes, so a configuration of 1 MB has 14,000.
 MAX_CONTAINERS: Final = 65_536
