Do not pass on as relayed what asked peers have told

test_relays_without_a_source_delay_nobody failed 4 of 4 runs: a relay without a source that asks its peers counted as relayed. The next peer that it asks may know less, so only polls of readers and relays count.

--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -332,6 +332,7 @@
         peer = relay or self._next_reader()
         if peer is None:
             return ReaderState.UNRESPONSIVE
+        polled_at = self.gateway.now()
         changes = await self._async_exchange(
             peer,
             wait_s=relay_const.FOLLOW_POLL_TIMEOUT_S,
@@ -340,6 +341,7 @@
         if changes is None:
             return ReaderState.UNRESPONSIVE
         if changes.fresh:
+            self.copies.relayed_until = polled_at + RELAYED_S
             return ReaderState.UP_TO_DATE
         if relay is not None:
             return (
@@ -354,7 +356,6 @@
         self, peer: Peer, *, wait_s: float, timeout_s: float
     ) -> Changes | None:
         """Get and apply the changes of a peer; return None without a reply."""
-        polled_at = self.gateway.now()
         reply = await async_request(
             peer,
             Frame(
@@ -369,7 +370,6 @@
             return None
         self._apply_changes(reply.changes, peer.name)
         if reply.changes.fresh:
-            self.copies.relayed_until = polled_at + RELAYED_S
             self.gateway.fleet_state.confirmed_at = self.gateway.now()
         return reply.changes
 
@@ -382,7 +382,11 @@
                 await self._async_ask_next_peer()
 
     async def _async_ask_next_peer(self) -> None:
-        """Ask the next known peer that is available, if there is one."""
+        """Ask the next known peer that is available, if there is one.
+
+        Its reply does not make this instance a source for others, as the next
+        peer may know less.
+        """
         now = self.gateway.now()
         peers = [
             peer
