--- a/tests/http/test_caller_memory.py
+++ b/tests/http/test_caller_memory.py
@@ -375,6 +375,27 @@
             assert await reader.readuntil(b'whole')
             writer.close()
 
+    async def test_callers_with_much_sent_ahead_make_room(self, start):
+        """An ordinary caller was refused while all others sent ahead."""
+        listener = await start(max_connections=3)
+        listener.release.clear()
+        ahead = [
+            await listener.async_open(length_request(1) * 1000)
+            for _ in range(3)
+        ]
+        await async_wait_for(lambda: len(listener.bodies) == 3)
+        await async_wait_for(
+            lambda: all(
+                it.holding.is_evictable() for it in listener.server.connections
+            )
+        )
+        asked = asyncio.create_task(listener.async_ask(length_request(7)))
+        await async_wait_for(lambda: 7 in listener.bodies)
+        listener.release.set()
+        assert (await asked).startswith(b'HTTP/1.1 200')
+        for _, writer in ahead:
+            writer.transport.abort()
+
     async def test_drain_of_many_connections_ends(self, start):
         """Each connection that closed woke a waiter for each other one."""
         listener = await start()
