Let a send not refer to itself

The callback for a late answer held its send, so that the answer stayed in memory until the next garbage collection: a gateway of 64 MB grew to 146 MB while large answers were not read (tests/platform/uncontrolled).

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -264,7 +264,7 @@
             ),
         )
         send.on_silence = partial(self._handle_silence, part)
-        send.on_late = partial(self._handle_late, part, send)
+        send.on_late = partial(self._handle_late, part)
         send.max_records = self.route.max_records
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
--- a/bitternturn/gateway/send.py
+++ b/bitternturn/gateway/send.py
@@ -83,8 +83,10 @@
         self.on_end: SendEndListener | None = on_end
         # Called if the delegate does not confirm that it has the send.
         self.on_silence: Callable[[], None] | None = None
-        # Called if the delegate reports that the answer is late.
-        self.on_late: Callable[[], None] | None = None
+        # Called with this send if the delegate reports that the answer is late.
+        # A callback that held the send would form a cycle with it, which keeps
+        # the answer until the next garbage collection.
+        self.on_late: Callable[[Send], None] | None = None
         # Whether the delegate has not confirmed it in time.
         self.silent = False
         # Name of the peer that makes the send, None for a direct one, and the
@@ -133,7 +135,7 @@
     def report_late(self) -> None:
         """Handle that the delegate reports the answer as late."""
         if not self.ended and self.on_end is not None and self.on_late:
-            self.on_late()
+            self.on_late(self)
 
     def detach(self) -> None:
         """Ignore the outcome; abort the send if it does not end soon."""
