--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -264,7 +264,7 @@
             ),
         )
         send.on_silence = partial(self._handle_silence, part)
-        send.on_late = partial(self._handle_late, part, send)
+        send.on_late = partial(self._handle_late, part)
         send.max_records = self.route.max_records
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
@@ -326,6 +326,7 @@
             part.in_flight.remove(send)
         not_run = outcome in NOT_RUN_OUTCOMES
         part.maybe_run = part.maybe_run or not not_run
+        self.caller.maybe_run |= part.maybe_run
         if part.closed or self.on_end is None:
             return
         now = self.dispatcher.now()
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Gateway that routes callers' requests and sends them to targets."""
 
 import asyncio
+import dataclasses
 import math
 import random
 from collections.abc import Callable, Iterable, Sequence
@@ -28,7 +29,9 @@
     may_forward_failure,
 )
 from bitternturn.gateway.pool import TargetPool
+from bitternturn.gateway.quotas import MIN_WAIT_S, Quotas
 from bitternturn.gateway.reporting import (
+    count_refusal,
     record_pause,
     record_refusal,
     record_request_end,
@@ -36,7 +39,7 @@
 from bitternturn.gateway.returns import CallerReturns
 from bitternturn.gateway.routes import RouteTable, WeightedRoundRobin
 from bitternturn.gateway.send import Send
-from bitternturn.gateway.tenants import TenantTable
+from bitternturn.gateway.tenants import TenantLabels, TenantTable
 from bitternturn.gateway.wire import Wire
 from bitternturn.http.models import Request, Response
 from bitternturn.policy.answer_timing import (
@@ -88,8 +91,19 @@
         )
         self.overload = Overload(decisions=decisions, metrics=self.metrics)
         self.on_limits = on_limits
+        self.quotas = Quotas(
+            own_name=settings.name,
+            bound=settings.quota_bound,
+            now=self.now,
+            decisions=decisions,
+            rng=rng,
+        )
+        self.target_hooks = dataclasses.replace(
+            self.target_hooks, may_write=self.quotas.may_write
+        )
         self.route_table = RouteTable(routes=())
         self.tenants = TenantTable()
+        self.tenant_labels = TenantLabels()
         self.round_robin = WeightedRoundRobin()
         self.route_stats: dict[RouteName, RouteStats] = {}
         # Whether new requests are refused, since the instance is draining.
@@ -123,6 +137,11 @@
         confirmed_at = self.fleet_state.confirmed_at
         return None if confirmed_at is None else round(now - confirmed_at, 1)
 
+    def update_instances(self, instances: Sequence[str]) -> None:
+        """Update the instances that share limits and quotas with this one."""
+        super().update_instances(instances)
+        self.quotas.update_members(self.rate_limits.names)
+
     # Configuration
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -148,6 +167,7 @@
         # retried under an old route.
         for execution in list(self.executions):
             self._apply_to_request(execution)
+        self.quotas.update_tenants(configuration.tenants or ())
         self.refresh_targets()
 
     def _record_outcome(
@@ -173,8 +193,10 @@
         arrived_at = self.now()
         caller = self.wire.read_request(request)
         route = self._admit(caller, arrived_at)
-        if self.crash_suspects.evidence and isinstance(route, Route):
-            refusal = await self._async_check_suspicion(caller)
+        if isinstance(route, Route) and (
+            caller.tenant or self.crash_suspects.evidence
+        ):
+            refusal = await self._async_check_caller(caller)
             # The configuration may have changed meanwhile.
             route = refusal or self._admit(caller, arrived_at)
         if isinstance(route, Response):
@@ -197,17 +219,9 @@
                 else RefusalReason.LIMITED_TARGETS
             )
             return self._refuse(caller, reason, return_delay_s)
-        if self._is_overloaded(caller, route, services, arrived_at):
-            retry_after_s = self.returns.book(
-                caller,
-                route,
-                services[0],
-                remaining_s=_wait_s(caller, route),
-                now=arrived_at,
-            )
-            return self.wire.write_refusal(
-                caller, RefusalReason.BUSY, retry_after_s
-            )
+        busy = self._reject_overload(caller, route, services, arrived_at)
+        if busy is not None:
+            return busy
         if route.shards and not self.can_serve(services, route.min_parts()):
             return self._refuse(
                 caller,
@@ -237,6 +251,21 @@
         reason = self._identify(caller, route)
         return route if reason is None else self._refuse(caller, reason, None)
 
+    async def _async_check_caller(
+        self, caller: CallerRequest
+    ) -> Response | None:
+        """Refuse a request above the quota, or one that crashes targets.
+
+        Returns None if it may be sent.
+        """
+        over = await self.quotas.async_admit(caller)
+        if over is not None:
+            retry_after_s = max(MIN_WAIT_S, over.retry_at - self.now())
+            return self._refuse(caller, over.reason, retry_after_s)
+        if self.crash_suspects.evidence:
+            return await self._async_check_suspicion(caller)
+        return None
+
     def _identify(
         self, caller: CallerRequest, route: Route
     ) -> RefusalReason | None:
@@ -312,21 +341,37 @@
         service = self.round_robin.next_service(route)
         return () if service is None else (service,)
 
-    def _is_overloaded(
+    def _reject_overload(
         self,
         caller: CallerRequest,
         route: Route,
         services: tuple[ServiceName, ...],
-        now: float,
-    ) -> bool:
-        """Return whether the overload of targets leaves no room for a request."""
-        return self.overload.rejects(
+        arrived_at: float,
+    ) -> Response | None:
+        """Reject a request that overloaded targets have no room for.
+
+        Returns None if it may be sent. Rejections have no log lines of their own.
+        """
+        now = self.now()
+        elapsed_s = now - arrived_at
+        timeout_s = _timeout_s(caller, route) - const.DEADLINE_MARGIN_S
+        rejected = self.overload.rejects(
+            caller, route, services, remaining_s=timeout_s - elapsed_s, now=now
+        )
+        if not rejected:
+            return None
+        retry_after_s = self.returns.book(
             caller,
             route,
-            services,
-            remaining_s=_timeout_s(caller, route) - const.DEADLINE_MARGIN_S,
+            services[0],
+            remaining_s=_wait_s(caller, route) - elapsed_s,
             now=now,
         )
+        self.quotas.give_back(caller)
+        count_refusal(self, caller, RefusalReason.BUSY)
+        return self.wire.write_refusal(
+            caller, RefusalReason.BUSY, retry_after_s
+        )
 
     async def _async_execute(
         self,
@@ -377,6 +422,8 @@
             raise
         finally:
             self.executions.discard(execution)
+        if not result.maybe_run:
+            self.quotas.give_back(caller)
         response = self._answer(execution, result, arrived_at)
         self.answer_delay.record(self.now() - result.due_at)
         return response
@@ -465,6 +512,7 @@
         retry_after_s: float | None,
     ) -> Response:
         """Record and return the refusal of a request that was not sent."""
+        self.quotas.give_back(caller)
         record_refusal(self, caller, reason, retry_after_s)
         return self.wire.write_refusal(caller, reason, retry_after_s)
 
@@ -542,6 +590,7 @@
         ),
         'paced_targets': lambda: len(gateway.paces.limited),
         'lowest_pace_share': lambda: gateway.paces.lowest_share,
+        'quotas_held': lambda: gateway.quotas.count_held(),
         'log_lines_dropped': lambda: gateway.decisions.writer.dropped,
     }
     for name, read in gauges.items():
--- a/bitternturn/gateway/overload.py
+++ b/bitternturn/gateway/overload.py
@@ -28,12 +28,6 @@
 LOG_INTERVAL_S: Final = 1.0
 # Tenants and services that a log line names.
 LOGGED_NAMES: Final = 5
-# Tenants that have their own counter. The others are summed, so that the number of
-# counters is bounded.
-COUNTED_TENANTS: Final = 20
-# Share of all rejections from which on a tenant gets its own counter.
-COUNTED_SHARE: Final = 0.02
-OTHER_TENANTS: Final = 'other'
 # Priorities from which on requests are counted together.
 COUNTED_PRIORITIES: Final = 10
 # Time before its deadline at which a waiting send ends because of it, in seconds.
@@ -50,9 +44,7 @@
         self.decisions = decisions
         self.metrics = metrics
         self.control = OverloadControl()
-        # Rejections by tenant since the start, and those since the last log line.
-        self.by_tenant: Counter[str] = Counter()
-        self.counted_tenants: set[str] = set()
+        # Rejections since the last log line.
         self.unlogged: Counter[tuple[Rejection, int, str]] = Counter()
         self.logged_at: float = 0
 
@@ -71,9 +63,6 @@
         # Public routes have no tenant.
         weights[''] = usual_rate
         self.control.reconfigure(services, weights)
-        self.by_tenant = Counter(
-            {it: count for it, count in self.by_tenant.items() if it in weights}
-        )
 
     def record_outcome(
         self, send: Send, outcome: SendOutcome, latency_s: float, now: float
@@ -129,23 +118,6 @@
             'overload_rejections', reason=rejection.value, priority=priority
         )
         self.unlogged[(rejection, caller.priority, caller.tenant)] += 1
-        if not caller.tenant:
-            return
-        self.by_tenant[caller.tenant] += 1
-        self.metrics.increment(
-            'overload_rejections_by_tenant', tenant=self._label(caller.tenant)
-        )
-
-    def _label(self, tenant: str) -> str:
-        """Return the name under which the rejections of a tenant count."""
-        if tenant in self.counted_tenants:
-            return tenant
-        share = self.by_tenant[tenant] / self.by_tenant.total()
-        full = len(self.counted_tenants) >= COUNTED_TENANTS
-        if full or share < COUNTED_SHARE:
-            return OTHER_TENANTS
-        self.counted_tenants.add(tenant)
-        return tenant
 
     def _log(self, now: float) -> None:
         """Log the rejections since the last line."""
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -89,6 +89,11 @@
 ASK_TIMEOUT_S = relay_const.FOLLOW_REPLY_MARGIN_S
 # Polls of readers and relays that fail in a row before others are asked.
 FAILED_POLLS_BEFORE_ASKING = 2
+# Kinds whose names count whatever the content: a domain that is taken out of
+# service, and an instance that shares limits with the others.
+NAMED_KINDS = frozenset(
+    (wire_names.KIND_DOMAINS_OUT, wire_names.KIND_INSTANCES)
+)
 # Up to this number of instances each reads the store itself and may probe an
 # unavailable one every second.
 SMALL_FLEET_SIZE = 16
@@ -332,6 +337,7 @@
         peer = relay or self._next_reader()
         if peer is None:
             return ReaderState.UNRESPONSIVE
+        polled_at = self.gateway.now()
         changes = await self._async_exchange(
             peer,
             wait_s=relay_const.FOLLOW_POLL_TIMEOUT_S,
@@ -340,6 +346,7 @@
         if changes is None:
             return ReaderState.UNRESPONSIVE
         if changes.fresh:
+            self.copies.relayed_until = polled_at + RELAYED_S
             return ReaderState.UP_TO_DATE
         if relay is not None:
             return (
@@ -354,7 +361,6 @@
         self, peer: Peer, *, wait_s: float, timeout_s: float
     ) -> Changes | None:
         """Get and apply the changes of a peer; return None without a reply."""
-        polled_at = self.gateway.now()
         reply = await async_request(
             peer,
             Frame(
@@ -369,7 +375,6 @@
             return None
         self._apply_changes(reply.changes, peer.name)
         if reply.changes.fresh:
-            self.copies.relayed_until = polled_at + RELAYED_S
             self.gateway.fleet_state.confirmed_at = self.gateway.now()
         return reply.changes
 
@@ -382,7 +387,11 @@
                 await self._async_ask_next_peer()
 
     async def _async_ask_next_peer(self) -> None:
-        """Ask the next known peer that is available, if there is one."""
+        """Ask the next known peer that is available, if there is one.
+
+        Its reply does not make this instance a source for others, as the next
+        peer may know less.
+        """
         now = self.gateway.now()
         peers = [
             peer
@@ -519,6 +528,8 @@
         One that can't changes nothing: of its kind, the one known before is
         kept. A target is not used any more.
         """
+        if kind in NAMED_KINDS:
+            return [_keep_name(stored) for stored in objects]
         readable = [stored for stored in objects if stored.readable]
         if kind == wire_names.KIND_TARGETS:
             return readable
@@ -629,6 +640,11 @@
 
     A target of which only the name can be decoded counts as removed.
     """
+    if kind in NAMED_KINDS:
+        return [
+            ObjectEvent(object=_keep_name(it.object), deleted=it.deleted)
+            for it in events
+        ]
     readable = []
     for event in events:
         if event.deleted or event.object.readable:
@@ -638,6 +654,13 @@
     return readable
 
 
+def _keep_name(stored: PlatformObject) -> PlatformObject:
+    """Return an object without its content if that can't be decoded."""
+    if stored.readable:
+        return stored
+    return PlatformObject(meta=stored.meta, spec=None)
+
+
 def _is_known(event: ObjectEvent, copy: KindCopy) -> bool:
     """Return whether a copy contains a change or a later one."""
     meta = event.object.meta
--- a/bitternturn/policy/overload.py
+++ b/bitternturn/policy/overload.py
@@ -124,7 +124,7 @@
     def advance(self, now: float) -> None:
         """Begin the period of a time."""
         period = int(now / PERIOD_S)
-        if period != self.period:
+        if period > self.period:
             follows = period == self.period + 1
             self.since = (period - 1) * PERIOD_S if follows else now
             self.previous = self.current if follows else Counter()
@@ -190,7 +190,7 @@
     def advance(self, now: float) -> None:
         """Begin the period of a time."""
         period = int(now / PERIOD_S)
-        if period == self.period:
+        if period <= self.period:
             return
         self._update_usual()
         follows = period == self.period + 1
--- a/bitternturn/policy/return_times.py
+++ b/bitternturn/policy/return_times.py
@@ -54,7 +54,7 @@
     def _advance(self, now: float) -> None:
         """Begin the period of a time."""
         period = int(now / RATE_PERIOD_S)
-        if period == self.period:
+        if period <= self.period:
             return
         follows = period == self.period + 1
         self.previous_count = self.count if follows else 0
--- a/tests/policy/test_overload.py
+++ b/tests/policy/test_overload.py
@@ -269,6 +269,17 @@
             assert decide(control, services, now=now) is None
 
 
+class TestTimes:
+    def test_earlier_time_does_not_void_what_was_counted(self):
+        """Requests that have waited may state the time of their arrival."""
+        load = OverloadControl().loads['s']
+        for number in range(20):
+            load.record_answer('t', 0.01, CALM_S + number / 20, own=True)
+        answers_per_s = load.answers_per_s(CALM_S + 1)
+        load.record_answer('t', 0.01, CALM_S - 5, own=False)
+        assert load.answers_per_s(CALM_S + 1) == answers_per_s
+
+
 class TestDeadline:
     def test_request_that_cannot_end_in_time_is_rejected(self):
         """It would take the place of one that can."""
