Begin an overload at a fifth of rejections

Targets that answer half of a load with bursts let the room fall to a third of what they could answer, as a tenth of rejections also occurs below capacity. An overload now begins at a fifth and goes on at a tenth, and its room stays above 0.7 of the first estimate (before: a tenth, a twentieth, half).

--- a/bitternturn/policy/overload.py
+++ b/bitternturn/policy/overload.py
@@ -28,11 +28,12 @@
 # be chance.
 MIN_REPLIES: Final = 10
 # Share of rejections from which on a service is overloaded, from which on it stays
-# overloaded, and up to which it has room to spare. Retries hide a share that is
-# lower than the first.
-ENTRY_SHARE: Final = 0.1
-STAY_SHARE: Final = 0.05
-SPARE_SHARE: Final = 0.02
+# overloaded, and up to which it has room to spare. Targets with short queues reject
+# some requests of any burst, and a retry then finds another target: at the first
+# share, about 1 request in 25 is rejected by both.
+ENTRY_SHARE: Final = 0.2
+STAY_SHARE: Final = 0.1
+SPARE_SHARE: Final = 0.05
 # Multiple of the usual latency from which on a target is late: its queue is long.
 LATE_RATIO: Final = 3.0
 # Share of a service's targets above which they are overloaded together. Fewer are
@@ -48,8 +49,9 @@
 REDUCTION: Final = 0.98
 REDUCTION_INTERVAL_S: Final = 2 * PERIOD_S
 # Least room, relative to that at the beginning of the overload. Targets that go on
-# rejecting half of what they could answer then do so for another reason than load.
-LEAST_ROOM_SHARE: Final = 0.5
+# rejecting so much less than they could answer then do so for another reason than
+# load, or because their queues are too short for the bursts that arrive.
+LEAST_ROOM_SHARE: Final = 0.7
 # Growth of the room in each evaluation without rejections, a third in a second, and
 # from a share of the room at which targets rejected on, a tenth in a second. After
 # some seconds without rejections, that room says little.
