--- /dev/null
+++ b/bitternturn/policy/rollout_evidence.py
@@ -0,0 +1,292 @@
+"""Compares the answers of a version under test with those of the others.
+
+Guards against a version that fails a part of its requests or is several times
+slower, at once or later, on all routes or on one.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, fields
+from enum import Enum, unique
+from typing import Final, NamedTuple
+
+# Interval at which evidence is judged.
+STEP_S: Final = 0.5
+# Time over which the other versions are compared.
+BASELINE_WINDOW_S: Final = 6.0
+# Share of failures that is tolerated in any version: targets are killed and
+# connections are reset by other causes.
+TOLERATED_FAILURES: Final = 0.02
+# Further share of failures of a bad version. Bad versions fail 20 to 50 %.
+ADDED_FAILURES: Final = 0.15
+MAX_FAILURES: Final = 0.95
+# Slowdown of a bad version as a logarithm; bad versions are several times
+# slower, while other causes slow single targets by 2.5 for 600 ms.
+SLOWDOWN: Final = math.log(2.5)
+# Least variance of the logarithm of latencies that is assumed: answers of one
+# target at one time are not independent.
+MIN_VARIANCE: Final = 0.5
+# Logarithms of latencies are cut to this range, so that one request that was
+# held up does not decide.
+MAX_LOG_RATIO: Final = 2.0
+# Answers of other versions without which latencies are not compared.
+MIN_BASELINE: Final = 10
+# Log-likelihood ratios at which a version is bad. A good version with 2 % of
+# failures exceeds the first in about one of a million requests.
+FAILURE_THRESHOLD: Final = 14.0
+LATENCY_THRESHOLD: Final = 18.0
+# Greatest change of the score for latency in a step: all targets of a version
+# may be slow at once for less than a second.
+MAX_LATENCY_STEP: Final = 4.0
+# Targets from which failures must come, if the version has as many.
+MIN_FAILING_TARGETS: Final = 2
+# Failures on routes that are clearly worse after which a version is bad without
+# further tests; the bound is 50.
+MAX_FAILURE_COUNT: Final = 40
+# Answers without which the last judgement does not call a version good.
+MIN_FINAL_ANSWERS: Final = 8
+
+
+class CellKey(NamedTuple):
+    """Route, and whether targets are in the failure domain of the sender."""
+
+    route: str
+    near: bool
+
+
+@dataclass(slots=True)
+class Tally:
+    """Cumulative counts of answers."""
+
+    answers: int = 0
+    failures: int = 0
+    # Answers with a latency, and sums of its logarithm and of the square.
+    timed: int = 0
+    log_sum: float = 0
+    log_square: float = 0
+
+    def add(self, other: 'Tally', sign: int = 1) -> None:
+        """Add or subtract other counts."""
+        for each in fields(self):
+            name = each.name
+            value = getattr(self, name) + sign * getattr(other, name)
+            setattr(self, name, value)
+
+    def minus(self, other: 'Tally') -> 'Tally':
+        """Return the difference to earlier counts."""
+        difference = Tally()
+        difference.add(self)
+        difference.add(other, -1)
+        return difference
+
+    def record(self, *, failed: bool, log_ratio: float | None) -> None:
+        """Record an answer, with its latency if it is comparable."""
+        self.answers += 1
+        self.failures += failed
+        if log_ratio is not None:
+            limited = min(MAX_LOG_RATIO, max(-MAX_LOG_RATIO, log_ratio))
+            self.timed += 1
+            self.log_sum += limited
+            self.log_square += limited * limited
+
+
+@dataclass(slots=True)
+class Cell:
+    """Counts of the version under test and of the others."""
+
+    candidate: Tally = field(default_factory=Tally)
+    baseline: Tally = field(default_factory=Tally)
+
+
+Cells = Mapping[CellKey, Cell]
+
+
+@unique
+class Judgement(Enum):
+    """What the evidence says of a version."""
+
+    OPEN = 'open'
+    GOOD = 'good'
+    FAILING = 'failing'
+    SLOW = 'slow'
+
+
+BAD_JUDGEMENTS: Final = frozenset((Judgement.FAILING, Judgement.SLOW))
+
+
+def add_cells(total: dict[CellKey, Cell], cells: Cells) -> None:
+    """Add the counts of a sender to those of all."""
+    for key, cell in cells.items():
+        known = total.setdefault(key, Cell())
+        known.candidate.add(cell.candidate)
+        known.baseline.add(cell.baseline)
+
+
+def baseline_failures(baseline: Tally) -> float:
+    """Return the share of failures of the other versions, rounded up."""
+    if not baseline.answers:
+        return TOLERATED_FAILURES
+    share = min(1, baseline.failures / baseline.answers)
+    deviation = math.sqrt(share * (1 - share) / baseline.answers)
+    return min(MAX_FAILURES - ADDED_FAILURES, share + deviation)
+
+
+def score_failures(candidate: Tally, baseline: Tally) -> float:
+    """Return the log-likelihood ratio that a version is bad, by failures."""
+    usual = max(TOLERATED_FAILURES, baseline_failures(baseline))
+    bad = min(MAX_FAILURES, usual + ADDED_FAILURES)
+    good_answers = candidate.answers - candidate.failures
+    return candidate.failures * math.log(bad / usual) + (
+        good_answers * math.log((1 - bad) / (1 - usual))
+    )
+
+
+def score_latency(candidate: Tally, baseline: Tally) -> float:
+    """Return the log-likelihood ratio that a version is bad, by latency."""
+    if baseline.timed < MIN_BASELINE or not candidate.timed:
+        return 0
+    mean = baseline.log_sum / baseline.timed
+    variance = baseline.log_square / baseline.timed - mean * mean
+    variance = max(MIN_VARIANCE, variance)
+    mean += math.sqrt(variance / baseline.timed)
+    excess = candidate.log_sum - candidate.timed * (mean + SLOWDOWN / 2)
+    return SLOWDOWN / variance * excess
+
+
+class CellHistory:
+    """Scores of one cell and what its other versions did lately."""
+
+    __slots__ = ('baselines', 'candidate', 'score')
+
+    def __init__(self) -> None:
+        """Initialise without answers."""
+        self.score: float = 0
+        self.candidate = Tally()
+        # Times and cumulative counts of the other versions.
+        self.baselines: deque[tuple[float, Tally]] = deque()
+
+    def advance(self, cell: Cell, now: float) -> tuple[Tally, Tally]:
+        """Return the new answers and those of the others in the window."""
+        new = cell.candidate.minus(self.candidate)
+        self.candidate = cell.candidate.minus(Tally())
+        while (
+            len(self.baselines) > 1
+            and now - self.baselines[1][0] >= BASELINE_WINDOW_S
+        ):
+            self.baselines.popleft()
+        earlier = self.baselines[0][1] if self.baselines else Tally()
+        recent = cell.baseline.minus(earlier)
+        self.baselines.append((now, cell.baseline.minus(Tally())))
+        if recent.timed < MIN_BASELINE:
+            recent = cell.baseline.minus(Tally())
+        return new, recent
+
+
+class EvidenceJudge:
+    """Judges the counts of all senders step by step."""
+
+    def __init__(self) -> None:
+        """Initialise without evidence."""
+        self.failures: dict[str, CellHistory] = {}
+        self.latencies: dict[CellKey, CellHistory] = {}
+        self.judged_at = -math.inf
+        self.judgement = Judgement.OPEN
+        # Route that the judgement is about.
+        self.route = ''
+
+    def step(
+        self, cells: Cells, now: float, *, failing_targets: int, targets: int
+    ) -> Judgement:
+        """Judge cumulative counts; a bad version stays bad.
+
+        `failing_targets` of the `targets` of the version have failed.
+        """
+        if self.judgement in BAD_JUDGEMENTS or now - self.judged_at < STEP_S:
+            return self.judgement
+        self.judged_at = now
+        if self._judge_failures(cells, now) and (
+            failing_targets >= min(MIN_FAILING_TARGETS, targets)
+        ):
+            self.judgement = Judgement.FAILING
+        elif self._judge_latency(cells, now):
+            self.judgement = Judgement.SLOW
+        return self.judgement
+
+    def _judge_failures(self, cells: Cells, now: float) -> bool:
+        """Return whether the version fails too often on a route."""
+        bad = False
+        for route, cell in _by_route(cells).items():
+            history = self.failures.setdefault(route, CellHistory())
+            new, recent = history.advance(cell, now)
+            history.score = max(
+                0, history.score + score_failures(new, recent)
+            )
+            if history.score >= FAILURE_THRESHOLD:
+                bad, self.route = True, route
+        return bad or count_failures(cells) >= MAX_FAILURE_COUNT
+
+    def _judge_latency(self, cells: Cells, now: float) -> bool:
+        """Return whether the version is too slow on a route."""
+        bad = False
+        for key, cell in cells.items():
+            history = self.latencies.setdefault(key, CellHistory())
+            new, recent = history.advance(cell, now)
+            change = score_latency(new, recent)
+            change = min(MAX_LATENCY_STEP, max(-MAX_LATENCY_STEP, change))
+            history.score = max(0, history.score + change)
+            if history.score >= LATENCY_THRESHOLD:
+                bad, self.route = True, key.route
+        return bad
+
+    def judge_finally(self, cells: Cells) -> Judgement:
+        """Judge all answers before the traffic moves; OPEN with too few."""
+        if self.judgement in BAD_JUDGEMENTS:
+            return self.judgement
+        routes = _by_route(cells)
+        if any(
+            score_failures(it.candidate, it.baseline) > 0
+            and it.candidate.failures > 1
+            for it in routes.values()
+        ):
+            return Judgement.FAILING
+        if any(
+            score_latency(it.candidate, it.baseline) > 0
+            for it in cells.values()
+        ):
+            return Judgement.SLOW
+        answers = sum(it.candidate.answers for it in routes.values())
+        return Judgement.GOOD if answers >= MIN_FINAL_ANSWERS else Judgement.OPEN
+
+
+def count_failures(cells: Cells) -> int:
+    """Return the failures on routes on which the other versions are better."""
+    return sum(
+        cell.candidate.failures
+        for cell in _by_route(cells).values()
+        if _is_clearly_worse(cell)
+    )
+
+
+def _is_clearly_worse(cell: Cell) -> bool:
+    """Return whether a version fails much more often than the others."""
+    usual = max(TOLERATED_FAILURES, baseline_failures(cell.baseline))
+    return cell.candidate.failures > 2 * usual * cell.candidate.answers
+
+
+def _by_route(cells: Cells) -> dict[str, Cell]:
+    """Return the counts of each route."""
+    routes: dict[str, Cell] = {}
+    for key, cell in cells.items():
+        known = routes.setdefault(key.route, Cell())
+        known.candidate.add(cell.candidate)
+        known.baseline.add(cell.baseline)
+    return routes
+
+
+def merge_cells(reports: Iterable[Cells]) -> dict[CellKey, Cell]:
+    """Return the sum of the counts of some senders."""
+    total: dict[CellKey, Cell] = {}
+    for cells in reports:
+        add_cells(total, cells)
+    return total
