Limit, count and conclude roll-outs in the gateway

Versions are decoded from the entries of targets; the kind rollouts is followed if the settings list the contract. Each sender permits its share; collectors judge the counts of all and one of them writes the status.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -229,6 +229,7 @@
         )
         send.on_silence = partial(self._handle_silence, part)
         send.max_records = self.route.max_records
+        send.route = self.route.name
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
         send.sponsored = sponsored
--- a/bitternturn/gateway/fleet_state.py
+++ b/bitternturn/gateway/fleet_state.py
@@ -22,6 +22,8 @@
         self.targets_known = False
         # Whether the number of instances that share the limits is known.
         self.instances_known = False
+        # Whether the orders of roll-outs are known, if there can be any.
+        self.orders_known = True
         self.domains_out: frozenset[FailureDomain] = frozenset()
         # When each missing entry is removed unless it reappears.
         self.missing_until: dict[TargetId, float] = {}
@@ -39,7 +41,8 @@
     def complete(self) -> bool:
         """Whether everything that serving requests needs is known."""
         configured = self.configuration is not None
-        return configured and self.targets_known and self.instances_known
+        listed = self.targets_known and self.orders_known
+        return configured and listed and self.instances_known
 
     def apply_configuration(self, configuration: Configuration) -> bool:
         """Apply a configuration if it is newer; return whether it was."""
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -130,6 +130,8 @@
     state: TargetState
     # Remaining time of the cold start when the entry was written.
     cold_remaining_s: float = 0
+    # Software version of the target.
+    version: str = ''
 
     @property
     def life(self) -> TargetLife:
@@ -165,6 +167,22 @@
     drain_s: float = 3
 
 
+@dataclass(kw_only=True, frozen=True, slots=True)
+class RolloutBounds:
+    """Bounds of the roll-out of a version, over all instances together."""
+
+    # Whether the deployment has orders to roll out versions.
+    enabled: bool = False
+    # Requests of a version under test: share × all requests + slack.
+    canary_share: float = 0.1
+    canary_slack: float = 50
+    # Time from the last tolerated failure until a version gets no request.
+    rollback_s: float = 5
+    # Failures after which an instance stops using a version by itself; the
+    # last tolerated one is the 50th.
+    max_failures: int = 40
+
+
 @dataclass(kw_only=True, frozen=True, slots=True)
 class Address:
     """Host and port at which a process listens."""
@@ -193,6 +211,7 @@
     store: Address
     global_limits: GlobalLimits
     change_bounds: ChangeBounds = ChangeBounds()
+    rollout_bounds: RolloutBounds = RolloutBounds()
     # Whether the cluster starts for the first time, so that this process does
     # not replace an earlier one.
     first_start: bool = False
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -29,6 +29,7 @@
     TargetEntry,
 )
 from bitternturn.gateway.rate_limits import RateLimits
+from bitternturn.gateway.rollouts import Rollouts
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.send_reporting import (
     record_lost_send,
@@ -45,6 +46,7 @@
     FurtherSendBudget,
     instance_slack,
 )
+from bitternturn.policy.rollout import VersionRole
 from bitternturn.policy.target_pauses import (
     MAX_PAUSE_S,
     choose_return_at,
@@ -105,6 +107,18 @@
             metrics=self.metrics,
             rng=rng,
         )
+        self.rollouts = Rollouts(
+            own_name=settings.name,
+            own_domain=settings.failure_domain,
+            bounds=settings.rollout_bounds,
+            decisions=decisions,
+            metrics=self.metrics,
+            rng=rng,
+            now=self.now,
+            first_start=settings.first_start,
+        )
+        self.rollouts.on_roles = self._handle_roles
+        self.fleet_state.orders_known = self.rollouts.known
         # End of the last pause that a target has asked for.
         self.pauses_end_at: float = 0
         self.crash_suspects = CrashSuspects(
@@ -130,6 +144,7 @@
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
+            rollouts=self.rollouts,
         )
         # Targets of each service that new requests use, and those that are used
         # when none of them is available.
@@ -163,6 +178,7 @@
         self.fleet_state.instances_known = True
         ordered = sorted({*instances, self.settings.name})
         self.rate_limits.update_instances(ordered)
+        self.rollouts.names = ordered
         instance_index = ordered.index(self.settings.name)
         if (len(ordered), instance_index) == (
             self.instance_count,
@@ -210,12 +226,22 @@
         self._rank_domains()
         self.ready = {}
         self.standby = {}
-        for service, ready in self.fleet_state.ready_by_service().items():
+        usable = self.rollouts.keep_usable(self.fleet_state.ready_by_service())
+        for service, ready in usable.items():
             reachable = [
                 entry for entry in ready if self.targets[entry.id].usable
             ]
             self._assign_targets(service, reachable)
 
+    def _handle_roles(self) -> None:
+        """Apply which versions may be used, also to sends that wait."""
+        if not self.fleet_state.targets_known:
+            return
+        self.refresh_targets()
+        for target in list(self.targets.values()):
+            if self.rollouts.role(target.entry) is VersionRole.BLOCKED:
+                target.reject_queued()
+
     def _update_target(self, entry: TargetEntry) -> None:
         """Create or update one target."""
         target = self.targets.get(entry.id)
@@ -409,26 +435,35 @@
         ready: Sequence[TargetEntry],
     ) -> None:
         """Assign a subset of a service's targets to this instance."""
+        self.ready[name] = []
+        self.standby[name] = []
+        for group in self.rollouts.split(name, ready):
+            self._assign_group(name, group)
+        self._share_cold_limits(
+            self._find_service(name), [*self.ready[name], *self.standby[name]]
+        )
+
+    def _assign_group(
+        self, name: ServiceName, group: Sequence[TargetEntry]
+    ) -> None:
+        """Assign a subset of those targets of a service that are alike."""
         service = self._find_service(name)
         assignment = assign_targets(
-            ready,
+            group,
             service=name,
             max_connections=service.max_connections if service else 1,
             instances=self.instance_count,
             position=self.instance_index,
             delegated=self.delegation_enabled and name in self.wide_services,
         )
-        self.ready[name] = [
-            self.targets[entry.id] for entry in assignment.assigned
-        ]
+        assigned = [self.targets[entry.id] for entry in assignment.assigned]
+        for target in assigned:
+            target.connections.max_count = assignment.max_connections
+        self.ready[name] = [*self.ready[name], *assigned]
         self.standby[name] = [
-            self.targets[entry.id] for entry in assignment.standby
+            *self.standby[name],
+            *(self.targets[entry.id] for entry in assignment.standby),
         ]
-        for target in self.ready[name]:
-            target.connections.max_count = assignment.max_connections
-        self._share_cold_limits(
-            service, [*self.ready[name], *self.standby[name]]
-        )
 
     def _share_cold_limits(
         self, service: Service | None, targets: Sequence[Target]
@@ -511,15 +546,16 @@
         typical_latency_s: float,
     ) -> Target | None:
         """Return the best assigned target, else the best standby target."""
-        assigned = self.ready.get(service, ())
-        chosen = self._select_among(assigned, avoided, typical_latency_s)
-        if chosen is not None:
-            return chosen
-        return self._select_among(
-            self.standby.get(service, ()),
-            avoided,
-            typical_latency_s,
-        )
+        for targets in self.rollouts.order_targets(
+            service,
+            (self.ready.get(service, ()), self.standby.get(service, ())),
+            first=not avoided,
+            wide=service in self.wide_services,
+        ):
+            chosen = self._select_among(targets, avoided, typical_latency_s)
+            if chosen is not None:
+                return chosen
+        return None
 
     def _select_among(
         self,
@@ -565,6 +601,7 @@
     def start_send(self, send: Send, now: float) -> None:
         """Start a send, directly or through a peer."""
         send.target.cold_send_limit.record_send(now)
+        self.rollouts.record_choice(send)
         self.dispatch(send, now)
 
     def may_sponsor(self, target: Target, now: float) -> bool:
--- a/bitternturn/gateway/send.py
+++ b/bitternturn/gateway/send.py
@@ -13,6 +13,7 @@
 )
 from bitternturn.gateway.rate_limits import SendKind
 from bitternturn.policy.answer_timing import LatencyEstimate
+from bitternturn.policy.rollout_exposure import ExposureBudget
 
 if TYPE_CHECKING:
     from bitternturn.gateway.target import Target
@@ -40,8 +41,10 @@
         'detach_timer',
         'direct',
         'ended',
+        'exposure',
         'for_peer',
         'require_fresh_connection',
+        'route',
         'is_further',
         'max_records',
         'on_end',
@@ -105,6 +108,10 @@
         # has not, and whether the instance that asked for it has the permit.
         self.permitted_at: float | None = None
         self.peer_permit = False
+        # Name of the route, empty if another instance has asked for the send.
+        self.route = ''
+        # Counts of a roll-out in which the send is included, None without one.
+        self.exposure: ExposureBudget | None = None
         # Whether the budget of the delegate has to allow this further send.
         self.sponsored = False
         self.detach_timer: asyncio.TimerHandle | None = None
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -25,6 +25,7 @@
     TargetEntry,
 )
 from bitternturn.gateway.rate_limits import RateLimits
+from bitternturn.gateway.rollouts import Rollouts
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.send_results import is_fault_of_link, record_outcome
 from bitternturn.gateway.target_connections import TargetConnections
@@ -66,6 +67,8 @@
     # that can't be read.
     on_pause: Callable[['Target', float], None]
     on_unread_pause: Callable[['Target'], None]
+    # Says whether the version of a target may be used, and counts its answers.
+    rollouts: Rollouts
 
 
 class Target:
@@ -221,8 +224,10 @@
         """Return why a send may not be written now, None if it may."""
         if self.hooks.crashes_targets(send.caller, now):
             return SendOutcome.SUSPECTED
-        permitted = self.announcement.allows_send(now) and self.take_permit(
-            send, now
+        permitted = (
+            self.announcement.allows_send(now)
+            and self.hooks.rollouts.admits(send)
+            and self.take_permit(send, now)
         )
         return None if permitted else SendOutcome.UNWANTED
 
@@ -408,7 +413,7 @@
     def announce_pause(self, pause_s: float) -> None:
         """Send nothing to the target for as long as it asks, in seconds."""
         self.hooks.on_pause(self, pause_s)
-        self._reject_queued()
+        self.reject_queued()
 
     def announce_leaving(self) -> None:
         """Send nothing more to the target, which leaves.
@@ -419,9 +424,9 @@
             return
         self.close()
         self.hooks.on_leaving(self)
-        self._reject_queued()
+        self.reject_queued()
 
-    def _reject_queued(self) -> None:
+    def reject_queued(self) -> None:
         """End the sends that wait for a connection to this target."""
         for send in list(self.queued):
             self.end_send(send, SendOutcome.UNWANTED, None)
@@ -448,6 +453,8 @@
             self.queued.remove(send)
         if send.permitted_at is not None and outcome in UNDELIVERED_OUTCOMES:
             self.rate_limits.give_back(self.announcement.rate_limit)
+        if outcome in UNDELIVERED_OUTCOMES:
+            self.hooks.rollouts.withdraw(send)
         self._record_end(send, outcome, took_s)
         if send.on_end is not None:
             send.on_end(send, outcome, answer)
@@ -465,6 +472,7 @@
         latency_s = now - send.started_at if took_s is None else took_s
         if not is_fault_of_link(send, outcome):
             record_outcome(self.record, send, outcome, latency_s, now)
+        self.hooks.rollouts.record_end(send, outcome, latency_s)
         connection = send.connection
         exchange_bytes = 0
         if isinstance(connection, ClientConnection):
--- a/bitternturn/platform/documents.py
+++ b/bitternturn/platform/documents.py
@@ -201,6 +201,7 @@
         slots=fields.max_concurrency,
         state=TARGET_STATES[fields.state],
         cold_remaining_s=ms_to_seconds(fields.cold_left_ms),
+        version=fields.version,
     )
 
 
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -20,6 +20,7 @@
 from bitternturn.platform import wire_names
 from bitternturn.platform.budget import CallBudget
 from bitternturn.platform.http_messages import WIRE
+from bitternturn.platform.rollout_store import RolloutStore
 from bitternturn.platform.settings_file import load_settings
 from bitternturn.platform.store import PlatformStore
 from bitternturn.platform.store_follower import StoreFollower
@@ -27,6 +28,7 @@
 from bitternturn.platform.transport import ObjectTransport
 from bitternturn.relay.delegation import Delegation
 from bitternturn.relay.observations import ObservationExchange
+from bitternturn.relay.rollout_exchange import RolloutExchange
 from bitternturn.relay.server import RelayServer
 
 # Timeout of a call to the store; slow responses take a few hundred ms.
@@ -75,12 +77,28 @@
             ),
         )
         delegation = Delegation(gateway=self.gateway, tasks=self.tasks)
+        self.rollouts = RolloutExchange(
+            gateway=self.gateway, delegation=delegation, tasks=self.tasks
+        )
+        self.rollout_store = (
+            RolloutStore(
+                gateway=self.gateway,
+                store=store,
+                exchange=self.rollouts,
+                tasks=self.tasks,
+            )
+            if settings.rollout_bounds.enabled
+            else None
+        )
         self.follower = StoreFollower(
             settings=settings,
             gateway=self.gateway,
             store=store,
             delegation=delegation,
             tasks=self.tasks,
+            optional=self.rollout_store.make_handlers()
+            if self.rollout_store
+            else {},
         )
         self.caller_server = HttpServer(handler=self.gateway.async_handle)
         self.probe_server = HttpServer(handler=self.async_handle_probe)
@@ -95,6 +113,8 @@
             gateway=self.gateway, delegation=delegation, tasks=self.tasks
         )
         self.relay_server.observations = self.observations
+        if self.rollout_store is not None:
+            self.relay_server.rollouts = self.rollouts
         self.suspect_store = SuspectStore(
             gateway=self.gateway,
             store=store,
@@ -119,6 +139,9 @@
         self.follower.start()
         self.observations.start()
         self.suspect_store.start()
+        if self.rollout_store is not None:
+            self.rollouts.start()
+            self.rollout_store.start()
         self.tasks.spawn(self._async_log_traffic())
         self.decisions.write('start', domain=self.settings.failure_domain)
 
--- a/bitternturn/platform/settings_file.py
+++ b/bitternturn/platform/settings_file.py
@@ -13,10 +13,13 @@
     ChangeBounds,
     GlobalLimits,
     InstanceSettings,
+    RolloutBounds,
 )
 from bitternturn.platform.wire_names import MS_PER_SECOND
 
 STEP_LOAD = 'load settings'
+# Contract of deployments that order roll-outs of versions.
+CONTRACT_ROLLOUT = 'rollout'
 # Must match deploy/system.toml; used when the settings file names no address.
 DEFAULT_METRICS_PORT = 9464
 MAX_PORT = 65_535
@@ -40,6 +43,11 @@
     evacuate_ms: float = 5000
     # Time until a draining target gets nothing more.
     drain_ms: float = 3000
+    # Requests of a version under test: share × all requests + slack.
+    canary_share: float = 0.1
+    canary_slack: float = 50
+    # Time from the last tolerated failure until a version gets no request.
+    rollback_ms: float = 5000
 
 
 class WirePlatform(msgspec.Struct, rename='kebab'):
@@ -84,6 +92,8 @@
     seed_nodes: list[str] = []
     # True only for the first start of the whole system.
     bootstrap: bool = False
+    # Optional functions that the deployment uses.
+    contracts: list[str] = []
 
 
 def load_settings(path: Path) -> InstanceSettings:
@@ -137,6 +147,12 @@
             domain_out_s=ms_to_seconds(fields.bounds.evacuate_ms),
             drain_s=ms_to_seconds(fields.bounds.drain_ms),
         ),
+        rollout_bounds=RolloutBounds(
+            enabled=CONTRACT_ROLLOUT in fields.contracts,
+            canary_share=fields.bounds.canary_share,
+            canary_slack=fields.bounds.canary_slack,
+            rollback_s=ms_to_seconds(fields.bounds.rollback_ms),
+        ),
         first_start=fields.bootstrap,
     )
 
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -536,6 +536,7 @@
         name=stored.meta.name,
         revision=stored.meta.revision,
         spec=None if deleted else _encode_spec(stored.spec),
+        status=_encode_status(stored.status),
     )
 
 
@@ -547,6 +548,11 @@
         return b'null'
 
 
+def _encode_status(status: Any) -> bytes | None:
+    """Return the status of an object as JSON, None without one."""
+    return None if status is None else _encode_spec(status)
+
+
 def _decode_spec(spec: bytes) -> Any:
     """Return what a peer has sent of an object, None if nested too deeply."""
     try:
@@ -561,6 +567,7 @@
         object=PlatformObject(
             meta=ObjectMeta(name=stored.name, revision=stored.revision),
             spec=None if stored.deleted else _decode_spec(stored.spec),
+            status=_decode_spec(stored.status) if stored.status else None,
         ),
         deleted=stored.deleted,
     )
--- a/bitternturn/platform/store.py
+++ b/bitternturn/platform/store.py
@@ -32,6 +32,7 @@
 
     meta: ObjectMeta
     spec: Any = None
+    status: Any = None
 
 
 class ObjectEvent(msgspec.Struct, rename='kebab'):
@@ -148,6 +149,45 @@
         if replaced.status != http.STATUS_OK or not same_era:
             raise self.transport.make_error(ErrorCode.CONFLICT, path)
 
+    async def async_read(self, kind: str, name: str) -> PlatformObject | None:
+        """Return an object with its position, None if it does not exist."""
+        path = f'{_path(kind, {})}/{quote(name, safe="")}'
+        response = await self.transport.async_call('GET', path)
+        if response.status == http.STATUS_NOT_FOUND:
+            return None
+        if response.status != http.STATUS_OK:
+            raise self.transport.make_error(
+                ErrorCode.BAD_ANSWER, path, f'status {response.status}'
+            )
+        stored: PlatformObject = self._decode(response, PlatformObject, path)
+        _place_in_era([stored], response.era)
+        return stored
+
+    async def async_write_status(
+        self, kind: str, stored: PlatformObject, status: Any
+    ) -> None:
+        """Write the status of an object that has not changed since it was read.
+
+        Raises BitternturnError CONFLICT if it has changed, or if the store has
+        come back from an older copy.
+        """
+        name = stored.meta.name
+        position = stored.meta.revision
+        path = f'{_path(kind, {})}/{quote(name, safe="")}/status'
+        response = await self._async_send(
+            'PUT',
+            path,
+            {
+                'meta': {'name': name, 'revision': revision_of(position)},
+                'status': status,
+            },
+        )
+        same_era = response.era == era_of(position)
+        if response.status != http.STATUS_OK or not same_era:
+            raise self.transport.make_error(
+                ErrorCode.CONFLICT, path, f'status {response.status}'
+            )
+
     async def async_remove(self, kind: str, name: str) -> None:
         """Delete an object if it exists."""
         path = f'{_path(kind, {})}/{quote(name, safe="")}'
--- a/bitternturn/platform/store_follower.py
+++ b/bitternturn/platform/store_follower.py
@@ -1,8 +1,9 @@
 """Follows the store's objects and updates the gateway from them."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from functools import partial
+from types import MappingProxyType
 
 from bitternturn.core.errors import BitternturnError
 from bitternturn.core.ids import FailureDomain, TargetId
@@ -53,8 +54,12 @@
         store: PlatformStore,
         delegation: Delegation,
         tasks: TaskSet,
+        optional: Mapping[str, KindHandler] = MappingProxyType({}),
     ) -> None:
-        """Initialise; `start` begins to follow the store."""
+        """Initialise; `start` begins to follow the store.
+
+        `optional` has the handlers of kinds that not all deployments use.
+        """
         self.settings = settings
         self.gateway = gateway
         self.decisions = gateway.decisions
@@ -92,6 +97,7 @@
                 apply_events=self.apply_instance_events,
                 batch_s=INSTANCE_BATCH_S,
             ),
+            **optional,
         }
         self.source = StoreSource(
             settings=settings,
--- a/bitternturn/platform/wire_names.py
+++ b/bitternturn/platform/wire_names.py
@@ -49,6 +49,8 @@
 KIND_TARGETS: Final = 'servers'
 # One object for each failure domain that is taken out of service.
 KIND_DOMAINS_OUT: Final = 'evacuations'
+# One object for each service that is moved to another version.
+KIND_ROLLOUTS: Final = 'rollouts'
 # Private kind: one object for each instance that ever started.
 KIND_INSTANCES: Final = 'bitternturn-instances'
 # Objects in which our instances keep requests that crash targets.
--- a/bitternturn/policy/rollout.py
+++ b/bitternturn/policy/rollout.py
@@ -225,22 +225,20 @@
         for gone in self.seen_at.keys() - set(versions):
             del self.seen_at[gone]
 
-    def held_until(self) -> float:
-        """Return until when a version is held back, infinite without one."""
-        return min(
-            (
-                seen_at + VERSION_HOLD_S
-                for seen_at in self.seen_at.values()
-                if seen_at > -math.inf
-            ),
-            default=math.inf,
+    def ends_hold(self, since: float, now: float) -> bool:
+        """Return whether a version was held back until a time in between."""
+        return any(
+            since < seen_at + VERSION_HOLD_S <= now
+            for seen_at in self.seen_at.values()
         )
 
     def roles(
         self, versions: Collection[str], now: float
     ) -> Mapping[str, VersionRole]:
         """Return the roles of the versions that have ready targets."""
-        return {version: self._role(version, versions, now) for version in versions}
+        return {
+            version: self._role(version, versions, now) for version in versions
+        }
 
     def _role(
         self, version: str, versions: Collection[str], now: float
--- a/bitternturn/policy/rollout_evidence.py
+++ b/bitternturn/policy/rollout_evidence.py
@@ -219,9 +219,7 @@
         for route, cell in _by_route(cells).items():
             history = self.failures.setdefault(route, CellHistory())
             new, recent = history.advance(cell, now)
-            history.score = max(
-                0, history.score + score_failures(new, recent)
-            )
+            history.score = max(0, history.score + score_failures(new, recent))
             if history.score >= FAILURE_THRESHOLD:
                 bad, self.route = True, route
         return bad or count_failures(cells) >= MAX_FAILURE_COUNT
@@ -256,7 +254,9 @@
         ):
             return Judgement.SLOW
         answers = sum(it.candidate.answers for it in routes.values())
-        return Judgement.GOOD if answers >= MIN_FINAL_ANSWERS else Judgement.OPEN
+        return (
+            Judgement.GOOD if answers >= MIN_FINAL_ANSWERS else Judgement.OPEN
+        )
 
 
 def count_failures(cells: Cells) -> int:
--- a/bitternturn/relay/copies.py
+++ b/bitternturn/relay/copies.py
@@ -26,6 +26,8 @@
     name: str
     revision: int
     spec: bytes | None
+    # JSON content of the status, None without one.
+    status: bytes | None = None
 
 
 @unique
@@ -121,6 +123,7 @@
                     revision=copied.revision,
                     spec=copied.spec or b'',
                     deleted=copied.spec is None,
+                    status=copied.status or b'',
                 )
                 for copied in reported
             ],
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -10,6 +10,7 @@
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.incoming_batch import IncomingBatch
 from bitternturn.relay.observations import ObservationExchange
+from bitternturn.relay.rollout_exchange import RolloutExchange
 from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Leaving, Links
 
@@ -34,6 +35,8 @@
         self.server: asyncio.Server | None = None
         # Applies what peers have observed, None if it is ignored.
         self.observations: ObservationExchange | None = None
+        # Applies what peers report of roll-outs, None if it is ignored.
+        self.rollouts: RolloutExchange | None = None
         gateway.links.on_change = self.notify_links
 
     async def async_start(self, address: Address) -> int:
@@ -104,6 +107,8 @@
                     known.cancel(index)
         elif frame.HasField('observations') and self.observations is not None:
             self._handle_observations(self.observations, connection, frame)
+        elif self.rollouts is not None:
+            self._handle_rollouts(self.rollouts, connection, frame)
 
     def _handle_observations(
         self,
@@ -116,6 +121,19 @@
         if reply is not None:
             connection.send(Frame(number=frame.number, observations=reply))
 
+    def _handle_rollouts(
+        self,
+        exchange: RolloutExchange,
+        connection: RelayConnection,
+        frame: Frame,
+    ) -> None:
+        """Apply what a peer has counted or believes of roll-outs."""
+        if frame.HasField('rollout_reports'):
+            reply = exchange.receive_reports(frame.rollout_reports)
+            connection.send(Frame(number=frame.number, rollout_beliefs=reply))
+        elif frame.HasField('rollout_beliefs'):
+            exchange.receive_beliefs(frame.rollout_beliefs)
+
     async def _async_follow(
         self,
         connection: RelayConnection,
--- a/bitternturn/standins/platform_store.py
+++ b/bitternturn/standins/platform_store.py
@@ -1,6 +1,7 @@
 """Emulates the platform's store, from which the gateway is configured."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
@@ -13,6 +14,8 @@
 from bitternturn.standins.connection_faults import async_wait_forever
 
 PAGE_SIZE = 50
+# End of the path of a status.
+STATUS_SUFFIX = '/status'
 MAX_BODY_BYTES = 1024 * 1024
 
 
@@ -39,6 +42,7 @@
     created_revision: int
     spec: Any
     deleted: bool = False
+    status: Any = None
 
     def to_document(self) -> dict[str, Any]:
         """Return the JSON form of the object."""
@@ -51,7 +55,7 @@
                 'delete-requested': False,
             },
             'spec': self.spec,
-            'status': None,
+            'status': self.status,
         }
 
 
@@ -79,6 +83,8 @@
         self.choose_fault: Callable[[int], StoreFault] = lambda _: (
             StoreFault.NONE
         )
+        # Whether the answer to the write of a status is lost, by its object.
+        self.lose_answer: Callable[[str], bool] = lambda _: False
         # Number of times that the store came back from a copy, counted from 1.
         self.era = 1
         self.change_event = asyncio.Event()
@@ -108,9 +114,18 @@
                 if existing
                 else self.revision,
                 spec=spec,
+                status=existing.status if existing else None,
             ),
         )
 
+    def put_status(self, kind: str, name: str, status: Any) -> None:
+        """Write the status of an object; raises KeyError."""
+        existing = self.objects[(kind, name)]
+        self.revision += 1
+        self._record_change(
+            dataclasses.replace(existing, revision=self.revision, status=status)
+        )
+
     def delete(self, kind: str, name: str) -> None:
         """Delete an object; raises KeyError."""
         existing = self.objects.pop((kind, name))
@@ -178,6 +193,10 @@
         if request.method == 'DELETE' and (kind, name) in self.objects:
             self.delete(kind, name)
             return make_json_response({})
+        if request.method == 'PUT' and name.endswith(STATUS_SUFFIX):
+            return self._write_status(
+                kind, name.removesuffix(STATUS_SUFFIX), request
+            )
         if name:
             return self._get(kind, name)
         if request.query_parameter('watch'):
@@ -196,6 +215,21 @@
         self.put(kind, name, content['spec'])
         return make_json_response(self.objects[(kind, name)].to_document())
 
+    def _write_status(self, kind: str, name: str, request: Request) -> Response:
+        """Write a status; answer 409 if the object has another revision."""
+        existing = self.objects.get((kind, name))
+        if existing is None:
+            return Response(status=http.STATUS_NOT_FOUND)
+        content = request.json()
+        if content['meta']['revision'] != existing.revision:
+            return make_json_response(
+                existing.to_document(), status=http.STATUS_CONFLICT
+            )
+        self.put_status(kind, name, content['status'])
+        if self.lose_answer(f'{kind}/{name}'):
+            return Response(status=http.STATUS_UNAVAILABLE)
+        return make_json_response(self.objects[(kind, name)].to_document())
+
     def _get(self, kind: str, name: str) -> Response:
         """Return one object."""
         existing = self.objects.get((kind, name))
