--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -46,7 +46,6 @@
     FurtherSendBudget,
     instance_slack,
 )
-from bitternturn.policy.rollout import VersionRole
 from bitternturn.policy.target_pauses import (
     MAX_PAUSE_S,
     choose_return_at,
@@ -107,18 +106,6 @@
             metrics=self.metrics,
             rng=rng,
         )
-        self.rollouts = Rollouts(
-            own_name=settings.name,
-            own_domain=settings.failure_domain,
-            bounds=settings.rollout_bounds,
-            decisions=decisions,
-            metrics=self.metrics,
-            rng=rng,
-            now=self.now,
-            first_start=settings.first_start,
-        )
-        self.rollouts.on_roles = self._handle_roles
-        self.fleet_state.orders_known = self.rollouts.known
         # End of the last pause that a target has asked for.
         self.pauses_end_at: float = 0
         self.crash_suspects = CrashSuspects(
@@ -144,8 +131,19 @@
             on_leaving=self._handle_leaving,
             on_pause=self._handle_pause,
             on_unread_pause=self._handle_unread_pause,
-            rollouts=self.rollouts,
+            rollouts=Rollouts(
+                own_name=settings.name,
+                own_domain=settings.failure_domain,
+                bounds=settings.rollout_bounds,
+                decisions=decisions,
+                metrics=self.metrics,
+                rng=rng,
+                now=self.now,
+                first_start=settings.first_start,
+            ),
         )
+        self.rollouts.on_roles = self.refresh_targets
+        self.fleet_state.orders_known = self.rollouts.known
         # Targets of each service that new requests use, and those that are used
         # when none of them is available.
         self.ready: dict[ServiceName, Sequence[Target]] = {}
@@ -169,6 +167,11 @@
         """Whether sends may be delegated to peers."""
         return self.dispatch is not start_directly
 
+    @property
+    def rollouts(self) -> Rollouts:
+        """Versions that may be used, and the counts of their answers."""
+        return self.target_hooks.rollouts
+
     def now(self) -> float:
         """Return the current time in seconds, including suspended time."""
         return boot_time()
@@ -232,14 +235,8 @@
                 entry for entry in ready if self.targets[entry.id].usable
             ]
             self._assign_targets(service, reachable)
-
-    def _handle_roles(self) -> None:
-        """Apply which versions may be used, also to sends that wait."""
-        if not self.fleet_state.targets_known:
-            return
-        self.refresh_targets()
         for target in list(self.targets.values()):
-            if self.rollouts.role(target.entry) is VersionRole.BLOCKED:
+            if target.queued and not self.rollouts.may_use(target.entry):
                 target.reject_queued()
 
     def _update_target(self, entry: TargetEntry) -> None:
@@ -435,36 +432,31 @@
         ready: Sequence[TargetEntry],
     ) -> None:
         """Assign a subset of a service's targets to this instance."""
+        service = self._find_service(name)
         self.ready[name] = []
         self.standby[name] = []
         for group in self.rollouts.split(name, ready):
-            self._assign_group(name, group)
+            assignment = assign_targets(
+                group,
+                service=name,
+                max_connections=service.max_connections if service else 1,
+                instances=self.instance_count,
+                position=self.instance_index,
+                delegated=self.delegation_enabled
+                and name in self.wide_services,
+            )
+            assigned = [self.targets[entry.id] for entry in assignment.assigned]
+            for target in assigned:
+                target.connections.max_count = assignment.max_connections
+            self.ready[name] = [*self.ready[name], *assigned]
+            self.standby[name] = [
+                *self.standby[name],
+                *(self.targets[entry.id] for entry in assignment.standby),
+            ]
         self._share_cold_limits(
-            self._find_service(name), [*self.ready[name], *self.standby[name]]
+            service, [*self.ready[name], *self.standby[name]]
         )
 
-    def _assign_group(
-        self, name: ServiceName, group: Sequence[TargetEntry]
-    ) -> None:
-        """Assign a subset of those targets of a service that are alike."""
-        service = self._find_service(name)
-        assignment = assign_targets(
-            group,
-            service=name,
-            max_connections=service.max_connections if service else 1,
-            instances=self.instance_count,
-            position=self.instance_index,
-            delegated=self.delegation_enabled and name in self.wide_services,
-        )
-        assigned = [self.targets[entry.id] for entry in assignment.assigned]
-        for target in assigned:
-            target.connections.max_count = assignment.max_connections
-        self.ready[name] = [*self.ready[name], *assigned]
-        self.standby[name] = [
-            *self.standby[name],
-            *(self.targets[entry.id] for entry in assignment.standby),
-        ]
-
     def _share_cold_limits(
         self, service: Service | None, targets: Sequence[Target]
     ) -> None:
@@ -476,14 +468,13 @@
                 factor=global_limits.cold_rate_factor,
                 slack=global_limits.cold_rate_slack,
                 instances=self.instance_count,
-                rank=self._instance_rank(target.entry.id),
+                # Each target has another order of the instances.
+                rank=(
+                    self.instance_index + zlib.crc32(target.entry.id.encode())
+                )
+                % self.instance_count,
             )
 
-    def _instance_rank(self, target: TargetId) -> int:
-        """Return the rank of this instance in sharing a cold target's limit."""
-        offset = zlib.crc32(target.encode())
-        return (self.instance_index + offset) % self.instance_count
-
     def _find_service(self, name: ServiceName) -> Service | None:
         """Return a service of the configuration, None if it has none."""
         configuration = self.fleet_state.configuration
--- a/bitternturn/gateway/rollouts.py
+++ b/bitternturn/gateway/rollouts.py
@@ -33,6 +33,7 @@
     Judgement,
     Tally,
     count_failures,
+    count_ignored,
     merge_cells,
 )
 from bitternturn.policy.rollout_exposure import (
@@ -51,8 +52,8 @@
 VERSION_OUTCOMES: Final = frozenset(
     (SendOutcome.ANSWERED, SendOutcome.FAILED, SendOutcome.LOST)
 )
-# Ids of failing targets in a report: more than the judgement asks for.
-MAX_FAILING_TARGETS: Final = 4
+# Failing targets that a report names: more than the judgement asks for.
+MAX_FAILING_TARGETS: Final = 8
 # Time without a belief of a collector after which an instance judges by its own
 # counts: several report intervals.
 UNSUPERVISED_S: Final = 4.0
@@ -72,7 +73,8 @@
     """Cumulative counts of one process about one order."""
 
     cells: dict[CellKey, Cell] = field(default_factory=dict)
-    failing_targets: set[str] = field(default_factory=set)
+    # Failures of some targets of the version.
+    failing_targets: Counter[str] = field(default_factory=Counter)
     phase: Phase = Phase.ACTIVE
     # Requests in flight at other versions that may run only once.
     busy: int = 0
@@ -121,11 +123,12 @@
         """Return the counts of all senders."""
         return merge_cells(it.cells for it in self.reports.values())
 
-    def failing_targets(self) -> set[str]:
-        """Return the targets of the version that have failed."""
-        return set[str]().union(
-            *(it.failing_targets for it in self.reports.values())
-        )
+    def failing_targets(self) -> Counter[str]:
+        """Return the failures of targets of the version."""
+        total: Counter[str] = Counter()
+        for report in self.reports.values():
+            total.update(report.failing_targets)
+        return total
 
     def is_quiet(self, names: Iterable[str]) -> bool:
         """Return whether some instances have left the old versions."""
@@ -284,12 +287,14 @@
             rules.conclude()
             self.roles[service] = rules.roles(versions, now)
             usable[service] = [
-                entry
-                for entry in entries
-                if self.role(entry) is not VersionRole.BLOCKED
+                entry for entry in entries if self.may_use(entry)
             ]
         return usable
 
+    def may_use(self, entry: TargetEntry) -> bool:
+        """Return whether a target gets any requests."""
+        return self.role(entry) is not VersionRole.BLOCKED
+
     def role(self, entry: TargetEntry) -> VersionRole:
         """Return which requests a target gets."""
         roles = self.roles.get(entry.service)
@@ -420,8 +425,9 @@
             'rollout_failures', service=entry.service, version=entry.version
         )
         failing = progress.own.failing_targets
-        if canary and len(failing) < MAX_FAILING_TARGETS:
-            failing.add(entry.id)
+        known = entry.id in failing or len(failing) < MAX_FAILING_TARGETS
+        if canary and known:
+            failing[entry.id] += 1
 
     # Phases
 
@@ -436,17 +442,13 @@
             return
         cells = progress.cells()
         version = state.order.version
-        judgement = progress.judge.step(
-            cells,
-            now,
-            failing_targets=len(progress.failing_targets()),
-            targets=self.ready_targets[(state.order.service, version)],
-        )
+        targets = self.ready_targets[(state.order.service, version)]
+        ignored = count_ignored(progress.failing_targets(), targets)
+        judgement = progress.judge.step(cells, now, ignored=ignored)
         if judgement is Judgement.OPEN and now >= state.switch_at:
-            judgement = progress.judge.judge_finally(cells)
-        usable = self.ready_targets[(state.order.service, version)] > 0
+            judgement = progress.judge.judge_finally(cells, ignored=ignored)
         if state.apply_judgement(
-            judgement, now, may_switch=collector and usable
+            judgement, now, may_switch=collector and targets > 0
         ):
             self._handle_phase(progress, spread=True)
 
--- a/bitternturn/platform/rollout_store.py
+++ b/bitternturn/platform/rollout_store.py
@@ -15,7 +15,6 @@
 from bitternturn.gateway.rollouts import PAUSE_SETTLE_S, RolloutProgress
 from bitternturn.platform import wire_names
 from bitternturn.platform.documents import UNREADABLE_ERRORS
-from bitternturn.platform.settings_file import ms_to_seconds
 from bitternturn.platform.source import RESTART_DELAY_S, KindHandler
 from bitternturn.platform.store import (
     ObjectEvent,
--- a/bitternturn/policy/rollout_evidence.py
+++ b/bitternturn/policy/rollout_evidence.py
@@ -23,7 +23,7 @@
 MAX_FAILURES: Final = 0.95
 # Slowdown of a bad version as a logarithm; bad versions are several times
 # slower, while other causes slow single targets by 2.5 for 600 ms.
-SLOWDOWN: Final = math.log(2.5)
+SLOWDOWN: Final = math.log(2.5)  # noqa: WPS432
 # Least variance of the logarithm of latencies that is assumed: answers of one
 # target at one time are not independent.
 MIN_VARIANCE: Final = 0.5
@@ -39,11 +39,19 @@
 # Greatest change of the score for latency in a step: all targets of a version
 # may be slow at once for less than a second.
 MAX_LATENCY_STEP: Final = 4.0
-# Targets from which failures must come, if the version has as many.
-MIN_FAILING_TARGETS: Final = 2
+# Failures of one target beyond this multiple of the mean of the others are not
+# held against the version: the end of a target loses all requests in flight.
+MAX_TARGET_SHARE: Final = 2
+# Weight of a failure on a route on which the other versions hardly fail.
+FAILURE_WEIGHT: Final = math.log(1 + ADDED_FAILURES / TOLERATED_FAILURES)
 # Failures on routes that are clearly worse after which a version is bad without
 # further tests; the bound is 50.
 MAX_FAILURE_COUNT: Final = 40
+# Score at which the last judgement calls a version bad: it has become bad
+# shortly before, and with all traffic it would do more harm.
+FINAL_THRESHOLD: Final = 5.0
+# Failures without which the last judgement does not call a version failing.
+MIN_FINAL_FAILURES: Final = 2
 # Answers without which the last judgement does not call a version good.
 MIN_FINAL_ANSWERS: Final = 8
 
@@ -195,34 +203,32 @@
         # Route that the judgement is about.
         self.route = ''
 
-    def step(
-        self, cells: Cells, now: float, *, failing_targets: int, targets: int
-    ) -> Judgement:
+    def step(self, cells: Cells, now: float, *, ignored: int) -> Judgement:
         """Judge cumulative counts; a bad version stays bad.
 
-        `failing_targets` of the `targets` of the version have failed.
+        `ignored` is the number of failures that are not held against it, see
+        `count_ignored`.
         """
         if self.judgement in BAD_JUDGEMENTS or now - self.judged_at < STEP_S:
             return self.judgement
         self.judged_at = now
-        if self._judge_failures(cells, now) and (
-            failing_targets >= min(MIN_FAILING_TARGETS, targets)
-        ):
+        if self._judge_failures(cells, now, ignored):
             self.judgement = Judgement.FAILING
         elif self._judge_latency(cells, now):
             self.judgement = Judgement.SLOW
         return self.judgement
 
-    def _judge_failures(self, cells: Cells, now: float) -> bool:
+    def _judge_failures(self, cells: Cells, now: float, ignored: int) -> bool:
         """Return whether the version fails too often on a route."""
+        threshold = FAILURE_THRESHOLD + ignored * FAILURE_WEIGHT
         bad = False
         for route, cell in _by_route(cells).items():
             history = self.failures.setdefault(route, CellHistory())
             new, recent = history.advance(cell, now)
             history.score = max(0, history.score + score_failures(new, recent))
-            if history.score >= FAILURE_THRESHOLD:
+            if history.score >= threshold:
                 bad, self.route = True, route
-        return bad or count_failures(cells) >= MAX_FAILURE_COUNT
+        return bad or count_failures(cells) >= MAX_FAILURE_COUNT + ignored
 
     def _judge_latency(self, cells: Cells, now: float) -> bool:
         """Return whether the version is too slow on a route."""
@@ -237,21 +243,17 @@
                 bad, self.route = True, key.route
         return bad
 
-    def judge_finally(self, cells: Cells) -> Judgement:
+    def judge_finally(self, cells: Cells, *, ignored: int) -> Judgement:
         """Judge all answers before the traffic moves; OPEN with too few."""
         if self.judgement in BAD_JUDGEMENTS:
             return self.judgement
         routes = _by_route(cells)
         if any(
-            score_failures(it.candidate, it.baseline) > 0
-            and it.candidate.failures > 1
-            for it in routes.values()
+            self._is_failing(route, cell, ignored)
+            for route, cell in routes.items()
         ):
             return Judgement.FAILING
-        if any(
-            score_latency(it.candidate, it.baseline) > 0
-            for it in cells.values()
-        ):
+        if any(self._is_slow(key, cell) for key, cell in cells.items()):
             return Judgement.SLOW
         answers = sum(it.candidate.answers for it in routes.values())
         return (
@@ -259,6 +261,31 @@
         )
 
 
+    def _is_failing(self, route: str, cell: Cell, ignored: int) -> bool:
+        """Return whether a version is likelier failing than not on a route."""
+        if cell.candidate.failures < MIN_FINAL_FAILURES + ignored:
+            return False
+        margin = ignored * FAILURE_WEIGHT
+        history = self.failures.get(route)
+        late = history is not None and history.score >= FINAL_THRESHOLD + margin
+        return late or score_failures(cell.candidate, cell.baseline) > margin
+
+    def _is_slow(self, key: CellKey, cell: Cell) -> bool:
+        """Return whether a version is likelier slow than not in a cell."""
+        history = self.latencies.get(key)
+        late = history is not None and history.score >= FINAL_THRESHOLD
+        return late or score_latency(cell.candidate, cell.baseline) > 0
+
+
+def count_ignored(by_target: Mapping[str, int], targets: int) -> int:
+    """Return how many failures are rather those of one of several targets."""
+    if targets < 2 or not by_target:
+        return 0
+    worst = max(by_target.values())
+    others = (sum(by_target.values()) - worst) / (targets - 1)
+    return max(0, worst - 1 - math.ceil(MAX_TARGET_SHARE * others))
+
+
 def count_failures(cells: Cells) -> int:
     """Return the failures on routes on which the other versions are better."""
     return sum(
--- a/bitternturn/relay/rollout_exchange.py
+++ b/bitternturn/relay/rollout_exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Sequence
 from functools import partial
 from typing import Final
@@ -146,6 +147,10 @@
             and peers[name].is_available(now)
         ]
 
+    def _is_available(self, now: float, name: str) -> bool:
+        """Return whether a member may be sent to."""
+        return self.delegation.peers[name].is_available(now)
+
     def reporting_names(self, progress: RolloutProgress) -> set[str]:
         """Return the instances whose reports are waited for."""
         now = self.gateway.now()
@@ -244,9 +249,7 @@
                 members,
                 own_name=settings.name,
                 own_domain=settings.failure_domain,
-                is_available=lambda name: self.delegation.peers[
-                    name
-                ].is_available(now),
+                is_available=partial(self._is_available, now),
             )
             for name in receivers.names:
                 _send_beliefs(
@@ -300,7 +303,7 @@
             )
             for key, cell in own.cells.items()
         ],
-        failing_targets=sorted(own.failing_targets),
+        failing_targets=dict(own.failing_targets),
         phase=PHASES[own.phase],
         busy=own.busy,
     )
@@ -322,7 +325,7 @@
             )
             for cell in message.cells
         },
-        failing_targets=set(message.failing_targets),
+        failing_targets=Counter(dict(message.failing_targets)),
         phase=phase,
         busy=message.busy,
         reported_at=now,
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -105,7 +105,12 @@
             for index in frame.cancel.indexes:
                 if known is not None:
                     known.cancel(index)
-        elif frame.HasField('observations') and self.observations is not None:
+        else:
+            self._handle_news(connection, frame)
+
+    def _handle_news(self, connection: RelayConnection, frame: Frame) -> None:
+        """Handle what a peer has found out."""
+        if frame.HasField('observations') and self.observations is not None:
             self._handle_observations(self.observations, connection, frame)
         elif self.rollouts is not None:
             self._handle_rollouts(self.rollouts, connection, frame)
