--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -36,6 +36,9 @@
         self.names = (f't{number}' for number in itertools.count(1))
         # Time that an instance is given to stop, in seconds.
         self.grace_s = 6.0
+        # Optional functions that the settings list, and more bounds.
+        self.contracts = []
+        self.bounds = {}
         self.rng = random.Random(1)
         self.request_count = 0
 
@@ -61,7 +64,8 @@
         settings['node-name'] = name
         settings['zone'] = DOMAINS[len(self.daemons) % len(DOMAINS)]
         settings['seed-nodes'] = self.seeds
-        settings['bounds']['grace-s'] = self.grace_s
+        settings['bounds'] |= {'grace-s': self.grace_s, **self.bounds}
+        settings['contracts'] = self.contracts
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(settings))
         descriptor = os.open(
@@ -95,15 +99,15 @@
             )
         )
 
-    async def async_add_target(self, service, **fields):
+    async def async_add_target(self, service, version='v1', **fields):
         """Start a target and register it."""
         target = PlatformTarget(id=next(self.names), **fields)
         await target.async_start()
         self.targets.append(target)
-        self.register(target, service)
+        self.register(target, service, version)
         return target
 
-    def register(self, target, service):
+    def register(self, target, service, version='v1'):
         """Write the entry of a target."""
         self.store.put(
             'servers',
@@ -112,6 +116,7 @@
                 service=service,
                 address=f'127.0.0.1:{target.port}',
                 domain=DOMAINS[len(self.targets) % len(DOMAINS)],
+                version=version,
             ),
         )
 
