Judge a version by other rules once it gets all requests

In the test with four instances a good version was reverted as slow after the switch: its three targets got the load of seven, and the final judgement was repeated. After the switch a slowdown of 2 is tolerated in addition, and only the sums that look for changes and failures over the whole order decide.

--- a/bitternturn/gateway/rollouts.py
+++ b/bitternturn/gateway/rollouts.py
@@ -28,7 +28,6 @@
 from bitternturn.policy.rollout_evidence import (
     Cell,
     CellKey,
-    Cells,
     EvidenceJudge,
     Judgement,
     Tally,
@@ -444,8 +443,12 @@
         version = state.order.version
         targets = self.ready_targets[(state.order.service, version)]
         ignored = count_ignored(progress.failing_targets(), targets)
-        judgement = progress.judge.step(cells, now, ignored=ignored)
-        if judgement is Judgement.OPEN and now >= state.switch_at:
+        open_phase = state.phase is Phase.ACTIVE
+        judgement = progress.judge.step(
+            cells, now, ignored=ignored, switched=not open_phase
+        )
+        due = open_phase and now >= state.switch_at
+        if due and judgement is Judgement.OPEN:
             judgement = progress.judge.judge_finally(cells, ignored=ignored)
         if state.apply_judgement(
             judgement, now, may_switch=collector and targets > 0
@@ -524,7 +527,7 @@
         return None if wanted is state.order.status else wanted
 
 
-def describe_cells(cells: Cells) -> dict[str, int]:
+def describe_cells(cells: Mapping[CellKey, Cell]) -> dict[str, int]:
     """Return the counts of a log line about an order."""
     candidates = [cell.candidate for cell in cells.values()]
     baselines = [cell.baseline for cell in cells.values()]
--- a/bitternturn/policy/rollout.py
+++ b/bitternturn/policy/rollout.py
@@ -10,8 +10,9 @@
 from bitternturn.policy.rollout_evidence import BAD_JUDGEMENTS, Judgement
 
 # Time before the deadline at which all traffic moves to the target version: the
-# switch, the reports about it and the write of the conclusion take up to 4 s.
-SWITCH_BEFORE_S: Final = 5.0
+# switch and the reports about it take up to 2 s, and the write of the conclusion
+# has to be tried again within the rest.
+SWITCH_BEFORE_S: Final = 4.0
 # Part of the duration for which traffic may move at most, so that short orders
 # leave time for evidence.
 MAX_SWITCH_PART: Final = 0.4
--- a/bitternturn/policy/rollout_evidence.py
+++ b/bitternturn/policy/rollout_evidence.py
@@ -24,6 +24,9 @@
 # Slowdown of a bad version as a logarithm; bad versions are several times
 # slower, while other causes slow single targets by 2.5 for 600 ms.
 SLOWDOWN: Final = math.log(2.5)  # noqa: WPS432
+# Slowdown, as a logarithm, that is tolerated in addition once all requests go to
+# the version: its targets get more of them than those of the others got.
+LOAD_SLOWDOWN: Final = math.log(2)
 # Least variance of the logarithm of latencies that is assumed: answers of one
 # target at one time are not independent.
 MIN_VARIANCE: Final = 0.5
@@ -49,7 +52,7 @@
 MAX_FAILURE_COUNT: Final = 40
 # Score at which the last judgement calls a version bad: it has become bad
 # shortly before, and with all traffic it would do more harm.
-FINAL_THRESHOLD: Final = 5.0
+FINAL_THRESHOLD: Final = 4.0
 # Failures without which the last judgement does not call a version failing.
 MIN_FINAL_FAILURES: Final = 2
 # Answers without which the last judgement does not call a version good.
@@ -150,14 +153,19 @@
     )
 
 
-def score_latency(candidate: Tally, baseline: Tally) -> float:
-    """Return the log-likelihood ratio that a version is bad, by latency."""
+def score_latency(
+    candidate: Tally, baseline: Tally, tolerated: float = 0
+) -> float:
+    """Return the log-likelihood ratio that a version is bad, by latency.
+
+    `tolerated` is a slowdown, as a logarithm, that has other causes.
+    """
     if baseline.timed < MIN_BASELINE or not candidate.timed:
         return 0
     mean = baseline.log_sum / baseline.timed
     variance = baseline.log_square / baseline.timed - mean * mean
     variance = max(MIN_VARIANCE, variance)
-    mean += math.sqrt(variance / baseline.timed)
+    mean += tolerated + math.sqrt(variance / baseline.timed)
     excess = candidate.log_sum - candidate.timed * (mean + SLOWDOWN / 2)
     return SLOWDOWN / variance * excess
 
@@ -203,18 +211,21 @@
         # Route that the judgement is about.
         self.route = ''
 
-    def step(self, cells: Cells, now: float, *, ignored: int) -> Judgement:
+    def step(
+        self, cells: Cells, now: float, *, ignored: int, switched: bool = False
+    ) -> Judgement:
         """Judge cumulative counts; a bad version stays bad.
 
         `ignored` is the number of failures that are not held against it, see
-        `count_ignored`.
+        `count_ignored`; `switched` is whether it gets all requests.
         """
         if self.judgement in BAD_JUDGEMENTS or now - self.judged_at < STEP_S:
             return self.judgement
         self.judged_at = now
-        if self._judge_failures(cells, now, ignored):
+        failing = self._judge_failures(cells, now, ignored)
+        if failing or (switched and self._fails_overall(cells, ignored)):
             self.judgement = Judgement.FAILING
-        elif self._judge_latency(cells, now):
+        elif self._judge_latency(cells, now, LOAD_SLOWDOWN * switched):
             self.judgement = Judgement.SLOW
         return self.judgement
 
@@ -230,13 +241,15 @@
                 bad, self.route = True, route
         return bad or count_failures(cells) >= MAX_FAILURE_COUNT + ignored
 
-    def _judge_latency(self, cells: Cells, now: float) -> bool:
+    def _judge_latency(
+        self, cells: Cells, now: float, tolerated: float
+    ) -> bool:
         """Return whether the version is too slow on a route."""
         bad = False
         for key, cell in cells.items():
             history = self.latencies.setdefault(key, CellHistory())
             new, recent = history.advance(cell, now)
-            change = score_latency(new, recent)
+            change = score_latency(new, recent, tolerated)
             change = min(MAX_LATENCY_STEP, max(-MAX_LATENCY_STEP, change))
             history.score = max(0, history.score + change)
             if history.score >= LATENCY_THRESHOLD:
@@ -247,28 +260,40 @@
         """Judge all answers before the traffic moves; OPEN with too few."""
         if self.judgement in BAD_JUDGEMENTS:
             return self.judgement
-        routes = _by_route(cells)
-        if any(
-            self._is_failing(route, cell, ignored)
-            for route, cell in routes.items()
-        ):
+        fails = self._fails_overall(cells, ignored)
+        if fails or self._fails_lately(cells, ignored):
             return Judgement.FAILING
-        if any(self._is_slow(key, cell) for key, cell in cells.items()):
-            return Judgement.SLOW
-        answers = sum(it.candidate.answers for it in routes.values())
+        for key, cell in cells.items():
+            if self._is_slow(key, cell):
+                self.route = key.route
+                return Judgement.SLOW
+        answers = sum(it.candidate.answers for it in cells.values())
         return (
             Judgement.GOOD if answers >= MIN_FINAL_ANSWERS else Judgement.OPEN
         )
 
-
-    def _is_failing(self, route: str, cell: Cell, ignored: int) -> bool:
+    def _fails_overall(self, cells: Cells, ignored: int) -> bool:
         """Return whether a version is likelier failing than not on a route."""
-        if cell.candidate.failures < MIN_FINAL_FAILURES + ignored:
-            return False
         margin = ignored * FAILURE_WEIGHT
-        history = self.failures.get(route)
-        late = history is not None and history.score >= FINAL_THRESHOLD + margin
-        return late or score_failures(cell.candidate, cell.baseline) > margin
+        for route, cell in _by_route(cells).items():
+            enough = cell.candidate.failures >= MIN_FINAL_FAILURES + ignored
+            score = score_failures(cell.candidate, cell.baseline)
+            if enough and score > margin:
+                self.route = route
+                return True
+        return False
+
+    def _fails_lately(self, cells: Cells, ignored: int) -> bool:
+        """Return whether a version has probably begun to fail on a route."""
+        margin = ignored * FAILURE_WEIGHT
+        for route, cell in _by_route(cells).items():
+            enough = cell.candidate.failures >= MIN_FINAL_FAILURES + ignored
+            history = self.failures.get(route)
+            score = history.score if history is not None else 0
+            if enough and score >= FINAL_THRESHOLD + margin:
+                self.route = route
+                return True
+        return False
 
     def _is_slow(self, key: CellKey, cell: Cell) -> bool:
         """Return whether a version is likelier slow than not in a cell."""
