--- a/bitternturn/gateway/rollouts.py
+++ b/bitternturn/gateway/rollouts.py
@@ -31,6 +31,7 @@
     EvidenceJudge,
     Judgement,
     Tally,
+    TargetTally,
     count_failures,
     count_ignored,
     merge_cells,
@@ -51,8 +52,8 @@
 VERSION_OUTCOMES: Final = frozenset(
     (SendOutcome.ANSWERED, SendOutcome.FAILED, SendOutcome.LOST)
 )
-# Failing targets that a report names: more than the judgement asks for.
-MAX_FAILING_TARGETS: Final = 8
+# Targets of the version that a report names, which bounds its size.
+MAX_TARGETS: Final = 8
 # Time without a belief of a collector after which an instance judges by its own
 # counts: several report intervals.
 UNSUPERVISED_S: Final = 4.0
@@ -72,8 +73,8 @@
     """Cumulative counts of one process about one order."""
 
     cells: dict[CellKey, Cell] = field(default_factory=dict)
-    # Failures of some targets of the version.
-    failing_targets: Counter[str] = field(default_factory=Counter)
+    # Some targets of the version.
+    targets: dict[str, TargetTally] = field(default_factory=dict)
     phase: Phase = Phase.ACTIVE
     # Requests in flight at other versions that may run only once.
     busy: int = 0
@@ -122,11 +123,14 @@
         """Return the counts of all senders."""
         return merge_cells(it.cells for it in self.reports.values())
 
-    def failing_targets(self) -> Counter[str]:
-        """Return the failures of targets of the version."""
-        total: Counter[str] = Counter()
+    def targets(self) -> dict[str, TargetTally]:
+        """Return the counts of targets of the version."""
+        total: dict[str, TargetTally] = {}
         for report in self.reports.values():
-            total.update(report.failing_targets)
+            for target, tally in report.targets.items():
+                known = total.setdefault(target, TargetTally())
+                known.answers += tally.answers
+                known.failures += tally.failures
         return total
 
     def is_quiet(self, names: Iterable[str]) -> bool:
@@ -413,20 +417,12 @@
         canary = self._is_candidate(progress, send)
         tally = cell.candidate if canary else cell.baseline
         tally.record(failed=failed, log_ratio=log_ratio)
+        if canary:
+            _record_target(progress.own.targets, entry.id, failed=failed)
         if failed:
-            self._record_failure(progress, entry, canary=canary)
-
-    def _record_failure(
-        self, progress: RolloutProgress, entry: TargetEntry, *, canary: bool
-    ) -> None:
-        """Count a failure, and remember the targets of the version."""
-        self.metrics.increment(
-            'rollout_failures', service=entry.service, version=entry.version
-        )
-        failing = progress.own.failing_targets
-        known = entry.id in failing or len(failing) < MAX_FAILING_TARGETS
-        if canary and known:
-            failing[entry.id] += 1
+            self.metrics.increment(
+                'rollout_failures', service=entry.service, version=entry.version
+            )
 
     # Phases
 
@@ -442,7 +438,7 @@
         cells = progress.cells()
         version = state.order.version
         targets = self.ready_targets[(state.order.service, version)]
-        ignored = count_ignored(progress.failing_targets(), targets)
+        ignored = count_ignored(progress.targets())
         open_phase = state.phase is Phase.ACTIVE
         judgement = progress.judge.step(
             cells, now, ignored=ignored, switched=not open_phase
@@ -527,6 +523,16 @@
         return None if wanted is state.order.status else wanted
 
 
+def _record_target(
+    targets: dict[str, TargetTally], name: str, *, failed: bool
+) -> None:
+    """Count an answer of a target, unless too many are counted."""
+    if name in targets or len(targets) < MAX_TARGETS:
+        tally = targets.setdefault(name, TargetTally())
+        tally.answers += 1
+        tally.failures += failed
+
+
 def describe_cells(cells: Mapping[CellKey, Cell]) -> dict[str, int]:
     """Return the counts of a log line about an order."""
     candidates = [cell.candidate for cell in cells.values()]
--- a/bitternturn/policy/rollout_evidence.py
+++ b/bitternturn/policy/rollout_evidence.py
@@ -42,9 +42,11 @@
 # Greatest change of the score for latency in a step: all targets of a version
 # may be slow at once for less than a second.
 MAX_LATENCY_STEP: Final = 4.0
-# Failures of one target beyond this multiple of the mean of the others are not
+# Failures of one target beyond this multiple of the share of the others are not
 # held against the version: the end of a target loses all requests in flight.
 MAX_TARGET_SHARE: Final = 2
+# Answers of the other targets without which they are not compared.
+MIN_OTHER_ANSWERS: Final = 5
 # Weight of a failure on a route on which the other versions hardly fail.
 FAILURE_WEIGHT: Final = math.log(1 + ADDED_FAILURES / TOLERATED_FAILURES)
 # Failures on routes that are clearly worse after which a version is bad without
@@ -113,6 +115,18 @@
 Cells = Mapping[CellKey, Cell]
 
 
+@dataclass(slots=True)
+class TargetTally:
+    """Cumulative counts of one target of the version under test."""
+
+    answers: int = 0
+    failures: int = 0
+
+    def get_failures(self) -> int:
+        """Return the failures, as a sort key."""
+        return self.failures
+
+
 @unique
 class Judgement(Enum):
     """What the evidence says of a version."""
@@ -302,13 +316,21 @@
         return late or score_latency(cell.candidate, cell.baseline) > 0
 
 
-def count_ignored(by_target: Mapping[str, int], targets: int) -> int:
-    """Return how many failures are rather those of one of several targets."""
-    if targets < 2 or not by_target:
+def count_ignored(targets: Mapping[str, TargetTally]) -> int:
+    """Return how many failures are rather those of one of several targets.
+
+    `targets` has the answers of the targets of the version that were used.
+    """
+    if len(targets) < 2:
+        return 0
+    worst = max(targets.values(), key=TargetTally.get_failures)
+    answers = sum(it.answers for it in targets.values()) - worst.answers
+    failures = sum(it.failures for it in targets.values()) - worst.failures
+    if answers < MIN_OTHER_ANSWERS:
         return 0
-    worst = max(by_target.values())
-    others = (sum(by_target.values()) - worst) / (targets - 1)
-    return max(0, worst - 1 - math.ceil(MAX_TARGET_SHARE * others))
+    # Half a failure is added, as others may have failed without being seen.
+    usual = worst.answers * (failures + 0.5) / answers
+    return max(0, worst.failures - 1 - math.ceil(MAX_TARGET_SHARE * usual))
 
 
 def count_failures(cells: Cells) -> int:
--- a/bitternturn/relay/rollout_exchange.py
+++ b/bitternturn/relay/rollout_exchange.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-from collections import Counter
 from collections.abc import Sequence
 from functools import partial
 from typing import Final
@@ -23,6 +22,7 @@
     Cell,
     CellKey,
     Tally,
+    TargetTally,
     count_failures,
 )
 from bitternturn.relay.delegation import Delegation
@@ -36,6 +36,7 @@
     RolloutReport,
     RolloutReports,
     RolloutTally,
+    RolloutTarget,
 )
 
 # Instances that collect the counts of an order: two may be lost.
@@ -303,7 +304,12 @@
             )
             for key, cell in own.cells.items()
         ],
-        failing_targets=dict(own.failing_targets),
+        targets={
+            target: RolloutTarget(
+                answers=tally.answers, failures=tally.failures
+            )
+            for target, tally in own.targets.items()
+        },
         phase=PHASES[own.phase],
         busy=own.busy,
     )
@@ -325,7 +331,10 @@
             )
             for cell in message.cells
         },
-        failing_targets=Counter(dict(message.failing_targets)),
+        targets={
+            target: TargetTally(tally.answers, tally.failures)
+            for target, tally in message.targets.items()
+        },
         phase=phase,
         busy=message.busy,
         reported_at=now,
