--- a/bitternturn/gateway/rollouts.py
+++ b/bitternturn/gateway/rollouts.py
@@ -93,15 +93,22 @@
     """Order of one service with the counts of all senders."""
 
     def __init__(
-        self, state: OrderState, *, own: SenderKey, share: float, credit: float
+        self,
+        state: OrderState,
+        *,
+        own: SenderKey,
+        share: float,
+        rounding: float,
     ) -> None:
         """Initialise with the share of this instance in the exposure."""
         self.state = state
-        self.budget = ExposureBudget(share=share, credit=credit)
+        self.budget = ExposureBudget(share=share, rounding=rounding)
         # Counts for the choice of targets to which delegates send.
         self.choices = ExposureBudget(
-            share=share * CHOICE_MARGIN, credit=credit
+            share=share * CHOICE_MARGIN, rounding=rounding
         )
+        # Whether this instance has initial permits.
+        self.has_initial = False
         self.own = SenderReport()
         self.own_key = own
         self.reports: dict[SenderKey, SenderReport] = {own: self.own}
@@ -221,8 +228,10 @@
             state,
             own=(self.own_name, self.life),
             share=self.bounds.canary_share,
-            credit=self._credit(order, initial=seen_begin and not again),
+            rounding=self._rounding(),
         )
+        self.progress[order.service].has_initial = seen_begin and not again
+        self._release(self.progress[order.service], now)
         self.decisions.write(
             'rollout',
             service=order.service,
@@ -234,17 +243,26 @@
         )
         self.on_roles()
 
-    def _credit(self, order: RolloutOrder, *, initial: bool) -> float:
-        """Return the permits of this instance beyond its share."""
+    def _rounding(self) -> float:
+        """Return the rounding of the share of this instance."""
         slack = self.bounds.canary_slack
-        instances = len(self.names)
-        credit: float = 0
-        if has_random_rounding(slack, instances):
-            credit = self.rng.random()
-        if initial:
-            rank = self.rank(order.service, order.version, self.names)
-            credit += initial_permits(slack, instances=instances, rank=rank)
-        return credit
+        random = has_random_rounding(slack, len(self.names))
+        return self.rng.random() if random else 0
+
+    def _release(self, progress: RolloutProgress, now: float) -> None:
+        """Update the initial permits, which are released over time."""
+        if not progress.has_initial:
+            return
+        state = progress.state
+        order = state.order
+        evidence_s = max(1, state.switch_at - state.started_at)
+        permits = initial_permits(
+            self.bounds.canary_slack,
+            instances=len(self.names),
+            rank=self.rank(order.service, order.version, self.names),
+            elapsed_part=(now - state.started_at) / evidence_s,
+        )
+        progress.budget.initial = progress.choices.initial = permits
 
     def rank(
         self, service: ServiceName, version: str, names: Iterable[str]
@@ -430,6 +448,7 @@
         self, progress: RolloutProgress, now: float, *, collector: bool
     ) -> None:
         """Judge the evidence of an order that is not concluded."""
+        self._release(progress, now)
         state = progress.state
         unsupervised = now - progress.supervised_at >= UNSUPERVISED_S
         if state.phase > Phase.SWITCHING or not (collector or unsupervised):
--- a/bitternturn/policy/rollout_evidence.py
+++ b/bitternturn/policy/rollout_evidence.py
@@ -52,8 +52,10 @@
 # Failures on routes that are clearly worse after which a version is bad without
 # further tests; the bound is 50.
 MAX_FAILURE_COUNT: Final = 40
-# Score at which the last judgement calls a version bad: it has become bad
+# Scores at which the last judgement calls a version bad: that of all answers, and
+# the one that looks for changes. The version has probably become bad
 # shortly before, and with all traffic it would do more harm.
+OVERALL_THRESHOLD: Final = 1.0
 FINAL_THRESHOLD: Final = 4.0
 # Failures without which the last judgement does not call a version failing.
 MIN_FINAL_FAILURES: Final = 2
@@ -292,7 +294,7 @@
         for route, cell in _by_route(cells).items():
             enough = cell.candidate.failures >= MIN_FINAL_FAILURES + ignored
             score = score_failures(cell.candidate, cell.baseline)
-            if enough and score > margin:
+            if enough and score >= OVERALL_THRESHOLD + margin:
                 self.route = route
                 return True
         return False
--- a/bitternturn/policy/rollout_exposure.py
+++ b/bitternturn/policy/rollout_exposure.py
@@ -13,6 +13,9 @@
 # Part of the slack that is handed out as initial permits, for evidence on
 # services with few requests.
 INITIAL_SLACK_PART: Final = 0.6
+# Part of the initial permits that may be used at once; the others are released
+# over time, for evidence against versions that are bad later.
+AT_ONCE_PART: Final = 0.5
 # Requests per square root of the number of instances that are reserved for the
 # deviation of the random rounding: 4.6 standard deviations at 440 instances.
 ROUNDING_RESERVE: Final = 1.4
@@ -26,29 +29,37 @@
     return slack >= ROUNDING_RESERVE * math.sqrt(instances)
 
 
-def initial_permits(slack: float, *, instances: int, rank: int) -> int:
-    """Return the initial permits of the instance with a rank, from 0."""
+def initial_permits(
+    slack: float, *, instances: int, rank: int, elapsed_part: float = 1
+) -> int:
+    """Return the initial permits of the instance with a rank, from 0.
+
+    `elapsed_part` is the part of the time for evidence that has elapsed.
+    """
     spare = slack - ROUNDING_RESERVE * math.sqrt(instances)
     total = max(0, math.floor(min(INITIAL_SLACK_PART * slack, spare)))
-    return total // instances + (rank < total % instances)
+    elapsed = min(1, max(0, elapsed_part))
+    released = math.ceil(total * (AT_ONCE_PART + (1 - AT_ONCE_PART) * elapsed))
+    return released // instances + (rank < released % instances)
 
 
 class ExposureBudget:
     """Counts of one sender and service since the order."""
 
-    __slots__ = ('canaries', 'credit', 'requests', 'share')
+    __slots__ = ('canaries', 'initial', 'requests', 'rounding', 'share')
 
-    def __init__(self, *, share: float, credit: float) -> None:
-        """Initialise; `credit` is the initial permits and the rounding."""
+    def __init__(self, *, share: float, rounding: float) -> None:
+        """Initialise without initial permits; `rounding` is from 0 to 1."""
         self.share = share * SHARE_MARGIN
-        self.credit = credit
+        self.rounding = rounding
+        self.initial = 0
         self.requests = 0
         self.canaries = 0
 
     def allows(self) -> bool:
         """Return whether the next request may go to the version under test."""
-        permitted = self.share * (self.requests + 1) + self.credit
-        return self.canaries + 1 <= permitted
+        earned = self.share * (self.requests + 1) + self.rounding
+        return self.canaries + 1 <= earned + self.initial
 
     def record(self, *, canary: bool, counted: bool = True) -> None:
         """Record a request; hedges and retries are not `counted`."""
--- a/tests/policy/rollout_simulation.py
+++ b/tests/policy/rollout_simulation.py
@@ -61,10 +61,11 @@
 
 def make_budget(rng, instances, rank, *, restarted=False):
     """Return the exposure budget of the instance with a rank."""
-    credit = rng.random() if has_random_rounding(SLACK, instances) else 0
+    rounding = rng.random() if has_random_rounding(SLACK, instances) else 0
+    budget = ExposureBudget(share=SHARE, rounding=rounding)
     if not restarted:
-        credit += initial_permits(SLACK, instances=instances, rank=rank)
-    return ExposureBudget(share=SHARE, credit=credit)
+        budget.initial = initial_permits(SLACK, instances=instances, rank=rank)
+    return budget
 
 
 @dataclass
@@ -110,6 +111,13 @@
         killed_step = rng.randrange(4, steps - 14)
         for step in range(steps):
             now = step * STEP_S
+            for rank, budget in enumerate(budgets):
+                budget.initial = initial_permits(
+                    SLACK,
+                    instances=self.instances,
+                    rank=rank,
+                    elapsed_part=now / state.switch_at,
+                )
             for _ in range(_poisson(rng, self.load.per_s * STEP_S)):
                 self._send(rng, rng.choice(budgets), state.phase, now, targets)
             if self.load.killed_target and step == killed_step:
