--- a/bitternturn/policy/rollout_evidence.py
+++ b/bitternturn/policy/rollout_evidence.py
@@ -57,6 +57,8 @@
 # shortly before, and with all traffic it would do more harm.
 OVERALL_THRESHOLD: Final = 1.0
 FINAL_THRESHOLD: Final = 4.0
+# Name of all routes together.
+ALL_ROUTES: Final = '*'
 # Failures without which the last judgement does not call a version failing.
 MIN_FINAL_FAILURES: Final = 2
 # Answers without which the last judgement does not call a version good.
@@ -249,7 +251,7 @@
         """Return whether the version fails too often on a route."""
         threshold = FAILURE_THRESHOLD + ignored * FAILURE_WEIGHT
         bad = False
-        for route, cell in _by_route(cells).items():
+        for route, cell in _by_scope(cells).items():
             history = self.failures.setdefault(route, CellHistory())
             new, recent = history.advance(cell, now)
             history.score = max(0, history.score + score_failures(new, recent))
@@ -291,7 +293,7 @@
     def _fails_overall(self, cells: Cells, ignored: int) -> bool:
         """Return whether a version is likelier failing than not on a route."""
         margin = ignored * FAILURE_WEIGHT
-        for route, cell in _by_route(cells).items():
+        for route, cell in _by_scope(cells).items():
             enough = cell.candidate.failures >= MIN_FINAL_FAILURES + ignored
             score = score_failures(cell.candidate, cell.baseline)
             if enough and score >= OVERALL_THRESHOLD + margin:
@@ -302,7 +304,7 @@
     def _fails_lately(self, cells: Cells, ignored: int) -> bool:
         """Return whether a version has probably begun to fail on a route."""
         margin = ignored * FAILURE_WEIGHT
-        for route, cell in _by_route(cells).items():
+        for route, cell in _by_scope(cells).items():
             enough = cell.candidate.failures >= MIN_FINAL_FAILURES + ignored
             history = self.failures.get(route)
             score = history.score if history is not None else 0
@@ -354,12 +356,29 @@
     """Return the counts of each route."""
     routes: dict[str, Cell] = {}
     for key, cell in cells.items():
-        known = routes.setdefault(key.route, Cell())
-        known.candidate.add(cell.candidate)
-        known.baseline.add(cell.baseline)
+        _add_cell(routes, key.route, cell)
     return routes
 
 
+def _by_scope(cells: Cells) -> dict[str, Cell]:
+    """Return the counts of each route, and of all together.
+
+    A version that is bad on all routes is found sooner by all answers.
+    """
+    scopes = _by_route(cells)
+    if len(scopes) > 1:
+        for cell in cells.values():
+            _add_cell(scopes, ALL_ROUTES, cell)
+    return scopes
+
+
+def _add_cell(scopes: dict[str, Cell], name: str, cell: Cell) -> None:
+    """Add counts to those of a scope."""
+    known = scopes.setdefault(name, Cell())
+    known.candidate.add(cell.candidate)
+    known.baseline.add(cell.baseline)
+
+
 def merge_cells(reports: Iterable[Cells]) -> dict[CellKey, Cell]:
     """Return the sum of the counts of some senders."""
     total: dict[CellKey, Cell] = {}
--- a/tests/platform/test_rollout_fleet.py
+++ b/tests/platform/test_rollout_fleet.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bitternturn.gateway import const
 from bitternturn.policy.rollout import Phase
 from bitternturn.standins.platform_store import StoreFault
 from bitternturn.standins.platform_target import ScriptedBehaviour
@@ -111,21 +112,21 @@
         ]
 
     @contextlib.asynccontextmanager
-    async def calling(self):
+    async def calling(self, paths=PATHS):
         """Let callers send requests meanwhile."""
-        task = asyncio.create_task(self._async_call())
+        task = asyncio.create_task(self._async_call(paths))
         try:
             yield
         finally:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
-    async def _async_call(self):
+    async def _async_call(self, paths):
         asked = set()
         number = 0
         while True:
             number += 1
-            path = PATHS[number % len(PATHS)]
+            path = paths[number % len(paths)]
             sent = asyncio.create_task(self.async_ask(path))
             asked.add(sent)
             sent.add_done_callback(asked.discard)
@@ -224,15 +225,23 @@
             fleet.order(20)
             await async_wait_until(lambda: 'active' in fleet.written())
             await fleet.async_add_targets(NEW, 3, make_script=make_bad_script)
-            await async_wait_until(lambda: Phase.SUSPENDED in fleet.phases())
-            progress = fleet.daemons[0].gateway.rollouts.progress[SERVICE]
-            writer = max(
+            fleet.store.choose_fault = lambda number: (
+                StoreFault.BUSY
+                if fleet.store.calls[number].startswith('PUT')
+                else StoreFault.NONE
+            )
+            await async_wait_until(
+                lambda: set(fleet.phases()) == {Phase.SUSPENDED}
+            )
+            writer = min(
                 fleet.daemons,
-                key=lambda it: -it.rollouts.own_rank(progress),
+                key=lambda it: it.rollouts.own_rank(
+                    it.gateway.rollouts.progress[SERVICE]
+                ),
             )
-            if 'reverted' not in fleet.written():
-                fleet.daemons.remove(writer)
-                await writer.async_stop()
+            fleet.daemons.remove(writer)
+            await writer.async_stop()
+            fleet.store.choose_fault = lambda _: StoreFault.NONE
             await async_wait_for_end(fleet, 'reverted')
             await asyncio.sleep(2)
         assert fleet.written() == ['active', 'reverted']
@@ -333,6 +342,62 @@
         assert not fleet.received(NEW, changed_at)
 
 
+WIDE_SHARDS = 4
+WIDE_ROUTE = {
+    'name': 'all',
+    'hostname': 'search.example',
+    'path-prefix': '/all/',
+    'type': 'idempotent',
+    'timeout-ms': 3000,
+    'target-latency-ms': 500,
+    'priority': 1,
+    'gather': [f's{number}' for number in range(WIDE_SHARDS)],
+    'attempts': 2,
+    'top-k': 5,
+    'min-coverage': 0.5,
+}
+
+
+class TestWideRequests:
+    async def test_delegates_keep_the_exposure(self, tmp_path, monkeypatch):
+        """Parts are written by delegates, for which entries choose targets."""
+        monkeypatch.setattr(const, 'MIN_WIDE_ROUTE_SHARDS', WIDE_SHARDS)
+        fleet = RolloutFleet(tmp_path)
+        for number in range(WIDE_SHARDS):
+            for _ in range(2):
+                target = await fleet.async_add_target(f's{number}', OLD)
+                if not number:
+                    fleet.versions[OLD].append(target)
+        try:
+            await fleet.async_start(
+                instances=INSTANCES,
+                configuration=configuration_document(routes=[WIDE_ROUTE]),
+            )
+            fleet.store.put(
+                'rollouts',
+                's0',
+                {'service': 's0', 'target-version': NEW, 'duration-s': 20},
+            )
+            await async_wait_until(lambda: len(fleet.phases()) == INSTANCES)
+            ordered_at = time.monotonic()
+            for number in range(2):
+                fleet.versions[NEW].append(
+                    await fleet.async_add_target(
+                        's0', NEW, script=make_bad_script(number)
+                    )
+                )
+            async with fleet.calling(('/all/x',)):
+                await async_wait_for_end(fleet, 'reverted')
+                await asyncio.sleep(1)
+                settled_at = time.monotonic()
+                await asyncio.sleep(1)
+        finally:
+            await fleet.async_stop()
+        assert fleet.received(NEW, ordered_at)
+        assert not fleet.received(NEW, settled_at)
+        assert_exposure(fleet, ordered_at)
+
+
 class TestOtherDeployments:
     async def test_kind_is_not_read_without_contract(self, tmp_path):
         """Calls to the store have a price."""
