--- a/bitternturn/cli/registry.py
+++ b/bitternturn/cli/registry.py
@@ -11,6 +11,7 @@
 from bitternturn.cli.instance import COMMAND as INSTANCE
 from bitternturn.cli.models import Command
 from bitternturn.cli.profile import COMMAND as PROFILE
+from bitternturn.cli.rollout import COMMAND as ROLLOUT
 from bitternturn.cli.serve import COMMAND as SERVE
 from bitternturn.cli.status import COMMAND as STATUS
 from bitternturn.cli.target import COMMAND as TARGET
@@ -31,5 +32,6 @@
         TIMELINE,
         CHECK,
         EXPLAIN,
+        ROLLOUT,
     )
 }
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -297,6 +297,37 @@
         assert 'i1  paused' in around
         assert 'i1  start' not in around
 
+    async def test_rollout_is_explained_from_logs(self, shell, tmp_path):
+        log = tmp_path / 'a.log'
+        fields = '"service":"s","version":"v2"'
+        log.write_text(
+            f'{{"time":1.0,"instance":"i1","kind":"rollout",{fields},'
+            '"phase":"active"}\n'
+            f'{{"time":2.0,"instance":"i2","kind":"rollout",{fields},'
+            '"phase":"active"}\n'
+            f'{{"time":5.0,"instance":"i1","kind":"rollout_phase",{fields},'
+            '"phase":"suspended","reason":"failing","failures":9}\n'
+            f'{{"time":6.0,"instance":"i1","kind":"rollout_written",{fields},'
+            '"state":"reverted"}\n'
+            '{"time":7.0,"instance":"i1","kind":"target","target":"t"}\n'
+        )
+        printed = await shell.async_run('rollout', 'status', f'--logs={log}')
+        assert printed.strip() == (
+            's to v2: reverted written; instances: 1 active, 1 suspended'
+        )
+        printed = await shell.async_run(
+            'rollout', 'explain', 's', f'--logs={log}'
+        )
+        assert 'reason=failing failures=9' in printed
+        assert len(printed.strip().splitlines()) == 4
+        await shell.async_run(
+            'rollout',
+            'explain',
+            'other',
+            f'--logs={log}',
+            expect=const.EXIT_NOT_FOUND,
+        )
+
     async def test_unreachable_instance_names_the_peer(self, shell):
         await shell.async_run(
             'status', '--operators=127.0.0.1:1', expect=const.EXIT_UNREACHABLE
--- a/tests/platform/test_rollout_fleet.py
+++ b/tests/platform/test_rollout_fleet.py
@@ -273,6 +273,28 @@
         assert fleet.written().count('reverted') == 1
         assert_exposure(fleet, ordered_at)
 
+    async def test_half_of_the_instances_are_cut_off_from_the_store(
+        self, fleet
+    ):
+        """They learn the conclusion from peers, and write nothing else."""
+        async with fleet.calling():
+            fleet.order(20)
+            await async_wait_until(lambda: 'active' in fleet.written())
+            for daemon in fleet.daemons[::2]:
+                transport = daemon.follower.store.transport
+                transport.close()
+                transport.port = 9
+            await fleet.async_add_targets(NEW, 3, make_script=make_bad_script)
+            await async_wait_for_end(fleet, 'reverted', 20)
+            await async_wait_until(
+                lambda: min(fleet.phases()) >= Phase.SUSPENDED
+            )
+            await asyncio.sleep(0.5)
+            settled_at = time.monotonic()
+            await asyncio.sleep(1)
+        assert fleet.written() == ['active', 'reverted']
+        assert not fleet.received(NEW, settled_at)
+
     async def test_reverted_version_is_not_used_after_a_restart(self, fleet):
         """Nor if a restored store says that the order is active."""
         fleet.order(20)
