--- a/bitternturn/gateway/rollouts.py
+++ b/bitternturn/gateway/rollouts.py
@@ -25,16 +25,18 @@
     VersionRole,
     VersionRules,
 )
-from bitternturn.policy.rollout_evidence import (
+from bitternturn.policy.rollout_counts import (
     Cell,
     CellKey,
+    TargetTally,
+    describe_cells,
+    merge_cells,
+)
+from bitternturn.policy.rollout_evidence import (
     EvidenceJudge,
     Judgement,
-    Tally,
-    TargetTally,
     count_failures,
     count_ignored,
-    merge_cells,
 )
 from bitternturn.policy.rollout_exposure import (
     CHOICE_MARGIN,
@@ -552,28 +554,6 @@
         tally.failures += failed
 
 
-def describe_cells(cells: Mapping[CellKey, Cell]) -> dict[str, int]:
-    """Return the counts of a log line about an order."""
-    candidates = [cell.candidate for cell in cells.values()]
-    baselines = [cell.baseline for cell in cells.values()]
-    return {
-        'answers': sum(it.answers for it in candidates),
-        'failures': sum(it.failures for it in candidates),
-        'other_answers': sum(it.answers for it in baselines),
-        'other_failures': sum(it.failures for it in baselines),
-        'slowdown_percent': round(
-            100 * (_mean_ratio(candidates) / _mean_ratio(baselines) - 1)
-        ),
-    }
-
-
-def _mean_ratio(tallies: Iterable[Tally]) -> float:
-    """Return the geometric mean of latencies relative to their route."""
-    counts = list(tallies)
-    timed = sum(it.timed for it in counts)
-    return math.exp(sum(it.log_sum for it in counts) / max(1, timed))
-
-
 def _with_version(
     targets: Sequence['Target'], version: str, *, same: bool
 ) -> Sequence['Target']:
--- a/bitternturn/policy/rollout_evidence.py
+++ b/bitternturn/policy/rollout_evidence.py
@@ -6,10 +6,17 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, fields
+from collections.abc import Mapping
 from enum import Enum, unique
-from typing import Final, NamedTuple
+from typing import Final
+
+from bitternturn.policy.rollout_counts import (
+    Cell,
+    CellKey,
+    Cells,
+    Tally,
+    TargetTally,
+)
 
 # Interval at which evidence is judged.
 STEP_S: Final = 0.5
@@ -30,9 +37,6 @@
 # Least variance of the logarithm of latencies that is assumed: answers of one
 # target at one time are not independent.
 MIN_VARIANCE: Final = 0.5
-# Logarithms of latencies are cut to this range, so that one request that was
-# held up does not decide.
-MAX_LOG_RATIO: Final = 2.0
 # Answers of other versions without which latencies are not compared.
 MIN_BASELINE: Final = 10
 # Log-likelihood ratios at which a version is bad. A good version with 2 % of
@@ -65,72 +69,6 @@
 MIN_FINAL_ANSWERS: Final = 8
 
 
-class CellKey(NamedTuple):
-    """Route, and whether targets are in the failure domain of the sender."""
-
-    route: str
-    near: bool
-
-
-@dataclass(slots=True)
-class Tally:
-    """Cumulative counts of answers."""
-
-    answers: int = 0
-    failures: int = 0
-    # Answers with a latency, and sums of its logarithm and of the square.
-    timed: int = 0
-    log_sum: float = 0
-    log_square: float = 0
-
-    def add(self, other: 'Tally', sign: int = 1) -> None:
-        """Add or subtract other counts."""
-        for each in fields(self):
-            name = each.name
-            value = getattr(self, name) + sign * getattr(other, name)
-            setattr(self, name, value)
-
-    def minus(self, other: 'Tally') -> 'Tally':
-        """Return the difference to earlier counts."""
-        difference = Tally()
-        difference.add(self)
-        difference.add(other, -1)
-        return difference
-
-    def record(self, *, failed: bool, log_ratio: float | None) -> None:
-        """Record an answer, with its latency if it is comparable."""
-        self.answers += 1
-        self.failures += failed
-        if log_ratio is not None:
-            limited = min(MAX_LOG_RATIO, max(-MAX_LOG_RATIO, log_ratio))
-            self.timed += 1
-            self.log_sum += limited
-            self.log_square += limited * limited
-
-
-@dataclass(slots=True)
-class Cell:
-    """Counts of the version under test and of the others."""
-
-    candidate: Tally = field(default_factory=Tally)
-    baseline: Tally = field(default_factory=Tally)
-
-
-Cells = Mapping[CellKey, Cell]
-
-
-@dataclass(slots=True)
-class TargetTally:
-    """Cumulative counts of one target of the version under test."""
-
-    answers: int = 0
-    failures: int = 0
-
-    def get_failures(self) -> int:
-        """Return the failures, as a sort key."""
-        return self.failures
-
-
 @unique
 class Judgement(Enum):
     """What the evidence says of a version."""
@@ -144,14 +82,6 @@
 BAD_JUDGEMENTS: Final = frozenset((Judgement.FAILING, Judgement.SLOW))
 
 
-def add_cells(total: dict[CellKey, Cell], cells: Cells) -> None:
-    """Add the counts of a sender to those of all."""
-    for key, cell in cells.items():
-        known = total.setdefault(key, Cell())
-        known.candidate.add(cell.candidate)
-        known.baseline.add(cell.baseline)
-
-
 def baseline_failures(baseline: Tally) -> float:
     """Return the share of failures of the other versions, rounded up."""
     if not baseline.answers:
@@ -377,11 +307,3 @@
     known = scopes.setdefault(name, Cell())
     known.candidate.add(cell.candidate)
     known.baseline.add(cell.baseline)
-
-
-def merge_cells(reports: Iterable[Cells]) -> dict[CellKey, Cell]:
-    """Return the sum of the counts of some senders."""
-    total: dict[CellKey, Cell] = {}
-    for cells in reports:
-        add_cells(total, cells)
-    return total
--- a/bitternturn/relay/rollout_exchange.py
+++ b/bitternturn/relay/rollout_exchange.py
@@ -18,13 +18,8 @@
 from bitternturn.policy.observation_spread import choose_receivers
 from bitternturn.policy.rendezvous import hash_share
 from bitternturn.policy.rollout import Phase
-from bitternturn.policy.rollout_evidence import (
-    Cell,
-    CellKey,
-    Tally,
-    TargetTally,
-    count_failures,
-)
+from bitternturn.policy.rollout_counts import Cell, CellKey, Tally, TargetTally
+from bitternturn.policy.rollout_evidence import count_failures
 from bitternturn.relay.delegation import Delegation
 from bitternturn.relay.peer import Peer, PeerFailure
 from bitternturn.schema import relay_pb2
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -14,7 +14,7 @@
 from bitternturn.gateway.rollouts import SenderReport
 from bitternturn.platform.http_messages import WIRE
 from bitternturn.policy.rollout import OrderStatus, Phase, RolloutOrder
-from bitternturn.policy.rollout_evidence import Cell, CellKey
+from bitternturn.policy.rollout_counts import Cell, CellKey
 from bitternturn.standins.platform_target import ScriptedBehaviour
 from tests.gateway.helpers import (
     SETTINGS,
--- a/tests/policy/rollout_simulation.py
+++ b/tests/policy/rollout_simulation.py
@@ -13,14 +13,16 @@
 
 from bitternturn.core.ids import ServiceName
 from bitternturn.policy.rollout import OrderState, Phase, RolloutOrder
-from bitternturn.policy.rollout_evidence import (
+from bitternturn.policy.rollout_counts import (
     Cell,
     CellKey,
+    TargetTally,
+    merge_cells,
+)
+from bitternturn.policy.rollout_evidence import (
     EvidenceJudge,
     Judgement,
-    TargetTally,
     count_ignored,
-    merge_cells,
 )
 from bitternturn.policy.rollout_exposure import (
     ExposureBudget,
--- a/tests/policy/test_rollout_verdict.py
+++ b/tests/policy/test_rollout_verdict.py
@@ -4,13 +4,10 @@
 
 import pytest
 
+from bitternturn.policy.rollout_counts import Cell, CellKey, Tally, TargetTally
 from bitternturn.policy.rollout_evidence import (
-    Cell,
-    CellKey,
     EvidenceJudge,
     Judgement,
-    Tally,
-    TargetTally,
     count_ignored,
 )
 from tests.policy.rollout_simulation import (
--- a/tests/relay/test_rollout_exchange.py
+++ b/tests/relay/test_rollout_exchange.py
@@ -4,12 +4,7 @@
 
 from bitternturn.core.tasks import TaskSet
 from bitternturn.policy.rollout import Phase
-from bitternturn.policy.rollout_evidence import (
-    Cell,
-    CellKey,
-    Tally,
-    TargetTally,
-)
+from bitternturn.policy.rollout_counts import Cell, CellKey, Tally, TargetTally
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.delegation import Delegation
 from bitternturn.relay.rollout_exchange import (
