--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -115,6 +115,10 @@
         self.relay_server.observations = self.observations
         if self.rollout_store is not None:
             self.relay_server.rollouts = self.rollouts
+            copies = self.follower.source.copies
+            self.rollout_store.is_followed = lambda: bool(
+                copies.kinds[wire_names.KIND_ROLLOUTS].revision
+            )
         self.suspect_store = SuspectStore(
             gateway=self.gateway,
             store=store,
--- a/bitternturn/platform/rollout_store.py
+++ b/bitternturn/platform/rollout_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 import msgspec
@@ -34,6 +34,9 @@
 # doubles with each failure.
 MIN_RETRY_S: Final = 0.5
 MAX_RETRY_S: Final = 4.0
+# Interval of the lists of the kind while no reader that is followed knows it:
+# readers of an older build do not, and an instance is not ready without it.
+ALONE_INTERVAL_S: Final = 2.0
 # Longest duration that is believed, in seconds.
 MAX_DURATION_S: Final = 86_400.0
 # Objects with unreadable content that are remembered, so that each is logged
@@ -104,6 +107,10 @@
         self.store = store
         self.exchange = exchange
         self.tasks = tasks
+        # Returns whether the kind is followed, from the store or a reader.
+        self.is_followed: Callable[[], bool] = lambda: True
+        # When it was listed by this instance alone, or the start.
+        self.listed_at = gateway.now()
         # Name of the object of each service, and the service of each object.
         self.names: dict[ServiceName, str] = {}
         self.unread: dict[str, int] = {}
@@ -181,9 +188,24 @@
         """Write the status of each order that this instance has to write."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            await self.async_list_alone()
             for service in list(self.rollouts.progress):
                 await self.async_check(service)
 
+    async def async_list_alone(self) -> None:
+        """List the orders if no reader that is followed knows the kind."""
+        now = self.gateway.now()
+        if self.is_followed() or now - self.listed_at < ALONE_INTERVAL_S:
+            return
+        self.listed_at = now
+        try:
+            objects, _ = await self.store.async_list(wire_names.KIND_ROLLOUTS)
+        except BitternturnError as error:
+            self.gateway.decisions.write('rollouts_not_read', error=str(error))
+            return
+        if not self.is_followed():
+            self.replace_orders(objects)
+
     async def async_check(self, service: ServiceName) -> None:
         """Write the status of an order if it is this instance's turn."""
         now = self.gateway.now()
--- a/tests/platform/test_rollout_store.py
+++ b/tests/platform/test_rollout_store.py
@@ -164,3 +164,30 @@
         calls = len(standin.calls)
         await instance.async_check(SERVICE)
         assert len(standin.calls) == calls
+
+
+class TestOldReaders:
+    async def test_kind_is_listed_if_no_reader_knows_it(
+        self, standin, make_instance
+    ):
+        """Readers of an older build; the instance would never be ready."""
+        instance = make_instance()
+        instance.gateway.fleet_state.orders_known = False
+        instance.is_followed = lambda: False
+        standin.put_status(
+            'rollouts', SERVICE, {'state': 'reverted', 'target-version': 'v2'}
+        )
+        await instance.async_list_alone()
+        assert not instance.gateway.fleet_state.orders_known
+        instance.listed_at -= 10
+        await instance.async_list_alone()
+        assert instance.gateway.fleet_state.orders_known
+        phase = instance.rollouts.progress[SERVICE].state.phase
+        assert phase is Phase.REVERTED
+
+    async def test_followed_kind_is_not_listed(self, standin, make_instance):
+        instance = make_instance()
+        instance.listed_at -= 10
+        calls = len(standin.calls)
+        await instance.async_list_alone()
+        assert len(standin.calls) == calls
