--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -25,6 +25,7 @@
     TargetEntry,
 )
 from bitternturn.gateway.rate_limits import RateLimits
+from bitternturn.gateway.rollouts import Rollouts
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.send_results import is_fault_of_link, record_outcome
 from bitternturn.gateway.target_connections import TargetConnections
@@ -70,6 +71,8 @@
     # that can't be read.
     on_pause: Callable[['Target', float], None]
     on_unread_pause: Callable[['Target'], None]
+    # Says whether the version of a target may be used, and counts its answers.
+    rollouts: Rollouts
     # Returns the pace of a target, which is not limited.
     make_pace: Callable[[TargetEntry], TargetPace]
     # Called with a send, its outcome and latency, if they show its target.
@@ -248,8 +251,10 @@
             return SendOutcome.SUSPECTED
         if not self.in_service or not self.hooks.may_write(send.caller, now):
             return SendOutcome.UNWANTED
-        permitted = self.announcement.allows_send(now) and self.take_permit(
-            send, now
+        permitted = (
+            self.announcement.allows_send(now)
+            and self.hooks.rollouts.admits(send)
+            and self.take_permit(send, now)
         )
         return None if permitted else SendOutcome.UNWANTED
 
@@ -488,6 +493,8 @@
             self.queued.remove(send)
         if send.permitted_at is not None and outcome in UNDELIVERED_OUTCOMES:
             self.rate_limits.give_back(self.announcement.rate_limit)
+        if outcome in UNDELIVERED_OUTCOMES:
+            self.hooks.rollouts.withdraw(send)
         self._record_end(send, outcome, took_s)
         if send.on_end is not None:
             send.on_end(send, outcome, answer)
@@ -506,6 +513,7 @@
         if not is_fault_of_link(send, outcome):
             record_outcome(self.record, send, outcome, latency_s, now)
             self.hooks.on_outcome(send, outcome, latency_s)
+        self.hooks.rollouts.record_end(send, outcome, latency_s)
         connection = send.connection
         exchange_bytes = 0
         if isinstance(connection, ClientConnection):
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -453,6 +453,7 @@
             object=PlatformObject(
                 meta=ObjectMeta(name=stored.name, revision=stored.revision),
                 spec=spec,
+                status=self._decode_status(kind, stored.name, stored.status),
             ),
             deleted=stored.deleted,
         )
@@ -462,8 +463,13 @@
         return PlatformObject(
             meta=ObjectMeta(name=copied.name, revision=copied.revision),
             spec=self._decode_spec(kind, copied.name, copied.spec or b'null'),
+            status=self._decode_status(kind, copied.name, copied.status),
         )
 
+    def _decode_status(self, kind: str, name: str, status: bytes | None) -> Any:
+        """Decode the status of an object, None without one."""
+        return self._decode_spec(kind, name, status) if status else None
+
     def _decode_spec(self, kind: str, name: str, spec: bytes) -> Any:
         """Decode the content of an object, UNSET if it can't be decoded."""
         try:
@@ -676,6 +682,7 @@
         name=stored.meta.name,
         revision=stored.meta.revision,
         spec=None if deleted else _encode_spec(stored.spec),
+        status=_encode_status(stored.status),
     )
 
 
@@ -685,3 +692,8 @@
         return msgspec.json.encode(spec)
     except RecursionError:
         return b'null'
+
+
+def _encode_status(status: Any) -> bytes | None:
+    """Return the status of an object as JSON, None without one."""
+    return None if status is None else _encode_spec(status)
--- a/bitternturn/platform/store.py
+++ b/bitternturn/platform/store.py
@@ -129,14 +129,7 @@
         response = await self._async_send('POST', path, document)
         if response.status != http.STATUS_CONFLICT:
             return
-        existing = await self._async_decode(
-            object_messages.decode_object(
-                kind, response.body, self.on_unreadable
-            ),
-            path,
-        )
-        if existing is None:
-            raise self.transport.make_error(ErrorCode.BAD_ANSWER, path)
+        existing = await self._async_decode_object(kind, response, path)
         if existing.spec == spec:
             return
         document['meta'] = {'name': name, 'revision': existing.meta.revision}
@@ -146,6 +139,45 @@
         if replaced.status != http.STATUS_OK or not same_era:
             raise self.transport.make_error(ErrorCode.CONFLICT, path)
 
+    async def async_read(self, kind: str, name: str) -> PlatformObject | None:
+        """Return an object with its position, None if it does not exist."""
+        path = f'{_path(kind, {})}/{quote(name, safe="")}'
+        response = await self.transport.async_call('GET', path)
+        if response.status == http.STATUS_NOT_FOUND:
+            return None
+        if response.status != http.STATUS_OK:
+            raise self.transport.make_error(
+                ErrorCode.BAD_ANSWER, path, f'status {response.status}'
+            )
+        stored = await self._async_decode_object(kind, response, path)
+        _place_in_era([stored], response.era)
+        return stored
+
+    async def async_write_status(
+        self, kind: str, stored: PlatformObject, status: Any
+    ) -> None:
+        """Write the status of an object that has not changed since it was read.
+
+        Raises BitternturnError CONFLICT if it has changed, or if the store has
+        come back from an older copy.
+        """
+        name = stored.meta.name
+        position = stored.meta.revision
+        path = f'{_path(kind, {})}/{quote(name, safe="")}/status'
+        response = await self._async_send(
+            'PUT',
+            path,
+            {
+                'meta': {'name': name, 'revision': revision_of(position)},
+                'status': status,
+            },
+        )
+        same_era = response.era == era_of(position)
+        if response.status != http.STATUS_OK or not same_era:
+            raise self.transport.make_error(
+                ErrorCode.CONFLICT, path, f'status {response.status}'
+            )
+
     async def async_remove(self, kind: str, name: str) -> None:
         """Delete an object if it exists."""
         path = f'{_path(kind, {})}/{quote(name, safe="")}'
@@ -187,6 +219,20 @@
             )
         return response
 
+    async def _async_decode_object(
+        self, kind: str, response: ApiResponse, path: str
+    ) -> PlatformObject:
+        """Decode one object; raises BAD_ANSWER if its name is unreadable."""
+        stored = await self._async_decode(
+            object_messages.decode_object(
+                kind, response.body, self.on_unreadable
+            ),
+            path,
+        )
+        if stored is None:
+            raise self.transport.make_error(ErrorCode.BAD_ANSWER, path)
+        return stored
+
     async def _async_decode(
         self, decoding: Paused[Result], path: str
     ) -> Result:
