--- a/bitternturn/gateway/pace.py
+++ b/bitternturn/gateway/pace.py
@@ -1,7 +1,7 @@
 """Pace of the targets of an instance: what starts it, and what is reported."""
 
 from collections.abc import Iterator, Mapping, Sequence
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from bitternturn.core.ids import ServiceName
 from bitternturn.gateway.decision_log import DecisionLog
@@ -10,7 +10,6 @@
 from bitternturn.gateway.send import Send
 from bitternturn.policy.pace import (
     LATE_RATIO,
-    MIN_OPEN_SHARE,
     PaceCause,
     PaceChange,
     TargetPace,
@@ -30,6 +29,9 @@
         SendOutcome.DECLINED,
     )
 )
+# Share of the targets of a service that are not limited because of pauses, limits
+# or failures: such events at most targets mean that the load is too high.
+MIN_UNLIMITED_SHARE: Final = 0.5
 # Causes for which all targets of a service may be limited at the same time: such
 # targets do not bear their load, however much there is. The other causes also
 # occur while all targets are overloaded, when limits would only move the load.
@@ -174,7 +176,7 @@
         open_count = sum(
             not peer.pace.limited for peer in peers if peer is not target
         )
-        return open_count > 0 and open_count >= MIN_OPEN_SHARE * len(peers)
+        return open_count > 0 and open_count >= MIN_UNLIMITED_SHARE * len(peers)
 
     def _report(self, target: 'Target', change: PaceChange | None) -> None:
         """Log and count a change."""
--- a/bitternturn/policy/pace.py
+++ b/bitternturn/policy/pace.py
@@ -59,9 +59,10 @@
 # first share for each one.
 RELAPSE_S: Final = 30.0
 RELAPSE_FACTOR: Final = 0.5
-# Share of the targets of a service that the shares have to make up together;
-# if they do not, the limited ones get more.
-MIN_OPEN_SHARE: Final = 0.5
+# Share of the targets of a service that the shares have to make up together; if
+# they do not, the limited ones get more. With 0.5, callers of a service with two
+# or three targets waited longer for the others than for the one that returns.
+MIN_OPEN_SHARE: Final = 0.85
 # Tolerance for rounding errors, in sends.
 EPSILON: Final = 1e-9
 
@@ -174,14 +175,14 @@
         self._begin_step(now)
         return PaceChange.STARTED
 
-    def earn(self, part: float) -> None:
-        """Earn a part of a send.
+    def earn(self, share: float, targets: int) -> None:
+        """Earn a part of a send with one request to a service with some targets.
 
         A send that is not used while the next part of the size of the share is
         earned is lost. So only this share of the instances has one at any time,
         even if none of them has used the target for long.
         """
-        self.credit = math.fmod(self.credit + part, 1 + self.share)
+        self.credit = math.fmod(self.credit + share / targets, 1 + share)
 
     def allows_send(self) -> bool:
         """Return whether a send is within the share."""
@@ -299,17 +300,16 @@
         self.stepped_at = now
 
 
-def earned_parts(shares: Sequence[float]) -> list[float]:
-    """Return what each target of a service earns with one request.
+def raise_shares(shares: Sequence[float]) -> list[float]:
+    """Return the shares of the usable targets of a service, raised if needed.
 
-    `shares` are those of the usable targets. If they are too low for the service
-    together, the limited ones get what is missing in equal parts, so that several
-    targets that return at once do not starve it.
+    If they are too low for the service together, the limited ones get what is
+    missing in equal parts, so that targets that return do not starve it.
     """
     limited_count = sum(share < 1 for share in shares)
     missing = MIN_OPEN_SHARE * len(shares) - sum(shares)
     extra = max(0, missing) / max(1, limited_count)
-    return [min(1, share + extra) / len(shares) for share in shares]
+    return [min(1, share + extra) for share in shares]
 
 
 TargetT = TypeVar('TargetT')
@@ -328,8 +328,8 @@
     paces = [get_pace(target) for target in targets]
     if not any(pace.limited for pace in paces):
         return targets
-    parts = earned_parts([pace.share for pace in paces])
-    for pace, part in zip(paces, parts, strict=True):
+    shares = raise_shares([pace.share for pace in paces])
+    for pace, share in zip(paces, shares, strict=True):
         if pace.limited:
-            pace.earn(part)
+            pace.earn(share, len(paces))
     return [target for target in targets if get_pace(target).allows_send()]
