--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -89,6 +89,8 @@
         self.deadline = deadlines.deadline
         self.min_parts = route.min_parts()
         self.parts = [Part(service=service) for service in services]
+        # Services to which the current configuration lets the request go.
+        self.allowed_services: Collection[ServiceName] = services
         self.on_end: Callable[[RequestResult], None] | None = on_end
         self.timer: asyncio.TimerHandle | None = None
         self.repeatable = route.repeat_policy is RepeatPolicy.IDEMPOTENT
@@ -174,6 +176,25 @@
             for held in probed.release():
                 held.closed = True
 
+    def apply_route(self, route: Route | None) -> None:
+        """Apply the route of the request in a new configuration, if it has one.
+
+        Sends that have not been written end if it does not allow their service;
+        those in flight go on, and nothing follows them.
+        """
+        self.allowed_services = (
+            () if route is None else route.allowed_services()
+        )
+        if route is not None:
+            idempotent = route.repeat_policy is RepeatPolicy.IDEMPOTENT
+            self.repeatable = self.repeatable and idempotent
+        for part in self.parts:
+            if part.service in self.allowed_services:
+                continue
+            for send in list(part.in_flight):
+                if send.connection is None:
+                    send.target.end_send(send, SendOutcome.UNWANTED, None)
+
     def expire(self) -> None:
         """End the request now, with the parts that are answered."""
         now = self.dispatcher.now()
@@ -243,6 +264,7 @@
             ),
         )
         send.on_silence = partial(self._handle_silence, part)
+        send.on_late = partial(self._handle_late, part)
         send.max_records = self.route.max_records
         send.declinable = not part.declined
         send.is_further = part.send_count > 1
@@ -254,6 +276,8 @@
 
     def _find_target(self, part: Part) -> Target | None:
         """Return the target of the next send, preferably one not tried yet."""
+        if part.service not in self.allowed_services:
+            return None
         if part.delivered_count >= self.route.max_targets + const.EXTRA_SENDS:
             return None
         if part.not_sent_count > const.MAX_UNDELIVERED_SENDS:
@@ -302,6 +326,7 @@
             part.in_flight.remove(send)
         not_run = outcome in NOT_RUN_OUTCOMES
         part.maybe_run = part.maybe_run or not not_run
+        self.caller.maybe_run |= part.maybe_run
         if part.closed or self.on_end is None:
             return
         now = self.dispatcher.now()
@@ -388,10 +413,23 @@
             self._hedge_part(part, now)
         self._evaluate(now)
 
+    def _handle_late(self, part: Part, send: Send) -> None:
+        """Hedge a part whose delegate has found its newest send late.
+
+        The delegate measures the age without the way to it and back, so the
+        hedge does not wait for the time that this takes at most.
+        """
+        if part.closed or self.on_end is None or not self.repeatable:
+            return
+        tried_all = len(part.tried_targets) >= self.route.max_targets
+        if part.in_flight and part.in_flight[-1] is send and not tried_all:
+            self._hedge_part(part, self.dispatcher.now())
+
     def _close_part(self, part: Part, answer: TargetAnswer | None) -> None:
         """Store the answer of a part and detach its remaining sends."""
         part.closed = True
         part.answer = answer
+        part.answered_at = self.dispatcher.now()
         for send in part.in_flight:
             send.detach()
 
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Gateway that routes callers' requests and sends them to targets."""
 
 import asyncio
+import dataclasses
 import math
 import random
 from collections.abc import Callable, Iterable, Sequence
@@ -26,13 +27,14 @@
     may_forward_failure,
 )
 from bitternturn.gateway.pool import TargetPool
+from bitternturn.gateway.quotas import MIN_WAIT_S, Quotas
 from bitternturn.gateway.reporting import (
     record_pause,
     record_refusal,
     record_request_end,
 )
 from bitternturn.gateway.routes import RouteTable, WeightedRoundRobin
-from bitternturn.gateway.tenants import TenantTable
+from bitternturn.gateway.tenants import TenantLabels, TenantTable
 from bitternturn.gateway.wire import Wire
 from bitternturn.http.models import Request, Response
 from bitternturn.policy.answer_timing import (
@@ -81,8 +83,19 @@
             rng=rng,
         )
         self.on_limits = on_limits
+        self.quotas = Quotas(
+            own_name=settings.name,
+            bound=settings.quota_bound,
+            now=self.now,
+            decisions=decisions,
+            rng=rng,
+        )
+        self.target_hooks = dataclasses.replace(
+            self.target_hooks, may_write=self.quotas.may_write
+        )
         self.route_table = RouteTable(routes=())
         self.tenants = TenantTable()
+        self.tenant_labels = TenantLabels()
         self.round_robin = WeightedRoundRobin()
         self.route_stats: dict[RouteName, RouteStats] = {}
         # Whether new requests are refused, since the instance is draining.
@@ -115,6 +128,11 @@
         confirmed_at = self.fleet_state.confirmed_at
         return None if confirmed_at is None else round(now - confirmed_at, 1)
 
+    def update_instances(self, instances: Sequence[str]) -> None:
+        """Update the instances that share limits and quotas with this one."""
+        super().update_instances(instances)
+        self.quotas.update_members(self.rate_limits.names)
+
     # Configuration
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -132,7 +150,11 @@
             version=configuration.version,
             routes=len(configuration.routes),
         )
-        self._identify_waiting()
+        # Before the targets, so that no send which ends by their refresh is
+        # retried under an old route.
+        for execution in list(self.executions):
+            self._apply_to_request(execution)
+        self.quotas.update_tenants(configuration.tenants or ())
         self.refresh_targets()
 
     def handle_pause(self, length_s: float) -> None:
@@ -149,20 +171,15 @@
             await asyncio.sleep(const.PAUSE_SETTLE_S)
         arrived_at = self.now()
         caller = self.wire.read_request(request)
-        if not self.fleet_state.complete and not self.draining:
-            return self._refuse(
-                caller,
-                RefusalReason.NOT_READY,
-                const.NOT_READY_RETRY_AFTER_S,
-            )
-        route = self.route_table.match(caller.host, caller.path)
-        if self.draining or self._may_outlast_stop(caller, route, arrived_at):
-            return self._refuse(caller, RefusalReason.DRAINING, 0)
-        if route is None:
-            return self._refuse(caller, RefusalReason.NO_ROUTE, None)
-        refusal = await self._async_check_caller(caller, route)
-        if refusal is not None:
-            return refusal
+        route = self._admit(caller, arrived_at)
+        if isinstance(route, Route) and (
+            caller.tenant or self.crash_suspects.evidence
+        ):
+            refusal = await self._async_check_caller(caller)
+            # The configuration may have changed meanwhile.
+            route = refusal or self._admit(caller, arrived_at)
+        if isinstance(route, Response):
+            return route
         services = self._services(route)
         available = sum(bool(self.ready.get(service)) for service in services)
         if available < route.min_parts():
@@ -189,21 +206,41 @@
             )
         return await self._async_execute(caller, route, services, arrived_at)
 
+    def _admit(
+        self, caller: CallerRequest, arrived_at: float
+    ) -> Route | Response:
+        """Return the route of a request, or its refusal.
+
+        A request is refused that has no route, or no valid key for it.
+        """
+        if not self.fleet_state.complete and not self.draining:
+            return self._refuse(
+                caller,
+                RefusalReason.NOT_READY,
+                const.NOT_READY_RETRY_AFTER_S,
+            )
+        route = self.route_table.match(caller.host, caller.path)
+        if self.draining or self._may_outlast_stop(caller, route, arrived_at):
+            return self._refuse(caller, RefusalReason.DRAINING, 0)
+        if route is None:
+            return self._refuse(caller, RefusalReason.NO_ROUTE, None)
+        reason = self._identify(caller, route)
+        return route if reason is None else self._refuse(caller, reason, None)
+
     async def _async_check_caller(
-        self, caller: CallerRequest, route: Route
+        self, caller: CallerRequest
     ) -> Response | None:
-        """Refuse a request without a valid key, or one that crashes targets.
+        """Refuse a request above the quota, or one that crashes targets.
 
         Returns None if it may be sent.
         """
-        reason = self._identify(caller, route)
-        if reason is None and self.crash_suspects.evidence:
-            refusal = await self._async_check_suspicion(caller)
-            if refusal is not None:
-                return refusal
-            # The configuration may have changed meanwhile.
-            reason = self._identify(caller, route)
-        return None if reason is None else self._refuse(caller, reason, None)
+        over = await self.quotas.async_admit(caller)
+        if over is not None:
+            retry_after_s = max(MIN_WAIT_S, over.retry_at - self.now())
+            return self._refuse(caller, over.reason, retry_after_s)
+        if self.crash_suspects.evidence:
+            return await self._async_check_suspicion(caller)
+        return None
 
     def _identify(
         self, caller: CallerRequest, route: Route
@@ -213,17 +250,17 @@
             self.wire.withhold_credentials(caller)
         return self.tenants.identify(caller, route)
 
-    def _identify_waiting(self) -> None:
-        """Apply a new configuration to the requests in flight.
+    def _apply_to_request(self, execution: RequestExecution) -> None:
+        """Apply a new configuration to a request in flight.
 
         One whose key is no longer valid is refused unless it has been sent.
         """
-        for execution in list(self.executions):
-            caller = execution.caller
-            route = self.route_table.match(caller.host, caller.path)
-            reason = self._identify(caller, route or execution.route)
-            if reason is not None:
-                execution.refuse(reason)
+        caller = execution.caller
+        route = self.route_table.match(caller.host, caller.path)
+        execution.apply_route(route)
+        reason = self._identify(caller, route or execution.route)
+        if reason is not None:
+            execution.refuse(reason)
 
     def _may_outlast_stop(
         self, caller: CallerRequest, route: Route | None, now: float
@@ -297,6 +334,7 @@
         reserve_s = self.answer_delay.reserve_s(
             first=caller.first_on_connection,
             parts=len(services),
+            round_trip_s=caller.round_trip_s,
         )
         result_future: asyncio.Future[RequestResult] = (
             asyncio.get_running_loop().create_future()
@@ -328,6 +366,8 @@
             raise
         finally:
             self.executions.discard(execution)
+        if not result.maybe_run:
+            self.quotas.give_back(caller)
         response = self._answer(execution, result, arrived_at)
         self.answer_delay.record(self.now() - result.due_at)
         return response
@@ -398,6 +438,7 @@
         retry_after_s: float | None,
     ) -> Response:
         """Record and return the refusal of a request that was not sent."""
+        self.quotas.give_back(caller)
         record_refusal(self, caller, reason, retry_after_s)
         return self.wire.write_refusal(caller, reason, retry_after_s)
 
@@ -475,6 +516,7 @@
         ),
         'paced_targets': lambda: len(gateway.paces.limited),
         'lowest_pace_share': lambda: gateway.paces.lowest_share,
+        'quotas_held': lambda: gateway.quotas.count_held(),
         'log_lines_dropped': lambda: gateway.decisions.writer.dropped,
     }
     for name, read in gauges.items():
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -16,9 +16,12 @@
     Version,
 )
 from bitternturn.policy.const import COVERAGE_TOLERANCE
+from bitternturn.policy.quota import Permit, QuotaBound
 
 # Memory of an instance whose settings state none, in megabytes.
 DEFAULT_MEMORY_MB: Final = 200.0
+# Enough for the default number of callers' connections and the reserve.
+DEFAULT_MAX_DESCRIPTORS: Final = 4096
 
 
 # Id, start in Unix milliseconds, host and port of one life of a target.
@@ -76,6 +79,11 @@
     # Whether requests need no API key where tenants are configured.
     public: bool = False
 
+    def allowed_services(self) -> frozenset[ServiceName]:
+        """Return the services to which requests may go."""
+        shares = (it.service for it in self.services if it.weight > 0)
+        return frozenset((*self.shards, *shares))
+
     def min_parts(self) -> int:
         """Return the minimum number of parts of an answer."""
         if not self.shards:
@@ -218,6 +226,10 @@
     first_start: bool = False
     # Memory that the process may use, in megabytes.
     memory_mb: float = DEFAULT_MEMORY_MB
+    # Number of file descriptors that the process may have open.
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    # Bound of the quotas of tenants; None if they are not enforced.
+    quota_bound: QuotaBound | None = None
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -237,6 +249,8 @@
     body: bytes
     # Whether this is the first request on its connection.
     first_on_connection: bool = False
+    # Round-trip time to the caller in seconds, None if it is not known.
+    round_trip_s: float | None = None
     # Key of the request, once it has been needed; see `identify_request`.
     key: RequestKey | None = None
     # The same as a hash of this process; see `fingerprint_request`.
@@ -248,6 +262,10 @@
     tenant: str = ''
     # Priority of the tenant, else of the route; 0 is the most urgent.
     priority: int = 0
+    # Permit of the tenant's quota, None without a quota, and whether a target may
+    # have run the request, so that the permit is used up.
+    permit: Permit | None = None
+    maybe_run: bool = False
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -384,6 +402,10 @@
     NO_ROUTE = 'no_route'
     # The API key is missing, repeated or unknown.
     UNAUTHORIZED = 'unauthorized'
+    # The tenant has used up its quota.
+    OVER_QUOTA = 'over_quota'
+    # No instance that grants permits of the quota has one or responds.
+    QUOTA_UNKNOWN = 'quota_unknown'
     NOT_READY = 'not_ready'
     DRAINING = 'draining'
     NO_TARGET = 'no_target'
--- a/bitternturn/gateway/parts.py
+++ b/bitternturn/gateway/parts.py
@@ -1,7 +1,7 @@
 """State of the parts of a request, and the result of the request."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from bitternturn.core.ids import ServiceName, TargetId
@@ -55,6 +55,7 @@
 
     __slots__ = (
         'answer',
+        'answered_at',
         'closed',
         'declined',
         'failure',
@@ -95,6 +96,7 @@
         # Whether a target may have run the request.
         self.maybe_run = False
         self.answer: TargetAnswer | None = None
+        self.answered_at: float = 0
         # Last answer that reported a failure.
         self.failure: TargetAnswer | None = None
         # Whether the part is answered or given up, so that no send is awaited.
@@ -117,6 +119,25 @@
         return '+'.join(ends) or 'no_target'
 
 
+def describe_arrivals(
+    parts: Sequence[Part], *, min_parts: int, since: float
+) -> Mapping[str, float]:
+    """Return when parts of a wide request were answered, in seconds.
+
+    Names the first and the median one of those that are answered, the one that
+    completed the minimum, and the last one.
+    """
+    times = sorted(
+        part.answered_at - since for part in parts if part.answer is not None
+    )
+    if len(parts) < 2 or not times:
+        return {}
+    arrivals = {'first': times[0], 'median': times[len(times) // 2]}
+    if len(times) >= min_parts:
+        arrivals['minimum'] = times[min_parts - 1]
+    return {**arrivals, 'last': times[-1]}
+
+
 def may_forward_failure(route: Route, failure: TargetAnswer) -> bool:
     """Return whether a failed answer may be forwarded to the caller.
 
--- a/bitternturn/platform/store.py
+++ b/bitternturn/platform/store.py
@@ -6,55 +6,25 @@
 
 import msgspec
 
-from bitternturn.core.decoding import DECODE_ERRORS, decode_tolerantly
 from bitternturn.core.errors import ErrorCode
+from bitternturn.core.json_scan import Paused, Result
 from bitternturn.core.store_position import (
     era_of,
     make_position,
     revision_of,
 )
 from bitternturn.http import const as http
-from bitternturn.platform import wire_names
+from bitternturn.platform import object_messages, wire_names
 from bitternturn.platform.models import ApiResponse
+from bitternturn.platform.object_messages import (
+    ObjectEvent,
+    ObjectMeta,
+    PlatformObject,
+    WatchReply,
+)
 from bitternturn.platform.transport import ObjectTransport
 
-
-class ObjectMeta(msgspec.Struct, rename='kebab'):
-    """Metadata of an object in the store."""
-
-    name: str
-    # Position of the last change; the store itself states only the revision.
-    revision: int = 0
-
-
-class PlatformObject(msgspec.Struct, rename='kebab'):
-    """One object; the store does not validate `spec`."""
-
-    meta: ObjectMeta
-    spec: Any = None
-
-
-class ObjectEvent(msgspec.Struct, rename='kebab'):
-    """Creation, update or deletion of one object."""
-
-    object: PlatformObject
-    deleted: bool = False
-
-
-class ListPage(msgspec.Struct, rename='kebab'):
-    """One page of a list."""
-
-    items: list[PlatformObject] = []
-    more: bool = False
-    # Store revision from which to watch.
-    at_rev: int = 0
-
-
-class WatchReply(msgspec.Struct, rename='kebab'):
-    """Response to a watch; `async_watch` turns the revision into a position."""
-
-    events: list[ObjectEvent] = []
-    at_rev: int = 0
+__all__ = ('ObjectEvent', 'ObjectMeta', 'PlatformObject', 'PlatformStore')
 
 
 class PlatformStore:
@@ -63,12 +33,19 @@
     def __init__(self, *, transport: ObjectTransport) -> None:
         """Initialise with the transport of the calls."""
         self.transport = transport
+        # Called with each object that can't be decoded.
+        self.on_unreadable: object_messages.OnUnreadable = (
+            object_messages.ignore_unreadable
+        )
 
     async def async_list(
         self, kind: str, *, allow_stale: bool = False
     ) -> tuple[list[PlatformObject], int]:
         """Return all objects of a kind and the position to watch from.
 
+        Those whose content can't be decoded are marked, and left out if not
+        even their name can be decoded.
+
         A list that may be seconds old costs less.
 
         That is the position of the first page, so that a watch also yields
@@ -84,16 +61,25 @@
                 arguments['allow-stale'] = 1
             path = _path(kind, arguments)
             response = await self._async_get(path)
-            page = self._decode(response, ListPage, path)
+            page = await self._async_decode(
+                object_messages.decode_list(
+                    kind, response.body, self.on_unreadable
+                ),
+                path,
+            )
             _place_in_era(page.items, response.era)
             if after and response.era != era_of(position):
                 found, position, after = [], 0, ''
                 continue
             found.extend(page.items)
             position = position or make_position(response.era, page.at_rev)
-            if not page.more or not page.items:
+            last = page.items[-1].meta.name if page.items else after
+            if not page.more:
                 return found, position
-            after = page.items[-1].meta.name
+            if last == after:
+                # Not a name of the page can be decoded.
+                raise self.transport.make_error(ErrorCode.BAD_ANSWER, path)
+            after = last
 
     async def async_watch(
         self,
@@ -116,7 +102,12 @@
             path,
             timeout_s=wait_s + self.transport.timeout_s,
         )
-        changes: WatchReply = self._decode(response, WatchReply, path)
+        changes = await self._async_decode(
+            object_messages.decode_watch(
+                kind, response.body, self.on_unreadable
+            ),
+            path,
+        )
         if response.era != era_of(position):
             raise self.transport.make_error(
                 ErrorCode.WATCH_GONE,
@@ -138,7 +129,14 @@
         response = await self._async_send('POST', path, document)
         if response.status != http.STATUS_CONFLICT:
             return
-        existing: PlatformObject = self._decode(response, PlatformObject, path)
+        existing = await self._async_decode(
+            object_messages.decode_object(
+                kind, response.body, self.on_unreadable
+            ),
+            path,
+        )
+        if existing is None:
+            raise self.transport.make_error(ErrorCode.BAD_ANSWER, path)
         if existing.spec == spec:
             return
         document['meta'] = {'name': name, 'revision': existing.meta.revision}
@@ -189,13 +187,13 @@
             )
         return response
 
-    def _decode(
-        self, response: ApiResponse, model: type[Any], path: str
-    ) -> Any:
-        """Decode the body of a response as `model`; raises BAD_ANSWER."""
+    async def _async_decode(
+        self, decoding: Paused[Result], path: str
+    ) -> Result:
+        """Return the result of a decoder; raises BAD_ANSWER."""
         try:
-            return decode_tolerantly(response.body, model)
-        except DECODE_ERRORS as error:
+            return await object_messages.async_complete(decoding)
+        except object_messages.MESSAGE_ERRORS as error:
             raise self.transport.make_error(
                 ErrorCode.BAD_ANSWER,
                 path,
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -30,8 +30,9 @@
 from bitternturn.policy.rate_shares import DELEGATE_RATE_PARTS
 from bitternturn.policy.relay_selection import RELAYS_PER_DOMAIN, rank_relays
 from bitternturn.relay import const
-from bitternturn.relay.outgoing_batch import OutgoingBatch
+from bitternturn.relay.outgoing_batch import OutgoingBatch, drop_unwanted
 from bitternturn.relay.peer import Peer
+from bitternturn.relay.quota_messages import PeerQuotaMessages
 from bitternturn.relay.traffic import RelayTraffic
 
 # Name of the peer, id of the request, and whether the peer's budget has to allow
@@ -71,6 +72,9 @@
         gateway.sponsor = self.sponsor
         gateway.rate_limits.find_delegate_rank = self.find_own_rank
         gateway.rate_limits.needs_own_permit = self.needs_own_permit
+        gateway.quotas.messages = PeerQuotaMessages(
+            find_peers=lambda: self.peers, now=gateway.now
+        )
 
     def update_members(self, entries: Sequence[MemberEntry]) -> None:
         """Update the peers from the registered instances."""
@@ -99,6 +103,15 @@
         available = [name for name in names if self._is_usable(name, now)]
         return [self.peers[name] for name in available[:RELAYS_PER_DOMAIN]]
 
+    def list_members(self) -> list[Peer]:
+        """Return the registered instances, in the order of their names."""
+        names = sorted(
+            member.name
+            for members in self.members.values()
+            for member in members
+        )
+        return [self.peers[name] for name in names]
+
     def get_or_add_peer(self, address: Address) -> Peer:
         """Return the peer at an address; add it if it is not registered."""
         for peer in self.peers.values():
@@ -345,8 +358,8 @@
 
     def _flush(self, key: OutboxKey) -> None:
         """Send the queued sends of one request to a peer, or directly."""
-        queued = self.outbox.pop(key)
-        sends = [send for send in queued if not send.ended]
+        now = self.gateway.now()
+        sends = drop_unwanted(self.outbox.pop(key), now)
         if not sends:
             return
         direct = all(
@@ -355,7 +368,6 @@
             for send in sends
         )
         if direct and len(sends) < const.MIN_DELEGATED_PARTS:
-            now = self.gateway.now()
             for send in sends:
                 send.target.start_undelegated(send, now)
             return
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -56,6 +56,8 @@
         self.merged = MergedRecords()
         self.number = 0
         self.reported = False
+        # Whether the first report is wanted early, for hedges and retries.
+        self.urgent = False
         self.watchdog: asyncio.TimerHandle | None = None
         self.receipt_timer: asyncio.TimerHandle | None = None
 
@@ -74,17 +76,18 @@
 
     def make_frame(self) -> Frame | None:
         """Return the request with all sends that have not ended."""
-        self.sends = [send for send in self.sends if not send.ended]
+        self.sends = drop_unwanted(self.sends, self.gateway.now())
+        self._reject_without_permit()
         if not self.sends:
             self._close()
             return None
         for index, send in enumerate(self.sends):
             send.connection = SendHandle(batch=self, index=index)
         first = self.sends[0]
-        urgent = any(send.is_further for send in self.sends)
+        self.urgent = any(send.is_further for send in self.sends)
         report_delay_s = (
             const.REPORT_BATCH_DELAY_S
-            if urgent
+            if self.urgent
             else first.latency_estimate.hedge_delay_s()
         )
         left_s = first.deadline - self.gateway.now()
@@ -159,6 +162,9 @@
             self._finish_send(part, answer_indexes.get(place, 0))
         if all(send.ended for send in self.sends):
             self._close()
+        elif report.others_late and not self.urgent:
+            for send in self.sends:
+                send.report_late()
 
     def _is_valid(self, report: Parts, answered: Sequence[int]) -> bool:
         """Return whether the indexes and records of a report are consistent."""
@@ -177,6 +183,15 @@
         has_answer = bool(self.limit) or part.HasField('answer')
         return bool(part.stamp) and has_answer
 
+    def _reject_without_permit(self) -> None:
+        """End the sends if the permit of the quota has expired meanwhile."""
+        now = self.gateway.now()
+        sends = self.sends
+        if sends and not self.gateway.quotas.may_write(sends[0].caller, now):
+            self.sends = []
+            for send in sends:
+                send.target.end_send(send, SendOutcome.UNWANTED, None)
+
     def cancel(self, index: int) -> None:
         """Cancel one send at the peer."""
         self.peer.send_followup(
@@ -303,6 +318,15 @@
             self.watchdog = None
 
 
+def drop_unwanted(sends: Sequence[Send], now: float) -> list[Send]:
+    """End the sends whose target is out of use; return those that go on."""
+    for send in sends:
+        target = send.target
+        if not target.in_service or not target.announcement.allows_send(now):
+            target.end_send(send, SendOutcome.UNWANTED, None)
+    return [send for send in sends if not send.ended]
+
+
 def _find_answered(report: Parts) -> list[int]:
     """Return the places of the answered sends in a report."""
     return [
--- a/tests/relay/test_delegation.py
+++ b/tests/relay/test_delegation.py
@@ -232,6 +232,25 @@
         assert response.headers['x-missing-parts'] == '0'
         assert 'u3' in answering_targets(response)
 
+    async def test_hedge_follows_the_report_of_its_delegate(self, monkeypatch):
+        """Guards against a wait for the longest way that a report may take."""
+        monkeypatch.setattr(const, 'REPORT_LATENCY_S', 60)
+        targets = make_targets()
+        targets[3] = make_scripted_target('t3', *[ScriptedBehaviour.HANG] * 9)
+        spare = [
+            PlatformTarget(id=f'u{number}', body=make_record(number))
+            for number in range(SHARDS)
+        ]
+        async with fleet_over(
+            [*targets, *spare], latency_objective_s=3.0
+        ) as fleet:
+            for target in fleet.entry.targets.values():
+                if target.entry.id.startswith('u'):
+                    target.record.record_latency_ratio(3, fleet.entry.now())
+            response = await fleet.entry.async_handle(make_patient_request())
+        assert response.headers['x-missing-parts'] == '0'
+        assert 'u3' in answering_targets(response)
+
     async def test_hedge_is_reported_as_soon_as_it_is_answered(self):
         """Guards against a hedge that waits for the regular report delay."""
         targets = make_targets()
@@ -649,6 +668,43 @@
         assert float(response.headers['retry-after']) > 0
         assert not any(it.requests for it in targets)
 
+    async def test_request_for_a_peer_leaves_out_what_is_out_of_use(
+        self, monkeypatch
+    ):
+        """A domain goes out of service while the peer is being connected."""
+        connected = asyncio.Event()
+
+        async def async_connect_late(*args, **handlers):
+            await connected.wait()
+            return await async_open_connection(*args, **handlers)
+
+        monkeypatch.setattr(peer, 'async_open_connection', async_connect_late)
+        targets = [*make_targets('far'), *make_targets()]
+        domains = {'entry': 'north', 'p1': 'north', 'p2': 'south'}
+        async with fleet_over(targets, domains=domains) as fleet:
+            entry = fleet.entry
+            for target in targets[SHARDS:]:
+                entry.targets[target.id].record.record_latency_ratio(
+                    90, entry.now()
+                )
+            request = asyncio.ensure_future(
+                entry.async_handle(make_patient_request())
+            )
+            await asyncio.sleep(0.05)
+            waiting = sum(
+                len(target.delegated)
+                for name, target in entry.targets.items()
+                if name.startswith('far')
+            )
+            entry.fleet_state.set_domains_out(['south'])
+            entry.refresh_targets()
+            connected.set()
+            response = await request
+        assert waiting > SHARDS / 2
+        assert response.status == 200
+        assert len(answering_targets(response)) == SHARDS
+        assert not any(it.requests for it in targets[:SHARDS])
+
     async def test_loss_of_a_peer_is_no_failure_of_its_targets(self):
         """Guards against ejections by the loss of one peer after another."""
         targets = make_targets(delay_s=0.2)
