--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -9,22 +9,21 @@
 from functools import partial
 from typing import Any
 
-import msgspec
-
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.store_position import era_of, revision_of
 from bitternturn.core.tasks import TaskSet, async_supervise
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.models import Address, InstanceSettings
 from bitternturn.platform import wire_names
+from bitternturn.platform.copied_objects import (
+    decode_change,
+    decode_known,
+    to_copied_object,
+)
 from bitternturn.platform.mirror import WatchTiming, async_mirror
 from bitternturn.platform.object_messages import (
     ObjectEvent,
-    ObjectMeta,
     PlatformObject,
-    UnreadableError,
-    UnreadableObject,
-    decode_spec,
 )
 from bitternturn.platform.outage import OutageGate, ProbeBackoff
 from bitternturn.platform.store import PlatformStore
@@ -36,7 +35,6 @@
 from bitternturn.policy.watch_waits import choose_watch_wait_s
 from bitternturn.relay import const as relay_const
 from bitternturn.relay.copies import (
-    CopiedObject,
     KindCopy,
     ReadState,
     StoreCopies,
@@ -48,7 +46,6 @@
     Follow,
     Frame,
     KindChanges,
-    StoredObject,
 )
 
 READER_POLL_INTERVAL_S = 0.2
@@ -436,7 +433,8 @@
             )
             return
         events = [
-            self._decode_change(kind, stored) for stored in changes.objects
+            decode_change(kind, stored, self.unreadable.record)
+            for stored in changes.objects
         ]
         if changes.whole:
             objects = [event.object for event in events if not event.deleted]
@@ -444,42 +442,6 @@
         else:
             self._apply_events(kind, events, changes.at_revision, source)
 
-    def _decode_change(self, kind: str, stored: StoredObject) -> ObjectEvent:
-        """Decode a change that a peer has sent."""
-        spec = None
-        if not stored.deleted:
-            spec = self._decode_spec(kind, stored.name, stored.spec)
-        return ObjectEvent(
-            object=PlatformObject(
-                meta=ObjectMeta(name=stored.name, revision=stored.revision),
-                spec=spec,
-                status=self._decode_status(kind, stored.name, stored.status),
-            ),
-            deleted=stored.deleted,
-        )
-
-    def _decode_known(self, kind: str, copied: CopiedObject) -> PlatformObject:
-        """Decode an object of the copy."""
-        return PlatformObject(
-            meta=ObjectMeta(name=copied.name, revision=copied.revision),
-            spec=self._decode_spec(kind, copied.name, copied.spec or b'null'),
-            status=self._decode_status(kind, copied.name, copied.status),
-        )
-
-    def _decode_status(self, kind: str, name: str, status: bytes | None) -> Any:
-        """Decode the status of an object, None without one."""
-        return self._decode_spec(kind, name, status) if status else None
-
-    def _decode_spec(self, kind: str, name: str, spec: bytes) -> Any:
-        """Decode the content of an object, UNSET if it can't be decoded."""
-        try:
-            return decode_spec(kind, name, spec)
-        except UnreadableError as error:
-            self.unreadable.record(
-                UnreadableObject(kind=kind, name=name, cause=str(error))
-            )
-            return msgspec.UNSET
-
     def _on_store_list(
         self,
         kind: str,
@@ -516,7 +478,7 @@
         self._log_objects(kind, source, revision, len(objects), 0)
         previous = copy.revision
         copy.replace(
-            [_to_copied_object(stored, deleted=False) for stored in objects],
+            [to_copied_object(stored, deleted=False) for stored in objects],
             revision,
         )
         self.copies.notify_followers()
@@ -542,7 +504,7 @@
         known = self.copies.kinds[kind].objects
         names = {stored.meta.name for stored in objects if not stored.readable}
         kept = [
-            self._decode_known(kind, known[name])
+            decode_known(kind, known[name], self.unreadable.record)
             for name in sorted(names & known.keys())
         ]
         return [*readable, *kept]
@@ -587,7 +549,7 @@
         )
         copy.apply(
             [
-                _to_copied_object(event.object, deleted=event.deleted)
+                to_copied_object(event.object, deleted=event.deleted)
                 for event in new_events
             ],
             revision,
@@ -674,26 +636,3 @@
         return meta.revision <= copy.revision
     existing = copy.objects.get(meta.name)
     return existing is None or existing.revision > meta.revision
-
-
-def _to_copied_object(stored: PlatformObject, *, deleted: bool) -> CopiedObject:
-    """Convert an object for the copy that is shared with peers."""
-    return CopiedObject(
-        name=stored.meta.name,
-        revision=stored.meta.revision,
-        spec=None if deleted else _encode_spec(stored.spec),
-        status=_encode_status(stored.status),
-    )
-
-
-def _encode_spec(spec: Any) -> bytes:
-    """Return the content of an object as JSON, null if it is nested too deeply."""
-    try:
-        return msgspec.json.encode(spec)
-    except RecursionError:
-        return b'null'
-
-
-def _encode_status(status: Any) -> bytes | None:
-    """Return the status of an object as JSON, None without one."""
-    return None if status is None else _encode_spec(status)
