--- a/bitternturn/platform/copied_objects.py
+++ b/bitternturn/platform/copied_objects.py
@@ -55,7 +55,9 @@
     )
 
 
-def to_copied_object(stored: PlatformObject, *, deleted: bool) -> CopiedObject:
+def make_copied_object(
+    stored: PlatformObject, *, deleted: bool
+) -> CopiedObject:
     """Convert an object for the copy that is shared with peers."""
     return CopiedObject(
         name=stored.meta.name,
--- a/bitternturn/platform/source.py
+++ b/bitternturn/platform/source.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 from functools import partial
-from typing import Any
 
 from bitternturn.core.errors import BitternturnError, ErrorCode
 from bitternturn.core.store_position import era_of, revision_of
@@ -18,7 +17,7 @@
 from bitternturn.platform.copied_objects import (
     decode_change,
     decode_known,
-    to_copied_object,
+    make_copied_object,
 )
 from bitternturn.platform.mirror import WatchTiming, async_mirror
 from bitternturn.platform.object_messages import (
@@ -478,7 +477,7 @@
         self._log_objects(kind, source, revision, len(objects), 0)
         previous = copy.revision
         copy.replace(
-            [to_copied_object(stored, deleted=False) for stored in objects],
+            [make_copied_object(stored, deleted=False) for stored in objects],
             revision,
         )
         self.copies.notify_followers()
@@ -549,7 +548,7 @@
         )
         copy.apply(
             [
-                to_copied_object(event.object, deleted=event.deleted)
+                make_copied_object(event.object, deleted=event.deleted)
                 for event in new_events
             ],
             revision,
