--- a/bitternturn/policy/answer_timing.py
+++ b/bitternturn/policy/answer_timing.py
@@ -11,8 +11,11 @@
 # Round trip between a distant caller and the instance, with a margin; used if the
 # round trip is not known.
 CALLER_ROUND_TRIP_S: Final = 0.008
-# Added to a measured round trip, which a busy host or a full link exceeds.
+# Added to a measured round trip, which a busy host or a full link exceeds. The
+# larger margin is used up to the time that is assumed without a measurement: a
+# late answer costs more than the parts that arrive within some milliseconds.
 ROUND_TRIP_MARGIN_S: Final = 0.002
+MAX_ROUND_TRIP_MARGIN_S: Final = 0.004
 # Longest measured round trip that is believed: the first packets of a connection
 # may have been sent again.
 MAX_ROUND_TRIP_S: Final = 0.05
@@ -111,8 +114,12 @@
         """
         path_s, setup_s = CALLER_ROUND_TRIP_S, CONNECTION_SETUP_S
         if round_trip_s is not None:
-            path_s = min(round_trip_s, MAX_ROUND_TRIP_S) + ROUND_TRIP_MARGIN_S
-            setup_s = min(setup_s, path_s)
+            way_s = min(round_trip_s, MAX_ROUND_TRIP_S)
+            path_s = max(
+                way_s + ROUND_TRIP_MARGIN_S,
+                min(way_s + MAX_ROUND_TRIP_MARGIN_S, CALLER_ROUND_TRIP_S),
+            )
+            setup_s = min(setup_s, way_s + ROUND_TRIP_MARGIN_S)
         instance_s = self.delay_s + self.handling_s + parts * self.per_part_s
         return path_s + (setup_s if first else 0) + instance_s
 
