Stop counting a frame of a peer once it is complete

Cause: BodyBuffers.update ignored sizes up to 8 KiB, so that a large frame went on counting while the first bytes of the next one were in the buffer, and the connection was the first one to be closed above the limit. Change: a size below the threshold removes the earlier one.

--- a/bitternturn/http/response_size.py
+++ b/bitternturn/http/response_size.py
@@ -70,6 +70,8 @@
     def update(self, abort: AbortExchange, body_bytes: int) -> None:
         """Set the size of a body; abort the largest ones above the limit."""
         if body_bytes <= const.SMALL_BODY_BYTES:
+            # The buffer of a peer shrinks when its frame is complete.
+            self.discard(abort)
             return
         self.total_bytes += body_bytes - self.sizes.get(abort, 0)
         self.sizes[abort] = body_bytes
