Go on with the turns of the parser after an error

Cause: an unexpected error in one take_turn ended ParserTurns._run before it was scheduled again; all connections that waited, and later ones, were never parsed, and the one at fault stayed open unread. Change: the error is logged and its connection aborted; the next run is scheduled in any case. Result: the new test in tests/http/test_caller_memory.py fails without the change and passes with it.

--- a/bitternturn/http/parser_turns.py
+++ b/bitternturn/http/parser_turns.py
@@ -4,6 +4,10 @@
 from collections import deque
 from typing import Final, Protocol
 
+import logbook
+
+LOGGER = logbook.Logger('http.parser_turns')
+
 # Time in each turn of the event loop for input that was not parsed on arrival,
 # in seconds. The rest of the turn is left to other callers, peers and targets.
 TURN_S: Final = 0.002
@@ -15,6 +19,9 @@
     def take_turn(self) -> bool:
         """Parse a bounded part; return whether more is left."""
 
+    def abort(self) -> None:
+        """Close at once."""
+
 
 class ParserTurns:
     """Lets connections parse in turn, for a bounded time per loop turn.
@@ -46,9 +53,25 @@
         self.scheduled = False
         loop = asyncio.get_running_loop()
         end = loop.time() + TURN_S
-        while self.waiting and loop.time() < end:
-            connection = self.waiting.popleft()
-            if connection.take_turn():
-                self.waiting.append(connection)
-        if self.waiting:
-            self._schedule()
+        try:
+            while self.waiting and loop.time() < end:
+                connection = self.waiting.popleft()
+                if _take_turn(connection):
+                    self.waiting.append(connection)
+        finally:
+            if self.waiting:
+                self._schedule()
+
+
+def _take_turn(connection: Parsing) -> bool:
+    """Parse a part; abort a connection whose input raises an error.
+
+    It would stay open for ever otherwise, since it is not read from while it
+    waits for its turn.
+    """
+    try:
+        return connection.take_turn()
+    except Exception:
+        LOGGER.exception('parsing failed, closing the connection')
+        connection.abort()
+        return False
--- a/tests/http/test_caller_memory.py
+++ b/tests/http/test_caller_memory.py
@@ -108,6 +108,32 @@
             await asyncio.sleep(0)
         assert order == ['long', 'short', 'long', 'short', 'long', 'long']
 
+    async def test_error_of_one_connection_does_not_stop_the_others(self):
+        """Guards against an error that stops all turns for ever."""
+
+        class Parsing:
+            def __init__(self, error=None):
+                self.error, self.left, self.aborted = error, 2, False
+
+            def take_turn(self):
+                if self.error is not None:
+                    raise self.error
+                self.left -= 1
+                return self.left > 0
+
+            def abort(self):
+                self.aborted = True
+
+        turns = ParserTurns()
+        failing, other = Parsing(ValueError('unexpected')), Parsing()
+        turns.add(failing)
+        turns.add(other)
+        async with asyncio.timeout(5):
+            while turns.waiting:
+                await asyncio.sleep(0)
+        assert (failing.aborted, other.aborted) == (True, False)
+        assert other.left == 0
+
 
 class Listener:
     """A server that records its handled requests and its evictions."""
