Bound how often the sizes of all connections are read

Cause: while requests that run exceed the budget alone, nothing can be evicted, and each update, that is each read of the network, read all sizes and sorted them. Change: after such an attempt the next one follows after 10 ms; as long as evictions suffice, nothing changes. Result: the new test in tests/http/test_caller_memory.py fails without the change and passes with it.

--- a/bitternturn/http/memory.py
+++ b/bitternturn/http/memory.py
@@ -1,15 +1,21 @@
 """Budget of the memory that callers make the listeners of a process hold."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
 from typing import Final, Protocol
 
+from bitternturn.core.clock import Clock, monotonic
 from bitternturn.http import const
 
 # Part of the budget down to which connections are evicted once it is exceeded,
 # so that each selection of victims, which reads all sizes, frees a good deal.
 EVICT_DOWN_TO: Final = 0.875
+# Time until sizes are read again after requests that run alone exceeded the
+# budget, in seconds. Each read of the network would otherwise read the sizes of
+# all connections, without any to evict.
+REFRESH_INTERVAL_S: Final = 0.01
 
 
 @unique
@@ -65,11 +71,14 @@
     handled stays, since a refusal would have to state that it has not run.
     """
 
-    __slots__ = ('max_bytes', 'sizes', 'total_bytes')
+    __slots__ = ('max_bytes', 'now', 'refresh_at', 'sizes', 'total_bytes')
 
-    def __init__(self, *, max_bytes: int) -> None:
+    def __init__(self, *, max_bytes: int, now: Clock = monotonic) -> None:
         """Initialise without connections."""
         self.max_bytes = max_bytes
+        self.now = now
+        # When sizes may be read again, after evictions did not suffice.
+        self.refresh_at = -math.inf
         self.sizes: dict[Holder, int] = {}
         self.total_bytes = 0
 
@@ -80,15 +89,21 @@
             return
         self.total_bytes += held_bytes - self.sizes.get(holder, 0)
         self.sizes[holder] = held_bytes
-        if self.total_bytes > self.max_bytes:
-            self._refresh()
-        if self.total_bytes > self.max_bytes:
-            self._evict()
+        if self.total_bytes > self.max_bytes and self.now() >= self.refresh_at:
+            self._shrink()
 
     def discard(self, holder: Holder) -> None:
         """Remove a connection that holds nothing any more."""
         self.total_bytes -= self.sizes.pop(holder, 0)
 
+    def _shrink(self) -> None:
+        """Evict connections if the budget is exceeded by current sizes."""
+        self._refresh()
+        if self.total_bytes > self.max_bytes:
+            self._evict()
+        if self.total_bytes > self.max_bytes:
+            self.refresh_at = self.now() + REFRESH_INTERVAL_S
+
     def _refresh(self) -> None:
         """Read all sizes again: peers may have read part of a response."""
         for holder in self.sizes:
--- a/tests/http/test_caller_memory.py
+++ b/tests/http/test_caller_memory.py
@@ -6,7 +6,11 @@
 import pytest
 
 from bitternturn.http import const
-from bitternturn.http.memory import CallerMemory, EvictionReason
+from bitternturn.http.memory import (
+    REFRESH_INTERVAL_S,
+    CallerMemory,
+    EvictionReason,
+)
 from bitternturn.http.models import Response
 from bitternturn.http.parser_turns import ParserTurns
 from bitternturn.http.server import HttpServer, ServerLimits
@@ -86,6 +90,31 @@
         assert reader.evicted is None
         assert other.evicted is None
 
+    def test_sizes_are_not_read_at_each_update(self):
+        """Guards against reading all sizes at each update.
+
+        Requests that run exceed the budget alone, so that no eviction helps.
+        """
+        clock_s = [0.0]
+        memory = CallerMemory(max_bytes=10 * SMALL, now=lambda: clock_s[0])
+        reads = []
+
+        class Running(FakeHolder):
+            def held_bytes(self):
+                reads.append(self)
+                return self.size
+
+        running = [
+            Running(memory, 2 * SMALL, evictable=False) for _ in range(100)
+        ]
+        for _ in range(10):
+            fill(memory, *running)
+        assert len(reads) <= len(running)
+        reading = FakeHolder(memory, 2 * SMALL)
+        clock_s[0] += REFRESH_INTERVAL_S
+        fill(memory, reading)
+        assert reading.evicted is EvictionReason.MEMORY
+
 
 class TestTurns:
     async def test_connections_parse_in_turn(self):
