Derive the descriptor reserve from the limit of the system as well

Cause: the number of callers' connections followed from max-fds alone. With a smaller RLIMIT_NOFILE, callers could use all descriptors, and none were left for peers, the store and targets. Change: the smaller one of max-fds and the soft limit counts. Result: the new test in tests/platform/test_caller_limits.py fails without the change for a limit of 256, and passes with it.

--- a/bitternturn/platform/caller_limits.py
+++ b/bitternturn/platform/caller_limits.py
@@ -1,5 +1,6 @@
 """Limits of what callers make a process hold, from its settings."""
 
+import resource
 from dataclasses import dataclass
 from typing import Final
 
@@ -94,12 +95,22 @@
     return CallerResources(
         memory=memory,
         turns=ParserTurns(),
-        max_connections=count_caller_connections(settings.max_descriptors),
+        max_connections=count_caller_connections(
+            count_descriptors(settings.max_descriptors)
+        ),
         metrics=metrics,
         decisions=decisions,
     )
 
 
+def count_descriptors(max_descriptors: int) -> int:
+    """Return how many descriptors the settings and the system both allow."""
+    system_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if system_limit == resource.RLIM_INFINITY:
+        return max_descriptors
+    return min(max_descriptors, system_limit)
+
+
 def count_caller_connections(max_descriptors: int) -> int:
     """Return how many connections callers may have."""
     reserved = max(
--- a/tests/platform/test_caller_limits.py
+++ b/tests/platform/test_caller_limits.py
@@ -1,6 +1,7 @@
 """Tests of the limits of callers that follow from the settings."""
 
 import asyncio
+import resource
 
 import msgspec
 import pytest
@@ -55,6 +56,20 @@
         resources = make_resources(LineList(), **{'max-fds': 256})
         assert resources.max_connections == 96
 
+    @pytest.mark.parametrize(
+        ('system_limit', 'expected'),
+        [(256, 96), (10_000, 672), (resource.RLIM_INFINITY, 672)],
+    )
+    def test_limit_of_the_system_bounds_the_settings(
+        self, monkeypatch, system_limit, expected
+    ):
+        """Guards against a reserve of descriptors that the process can't open."""
+        monkeypatch.setattr(
+            resource, 'getrlimit', lambda kind: (system_limit, 10_000)
+        )
+        resources = make_resources(LineList(), **{'max-fds': 1024})
+        assert resources.max_connections == expected
+
 
 class TestSmallestInstance:
     async def test_ordinary_callers_are_not_refused(self):
