Keep peers that connect at the same moment

Cause: a connection of a peer counts as silent until its first frame is handled, and above 32 of them the oldest was closed at once. After a restart, when all instances connect together, their connections were closed, and a closed one makes an instance count as lost. Change: the limit of 32 applies to connections that are silent for 1 s; how many there may be of any age follows from the descriptors (144 of 1024, 1504 of 4096). The listen queue has 512 places.

--- a/bitternturn/http/server.py
+++ b/bitternturn/http/server.py
@@ -130,14 +130,17 @@
         return chosen is not None
 
 
-def extend_backlog(server: asyncio.Server) -> None:
+def extend_backlog(
+    server: asyncio.Server,
+    backlog: int = const.LISTEN_BACKLOG,
+) -> None:
     """Let the system queue more connections than are accepted in a turn.
 
     asyncio uses one number for both.
     """
     for listener in server.sockets:
         with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
-            duplicate.listen(const.LISTEN_BACKLOG)
+            duplicate.listen(backlog)
 
 
 class ServerConnection(asyncio.BufferedProtocol):
--- a/bitternturn/platform/caller_limits.py
+++ b/bitternturn/platform/caller_limits.py
@@ -36,6 +36,8 @@
     memory: CallerMemory
     turns: ParserTurns
     max_connections: int
+    # Connections of peers without a frame so far.
+    max_new_peers: int
     metrics: GatewayMetrics
     decisions: DecisionLog
 
@@ -83,6 +85,7 @@
     decisions: DecisionLog,
 ) -> CallerResources:
     """Return the limits of a process; registers their gauges."""
+    descriptors = count_descriptors(settings.max_descriptors)
     memory = CallerMemory(
         max_bytes=int(
             settings.memory_mb * BYTES_PER_MEGABYTE * CALLER_MEMORY_SHARE
@@ -95,9 +98,8 @@
     return CallerResources(
         memory=memory,
         turns=ParserTurns(),
-        max_connections=count_caller_connections(
-            count_descriptors(settings.max_descriptors)
-        ),
+        max_connections=count_caller_connections(descriptors),
+        max_new_peers=count_new_peers(descriptors),
         metrics=metrics,
         decisions=decisions,
     )
@@ -119,3 +121,14 @@
     )
     free = max_descriptors - reserved - OTHER_LISTENERS * OTHER_CONNECTIONS
     return min(http.DEFAULT_MAX_CONNECTIONS, max(MIN_CALLER_CONNECTIONS, free))
+
+
+def count_new_peers(max_descriptors: int) -> int:
+    """Return how many connections of peers may be open without a frame.
+
+    These are half of what callers, probes and metrics leave, since targets, the
+    store and known peers need descriptors as well.
+    """
+    others = (OTHER_LISTENERS - 1) * OTHER_CONNECTIONS
+    free = max_descriptors - count_caller_connections(max_descriptors) - others
+    return max(OTHER_CONNECTIONS, free // 2)
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -99,6 +99,7 @@
             copies=self.follower.source.copies,
             tasks=self.tasks,
             traffic=delegation.traffic,
+            max_new_connections=self.resources.max_new_peers,
         )
         self.observations = ObservationExchange(
             gateway=self.gateway, delegation=delegation, tasks=self.tasks
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -8,9 +8,18 @@
 # Share of the memory of the process for incomplete frames of all connections
 # that were accepted. The connection with the largest one is closed first.
 FRAME_MEMORY_SHARE: Final = 0.125
-# Accepted connections that have not sent a frame yet. Peers send one at once;
-# the oldest connection is closed first.
+# Accepted connections that have not sent a frame within `SILENT_GRACE_S`. Peers
+# send one at once; the oldest connection is closed first.
 MAX_SILENT_CONNECTIONS: Final = 32
+# Time in which the first frame of a peer is read, also by a busy process. After
+# a restart all instances connect at once, and none of them may be closed.
+SILENT_GRACE_S: Final = 1.0
+# Accepted connections without a frame, of any age, unless the number follows
+# from the descriptors of the process: more than the instances of a fleet, 440.
+DEFAULT_MAX_NEW_CONNECTIONS: Final = 512
+# Connections that the system may queue, for the same reason: with a full queue
+# a connection takes a second longer than `CONNECT_TIMEOUT_S`.
+LISTEN_BACKLOG: Final = 512
 # Bit of the length prefix that marks a compressed frame.
 COMPRESSED_FLAG: Final = 1 << 31
 # Larger frames are compressed: configurations shrink to a tenth, lists of ids
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -30,15 +30,22 @@
         copies: StoreCopies,
         tasks: TaskSet,
         traffic: RelayTraffic,
+        max_new_connections: int = const.DEFAULT_MAX_NEW_CONNECTIONS,
     ) -> None:
-        """Initialise; `async_start` listens."""
+        """Initialise; `async_start` listens.
+
+        `max_new_connections` bounds the connections without a frame so far.
+        """
         self.copies = copies
         self.tasks = tasks
         self.traffic = traffic
         self.gateway = gateway
         self.connections: dict[RelayConnection, dict[int, IncomingBatch]] = {}
-        # Connections without a frame so far, the oldest first.
-        self.silent: dict[RelayConnection, None] = {}
+        self.max_new_connections = max_new_connections
+        # When connections without a frame so far were accepted, the oldest
+        # first, on the clock of the event loop.
+        self.silent: dict[RelayConnection, float] = {}
+        self.silent_timer: asyncio.TimerHandle | None = None
         self.buffers = BodyBuffers(
             max_bytes=max(
                 const.MAX_FRAME_BYTES + const.LENGTH_BYTES,
@@ -63,7 +70,7 @@
             address.port,
             backlog=ACCEPTED_PER_TURN,
         )
-        extend_backlog(self.server)
+        extend_backlog(self.server, const.LISTEN_BACKLOG)
         port: int = self.server.sockets[0].getsockname()[1]
         return port
 
@@ -76,14 +83,31 @@
             buffers=self.buffers,
         )
         self.connections[connection] = {}
-        self.silent[connection] = None
-        if len(self.silent) > const.MAX_SILENT_CONNECTIONS:
-            oldest = next(iter(self.silent))
-            del self.silent[oldest]
-            self.gateway.metrics.increment('silent_peers_closed')
-            oldest.close()
+        self.silent[connection] = asyncio.get_running_loop().time()
+        if len(self.silent) > self.max_new_connections:
+            self._close_oldest_silent()
+        if self.silent_timer is None:
+            self._close_silent()
         return connection
 
+    def _close_silent(self) -> None:
+        """Close silent connections above the limit once they are old enough."""
+        self.silent_timer = None
+        loop = asyncio.get_running_loop()
+        while len(self.silent) > const.MAX_SILENT_CONNECTIONS:
+            due_at = next(iter(self.silent.values())) + const.SILENT_GRACE_S
+            if due_at > loop.time():
+                self.silent_timer = loop.call_at(due_at, self._close_silent)
+                return
+            self._close_oldest_silent()
+
+    def _close_oldest_silent(self) -> None:
+        """Close the oldest connection without a frame."""
+        oldest = next(iter(self.silent))
+        del self.silent[oldest]
+        self.gateway.metrics.increment('silent_peers_closed')
+        oldest.close()
+
     def notify_leaving(self) -> None:
         """Notify the other instances not to send new requests."""
         for connection in self.connections:
@@ -105,6 +129,9 @@
         """Close the listener and the connections."""
         if self.server is not None:
             self.server.close()
+        if self.silent_timer is not None:
+            self.silent_timer.cancel()
+            self.silent_timer = None
         for connection in list(self.connections):
             connection.close()
 
--- a/tests/platform/test_caller_limits.py
+++ b/tests/platform/test_caller_limits.py
@@ -11,6 +11,7 @@
 from bitternturn.http.models import Response
 from bitternturn.platform.caller_limits import (
     count_caller_connections,
+    count_new_peers,
     make_caller_resources,
 )
 from bitternturn.platform.settings_file import decode_settings
@@ -52,6 +53,16 @@
     ):
         assert count_caller_connections(descriptors) == expected
 
+    @pytest.mark.parametrize(
+        ('descriptors', 'expected'),
+        [(4096, 1504), (1024, 144), (256, 48), (10, 32)],
+    )
+    def test_new_peers_leave_some_for_targets_and_store(
+        self, descriptors, expected
+    ):
+        """Guards against peers of a fleet of 440 that are closed on connecting."""
+        assert count_new_peers(descriptors) == expected
+
     def test_limit_is_read_from_the_settings(self):
         resources = make_resources(LineList(), **{'max-fds': 256})
         assert resources.max_connections == 96
--- a/tests/relay/test_uncontrolled_peers.py
+++ b/tests/relay/test_uncontrolled_peers.py
@@ -6,6 +6,7 @@
 
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.models import Address
+from bitternturn.platform.caller_limits import count_new_peers
 from bitternturn.relay import const
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.server import RelayServer
@@ -15,6 +16,8 @@
 
 HOST = '127.0.0.1'
 LEAVING = Frame(leaving=Leaving()).SerializeToString()
+# Instances of the largest deployment; see docs/CAPACITY.md.
+FLEET_SIZE = 440
 PARTIAL_BYTES = 1024 * 1024
 
 
@@ -72,6 +75,44 @@
         await async_wait_for(lambda: not server.connections)
         assert not server.silent
 
+    async def test_newest_are_kept_within_the_limit_of_descriptors(
+        self, listener
+    ):
+        """Guards against connections that use up the descriptors at once.
+
+        They are closed before the time in which peers send their first frame.
+        """
+        server, port = listener
+        server.max_new_connections = 40
+        others = [await async_open(port) for _ in range(50)]
+        await async_wait_for(lambda: len(server.connections) == 40)
+        assert server.gateway.metrics.counts['silent_peers_closed', ()] == 10
+        for writer in others:
+            writer.transport.abort()
+        await async_wait_for(lambda: not server.connections)
+
+    async def test_whole_fleet_connects_at_once(self, listener):
+        """Guards against closing peers when all instances connect together.
+
+        The number of connections without a frame is that of 1024 descriptors.
+        """
+        server, port = listener
+        server.max_new_connections = count_new_peers(1024)
+        wire = len(LEAVING).to_bytes(const.LENGTH_BYTES) + LEAVING
+        async with asyncio.timeout(20):
+            peers = await asyncio.gather(
+                *(async_open(port, wire) for _ in range(FLEET_SIZE))
+            )
+        await async_wait_for(
+            lambda: (
+                len(server.connections) == FLEET_SIZE and not server.silent
+            )
+        )
+        assert server.gateway.metrics.counts['silent_peers_closed', ()] == 0
+        for writer in peers:
+            writer.transport.abort()
+        await async_wait_for(lambda: not server.connections)
+
 
 class TestIncompleteFrames:
     async def test_largest_are_closed_above_the_memory(self, listener):
