--- a/tests/relay/test_uncontrolled_peers.py
+++ b/tests/relay/test_uncontrolled_peers.py
@@ -104,9 +104,7 @@
                 *(async_open(port, wire) for _ in range(FLEET_SIZE))
             )
         await async_wait_for(
-            lambda: (
-                len(server.connections) == FLEET_SIZE and not server.silent
-            )
+            lambda: len(server.connections) == FLEET_SIZE and not server.silent
         )
         assert server.gateway.metrics.counts['silent_peers_closed', ()] == 0
         for writer in peers:
