Let new connections replace idle ones and hoarders, not each other

Cause: a connection without a complete request ranked before all others, also while its first request was not read yet. At the limit, callers that were accepted in one turn aborted each other, while idle connections and ones that held large bodies stayed. Change: the order is refused, holding more than 8 KiB, without a request, holding less, idle, new. A connection is new for 0.5 s from its start, or from the start of a request, while it holds little. Up to 8 new ones are held beyond the limit, which is applied to them after 1 s: otherwise connections that send nothing would close idle ones. Closed ones whose responses are unread go on counting.

--- a/bitternturn/http/const.py
+++ b/bitternturn/http/const.py
@@ -56,6 +56,17 @@
 # Connections that are accepted in one turn of the event loop; they are open
 # before the limit of connections is applied to them.
 ACCEPTED_PER_TURN: Final = 16
+# Time in which a connection that was opened, or began a request, does not count
+# as unused, in seconds: the first request of a caller arrives within a round
+# trip, and is read late by a busy process.
+NEW_CONNECTION_S: Final = 0.5
+# New connections that a listener holds beyond its limit, so that no idle one is
+# closed for a connection that sends nothing. Small against the reserve of 64
+# descriptors, as there are three listeners.
+MAX_NEW_BEYOND_LIMIT: Final = 8
+# Time until the limit is applied to connections that were new, in seconds.
+# Those that were opened together have stopped to be new by then.
+LIMIT_CHECK_DELAY_S: Final = 2 * NEW_CONNECTION_S
 # Connections that the system may queue while others are accepted.
 LISTEN_BACKLOG: Final = 128
 
--- a/bitternturn/http/holding.py
+++ b/bitternturn/http/holding.py
@@ -1,8 +1,10 @@
 """What one connection of a listener holds, and how it is given up."""
 
 import asyncio
+import heapq
 import operator
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from bitternturn.http import const
@@ -13,14 +15,18 @@
 
 # Ranks in which connections make room for others; the highest comes first.
 RANK_NEVER: Final = 0
+# Was opened, or began a request or response, a short time ago and holds little.
+RANK_NEW: Final = 1
 # Kept open by a caller whose requests were answered.
-RANK_IDLE: Final = 1
-# Holds a part of a request, an unread response, or requests sent ahead.
-RANK_HOLDS: Final = 2
+RANK_IDLE: Final = 2
+# Holds a small part of a request or of an unread response.
+RANK_HOLDS: Final = 3
 # Was opened and has sent nothing that is complete.
-RANK_UNUSED: Final = 3
+RANK_UNUSED: Final = 4
+# Holds more than an ordinary request or response, or requests sent ahead.
+RANK_HOARDS: Final = 5
 # Waits for the peer to close after a refusal.
-RANK_REFUSED: Final = 4
+RANK_REFUSED: Final = 6
 
 
 class ConnectionHolding:
@@ -70,13 +76,29 @@
         if connection.transport is None or connection.transport.is_closing():
             return RANK_NEVER
         if connection.handler_task is not None:
-            return RANK_HOLDS if self.is_evictable() else RANK_NEVER
+            return RANK_HOARDS if self.is_evictable() else RANK_NEVER
         if connection.lingering:
             return RANK_REFUSED
+        held_bytes = self.held_bytes()
+        if held_bytes > const.SMALL_HOLDING_BYTES:
+            return RANK_HOARDS
+        has_sent_nothing = connection.request is None and not held_bytes
+        if has_sent_nothing and not connection.is_first_request:
+            return RANK_IDLE
+        if self.held_s() < const.NEW_CONNECTION_S:
+            return RANK_NEW
         if connection.request is None and connection.is_first_request:
             return RANK_UNUSED
-        holds = connection.request is not None or self.held_bytes()
-        return RANK_HOLDS if holds else RANK_IDLE
+        return RANK_HOLDS
+
+    def is_ending(self) -> bool:
+        """Whether the descriptor is closed in the next turn of the loop."""
+        transport = self.connection.transport
+        return (
+            transport is not None
+            and transport.is_closing()
+            and not transport.get_write_buffer_size()
+        )
 
     def evict(self, reason: EvictionReason) -> None:
         """Refuse an incomplete request as not run, or close at once."""
@@ -110,15 +132,42 @@
         return connection.request is not None or self.unparsed_bytes() > 0
 
 
-def choose_for_room(
-    holdings: Iterable[ConnectionHolding],
-) -> ConnectionHolding | None:
-    """Return the one to give up for a new connection, None without any."""
-    ranked = [
-        (rank, holding.held_s(), holding)
+@dataclass(kw_only=True, frozen=True, slots=True)
+class Occupancy:
+    """Connections of a listener, as they count against its limit."""
+
+    open_count: int
+    new_count: int
+    # Rank and age of those that may be given up.
+    ranked: list[tuple[int, float, ConnectionHolding]]
+
+    def choose(self, max_connections: int) -> list[ConnectionHolding]:
+        """Return which to give up, so that the limit is kept.
+
+        A few new ones may exceed it for a short time: their callers may have
+        sent requests that are not read yet.
+        """
+        allowed = max_connections + min(
+            self.new_count, const.MAX_NEW_BEYOND_LIMIT
+        )
+        chosen = heapq.nlargest(
+            self.open_count - allowed,
+            self.ranked,
+            key=operator.itemgetter(0, 1),
+        )
+        return [holding for _, _, holding in chosen]
+
+
+def read_occupancy(holdings: Iterable[ConnectionHolding]) -> Occupancy:
+    """Return how many connections are open, and their ranks."""
+    now = asyncio.get_running_loop().time()
+    counted = [
+        (holding.rank(), now - holding.since, holding)
         for holding in holdings
-        if (rank := holding.rank()) != RANK_NEVER
+        if not holding.is_ending()
     ]
-    if not ranked:
-        return None
-    return max(ranked, key=operator.itemgetter(0, 1))[2]
+    return Occupancy(
+        open_count=len(counted),
+        new_count=sum(rank == RANK_NEW for rank, _, _ in counted),
+        ranked=[item for item in counted if item[0] != RANK_NEVER],
+    )
--- a/bitternturn/http/server.py
+++ b/bitternturn/http/server.py
@@ -14,7 +14,11 @@
 from bitternturn.core.tasks import TaskSet
 from bitternturn.http import const
 from bitternturn.http.deadline import Deadline
-from bitternturn.http.holding import ConnectionHolding, choose_for_room
+from bitternturn.http.holding import (
+    ConnectionHolding,
+    Occupancy,
+    read_occupancy,
+)
 from bitternturn.http.memory import (
     CallerMemory,
     Eviction,
@@ -79,6 +83,7 @@
         self.host = ''
         self.port = 0
         self._server: asyncio.Server | None = None
+        self._limit_timer: asyncio.TimerHandle | None = None
 
     async def async_start(self, *, host: str, port: int) -> None:
         """Listen; port 0 selects a free one."""
@@ -120,14 +125,33 @@
             connection.abort()
         await self.tasks.async_stop()
 
-    def make_room(self, newcomer: 'ServerConnection') -> bool:
-        """Evict a connection for a new one; return whether there was any."""
-        chosen = choose_for_room(
-            it.holding for it in self.connections if it is not newcomer
-        )
-        if chosen is not None:
-            chosen.evict(EvictionReason.CONNECTIONS)
-        return chosen is not None
+    def make_room(self) -> bool:
+        """Make room for a connection just added; return whether there is any."""
+        occupancy = read_occupancy(it.holding for it in self.connections)
+        excess = occupancy.open_count - self.limits.max_connections
+        # One that may be given up is the new connection itself.
+        if excess > 0 and excess >= len(occupancy.ranked):
+            return False
+        self._apply_limit(occupancy)
+        return True
+
+    def _apply_limit(self, occupancy: Occupancy) -> None:
+        """Evict connections above the limit; check again if some were new."""
+        limit = self.limits.max_connections
+        for holding in occupancy.choose(limit):
+            holding.evict(EvictionReason.CONNECTIONS)
+        if occupancy.open_count > limit and self._limit_timer is None:
+            self._limit_timer = asyncio.get_running_loop().call_later(
+                const.LIMIT_CHECK_DELAY_S, self._check_limit
+            )
+
+    def _check_limit(self) -> None:
+        """Apply the limit to connections that were new."""
+        self._limit_timer = None
+        if len(self.connections) > self.limits.max_connections:
+            self._apply_limit(
+                read_occupancy(it.holding for it in self.connections)
+            )
 
 
 def extend_backlog(
@@ -189,7 +213,7 @@
         transport.set_write_buffer_limits(high=const.MAX_UNSENT_BYTES)
         self.server.connections.add(self)
         full = len(self.server.connections) > self.server.limits.max_connections
-        if full and not self.server.make_room(self):
+        if full and not self.server.make_room():
             self.holding.report(EvictionReason.CONNECTIONS)
             self.refuse(EvictionReason.CONNECTIONS)
             return
--- a/bitternturn/standins/timed_server.py
+++ b/bitternturn/standins/timed_server.py
@@ -39,7 +39,7 @@
         )
         self.host, self.port = self._server.sockets[0].getsockname()[:2]
 
-    def make_room(self, newcomer: ServerConnection) -> bool:
+    def make_room(self) -> bool:
         """Keep the connections: targets refuse those above their limit."""
         return False
 
--- a/tests/http/test_caller_memory.py
+++ b/tests/http/test_caller_memory.py
@@ -451,6 +451,43 @@
         for _, writer in ahead:
             writer.transport.abort()
 
+    async def test_hoarder_makes_room_before_an_older_caller(self, start):
+        """Guards against closing a waiting caller before a hoarder."""
+        listener = await start(max_connections=3)
+        idle = await listener.async_open(length_request(1))
+        await idle[0].readuntil(b'whole')
+        opened = await listener.async_open()
+        await asyncio.sleep(const.NEW_CONNECTION_S)
+        hoarder = await listener.async_open(
+            length_request(BODY_BYTES, BODY_BYTES - 10)
+        )
+        await async_wait_for(lambda: listener.server.memory.total_bytes)
+        newest = await listener.async_open(length_request(2))
+        await newest[0].readuntil(b'whole')
+        await async_wait_for(lambda: listener.evictions)
+        assert listener.evictions[0].held_bytes > SMALL
+        for _, writer in (idle, opened, hoarder, newest):
+            writer.write(length_request(3))
+        for reader, _ in (idle, opened, newest):
+            assert await reader.readuntil(b'whole')
+        for _, writer in (idle, opened, hoarder, newest):
+            writer.transport.abort()
+
+    async def test_new_connections_exceed_the_limit_by_a_few(self, start):
+        """Guards against new connections that use up the descriptors."""
+        listener = await start(max_connections=4)
+        connections = listener.server.connections
+        most = 0
+        opened = []
+        for _ in range(60):
+            opened.append(await listener.async_open())
+            held = sum(not it.holding.is_ending() for it in connections)
+            most = max(most, held)
+        assert most <= 4 + const.MAX_NEW_BEYOND_LIMIT
+        await async_wait_for(lambda: len(connections) <= 4)
+        for _, writer in opened:
+            writer.transport.abort()
+
     async def test_drain_of_many_connections_ends(self, start):
         """Each connection that closed woke a waiter for each other one."""
         listener = await start()
