--- a/tests/http/test_caller_memory.py
+++ b/tests/http/test_caller_memory.py
@@ -488,6 +488,40 @@
         for _, writer in opened:
             writer.transport.abort()
 
+    async def test_drain_waits_for_bodies_but_not_for_heads(self, start):
+        """Guards against a drain that cuts a request whose body arrives."""
+        listener = await start(header_timeout_s=20)
+        head_reader, head_writer = await listener.async_open(HEAD)
+        reader, writer = await listener.async_open(length_request(9, 5))
+        await async_wait_for(
+            lambda: any(it.request for it in listener.server.connections)
+        )
+        drain = asyncio.create_task(listener.server.async_drain())
+        async with asyncio.timeout(10):
+            assert await head_reader.read() == b''
+        assert not drain.done()
+        writer.write(b'rest')
+        assert (await reader.read()).startswith(b'HTTP/1.1 200')
+        await drain
+        for each in (head_writer, writer):
+            each.close()
+
+    async def test_malformed_bytes_do_not_end_the_request_before(self, start):
+        """Guards against losing the response of a request that has run."""
+        listener = await start()
+        listener.release.clear()
+        reader, writer = await listener.async_open(
+            length_request(1) + b'\0\1\r\n\r\n'
+        )
+        await async_wait_for(lambda: listener.bodies)
+        writer.write(b'\0\1\r\n\r\n')
+        await asyncio.sleep(0.1)
+        listener.release.set()
+        answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert answer.count(b'HTTP/1.1 400') == 1
+        writer.close()
+
     async def test_drain_of_many_connections_ends(self, start):
         """Each connection that closed woke a waiter for each other one."""
         listener = await start()
