--- a/tests/http/test_caller_memory.py
+++ b/tests/http/test_caller_memory.py
@@ -6,7 +6,11 @@
 import pytest
 
 from bitternturn.http import const
-from bitternturn.http.memory import CallerMemory, EvictionReason
+from bitternturn.http.memory import (
+    REFRESH_INTERVAL_S,
+    CallerMemory,
+    EvictionReason,
+)
 from bitternturn.http.models import Response
 from bitternturn.http.parser_turns import ParserTurns
 from bitternturn.http.server import HttpServer, ServerLimits
@@ -86,6 +90,31 @@
         assert reader.evicted is None
         assert other.evicted is None
 
+    def test_sizes_are_not_read_at_each_update(self):
+        """Guards against reading all sizes at each update.
+
+        Requests that run exceed the budget alone, so that no eviction helps.
+        """
+        clock_s = [0.0]
+        memory = CallerMemory(max_bytes=10 * SMALL, now=lambda: clock_s[0])
+        reads = []
+
+        class Running(FakeHolder):
+            def held_bytes(self):
+                reads.append(self)
+                return self.size
+
+        running = [
+            Running(memory, 2 * SMALL, evictable=False) for _ in range(100)
+        ]
+        for _ in range(10):
+            fill(memory, *running)
+        assert len(reads) <= len(running)
+        reading = FakeHolder(memory, 2 * SMALL)
+        clock_s[0] += REFRESH_INTERVAL_S
+        fill(memory, reading)
+        assert reading.evicted is EvictionReason.MEMORY
+
 
 class TestTurns:
     async def test_connections_parse_in_turn(self):
@@ -108,6 +137,32 @@
             await asyncio.sleep(0)
         assert order == ['long', 'short', 'long', 'short', 'long', 'long']
 
+    async def test_error_of_one_connection_does_not_stop_the_others(self):
+        """Guards against an error that stops all turns for ever."""
+
+        class Parsing:
+            def __init__(self, error=None):
+                self.error, self.left, self.aborted = error, 2, False
+
+            def take_turn(self):
+                if self.error is not None:
+                    raise self.error
+                self.left -= 1
+                return self.left > 0
+
+            def abort(self):
+                self.aborted = True
+
+        turns = ParserTurns()
+        failing, other = Parsing(ValueError('unexpected')), Parsing()
+        turns.add(failing)
+        turns.add(other)
+        async with asyncio.timeout(5):
+            while turns.waiting:
+                await asyncio.sleep(0)
+        assert (failing.aborted, other.aborted) == (True, False)
+        assert other.left == 0
+
 
 class Listener:
     """A server that records its handled requests and its evictions."""
@@ -396,6 +451,77 @@
         for _, writer in ahead:
             writer.transport.abort()
 
+    async def test_hoarder_makes_room_before_an_older_caller(self, start):
+        """Guards against closing a waiting caller before a hoarder."""
+        listener = await start(max_connections=3)
+        idle = await listener.async_open(length_request(1))
+        await idle[0].readuntil(b'whole')
+        opened = await listener.async_open()
+        await asyncio.sleep(const.NEW_CONNECTION_S)
+        hoarder = await listener.async_open(
+            length_request(BODY_BYTES, BODY_BYTES - 10)
+        )
+        await async_wait_for(lambda: listener.server.memory.total_bytes)
+        newest = await listener.async_open(length_request(2))
+        await newest[0].readuntil(b'whole')
+        await async_wait_for(lambda: listener.evictions)
+        assert listener.evictions[0].held_bytes > SMALL
+        for _, writer in (idle, opened, hoarder, newest):
+            writer.write(length_request(3))
+        for reader, _ in (idle, opened, newest):
+            assert await reader.readuntil(b'whole')
+        for _, writer in (idle, opened, hoarder, newest):
+            writer.transport.abort()
+
+    async def test_new_connections_exceed_the_limit_by_a_few(self, start):
+        """Guards against new connections that use up the descriptors."""
+        listener = await start(max_connections=4)
+        connections = listener.server.connections
+        most = 0
+        opened = []
+        for _ in range(60):
+            opened.append(await listener.async_open())
+            held = sum(not it.holding.is_ending() for it in connections)
+            most = max(most, held)
+        assert most <= 4 + const.MAX_NEW_BEYOND_LIMIT
+        await async_wait_for(lambda: len(connections) <= 4)
+        for _, writer in opened:
+            writer.transport.abort()
+
+    async def test_drain_waits_for_bodies_but_not_for_heads(self, start):
+        """Guards against a drain that cuts a request whose body arrives."""
+        listener = await start(header_timeout_s=20)
+        head_reader, head_writer = await listener.async_open(HEAD)
+        reader, writer = await listener.async_open(length_request(9, 5))
+        await async_wait_for(
+            lambda: any(it.request for it in listener.server.connections)
+        )
+        drain = asyncio.create_task(listener.server.async_drain())
+        async with asyncio.timeout(10):
+            assert await head_reader.read() == b''
+        assert not drain.done()
+        writer.write(b'rest')
+        assert (await reader.read()).startswith(b'HTTP/1.1 200')
+        await drain
+        for each in (head_writer, writer):
+            each.close()
+
+    async def test_malformed_bytes_do_not_end_the_request_before(self, start):
+        """Guards against losing the response of a request that has run."""
+        listener = await start()
+        listener.release.clear()
+        reader, writer = await listener.async_open(
+            length_request(1) + b'\0\1\r\n\r\n'
+        )
+        await async_wait_for(lambda: listener.bodies)
+        writer.write(b'\0\1\r\n\r\n')
+        await asyncio.sleep(0.1)
+        listener.release.set()
+        answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert answer.count(b'HTTP/1.1 400') == 1
+        writer.close()
+
     async def test_drain_of_many_connections_ends(self, start):
         """Each connection that closed woke a waiter for each other one."""
         listener = await start()
