--- a/tests/platform/mixed_fleet.py
+++ b/tests/platform/mixed_fleet.py
@@ -143,6 +143,8 @@
     async def _async_handle_store_call(self, request):
         """Handle a call of the instance to the store."""
         response = await self.fleet.store.async_handle(request)
+        if not self.fleet.separate_links:
+            return response
         for target in self.fleet.single_targets:
             link = self.links.find_address(TargetId(target.id))
             response.body = response.body.replace(
@@ -169,9 +171,11 @@
         settings['zone'] = self.domain
         settings['zones'] = DOMAINS
         settings['bootstrap'] = first
-        # All instances are seeds, so each reads its own view of the store.
+        # Seeds exchange copies of what they read from the store. An instance
+        # that is its only seed uses its own view of the store.
+        seeds = [self] if self.fleet.separate_links else self.fleet.instances
         settings['seed-nodes'] = [
-            f'{HOST}:{it.ports["control"]}' for it in self.fleet.instances
+            f'{HOST}:{it.ports["control"]}' for it in seeds
         ]
         path = self.fleet.folder / f'{self.name}.json'
         path.write_text(json.dumps(settings))
@@ -201,17 +205,31 @@
 
     async def _async_read_readiness(self):
         """Return the status of the readiness probe, 0 without an answer."""
+        response = await self._async_get('ready', wire_names.PATH_READY)
+        return 0 if response is None else response.status
+
+    async def async_count_part_bytes(self):
+        """Return the size of the reports that delegates have sent it."""
+        response = await self._async_get('metrics', '/metrics')
+        return sum(
+            float(line.split()[-1])
+            for line in response.body.decode().splitlines()
+            if 'relay_bytes' in line
+            and 'kind="parts"' in line
+            and 'direction="received"' in line
+        )
+
+    async def _async_get(self, listener, path):
+        """Return the response of a listener, None without one."""
         try:
             connection = await async_connect(
-                host=HOST, port=self.ports['ready']
+                host=HOST, port=self.ports[listener]
             )
         except BitternturnError:
-            return 0
-        response = await async_exchange(
-            connection, 'GET', wire_names.PATH_READY, []
-        )
+            return None
+        response = await async_exchange(connection, 'GET', path, [])
         connection.close()
-        return response.status if isinstance(response, Response) else 0
+        return response if isinstance(response, Response) else None
 
     def terminate(self):
         """Ask the process to drain and stop."""
@@ -249,9 +267,12 @@
 class MixedFleet:
     """Two instances of each build, with a store and targets."""
 
-    def __init__(self, folder, old_source):
+    def __init__(self, folder, old_source, *, separate_links):
         self.folder = folder
         self.old_source = old_source
+        # Whether each instance can be cut off from the remote domain. Instances
+        # then do not exchange copies of the store's objects.
+        self.separate_links = separate_links
         self.store = EmulatedPlatformStore()
         self.ports = PortAllocator()
         self.shard_targets = []
@@ -303,10 +324,9 @@
             )
             await instance.async_prepare()
             self.instances.append(instance)
-        for instance in self.old:
-            await instance.async_start(self.old_source, first=True)
-        for instance in self.new:
-            await instance.async_start(ROOT, first=True)
+        for instance in self.instances:
+            source = self.old_source if instance in self.old else ROOT
+            await instance.async_start(source, first=True)
         for instance in self.instances:
             await instance.async_wait_until_ready()
         await self.async_wait_until_linked()
--- a/tests/platform/test_mixed_builds.py
+++ b/tests/platform/test_mixed_builds.py
@@ -52,9 +52,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(folder, old_source, **changes):
+async def running_fleet(folder, old_source, *, separate_links, **changes):
     """Provide a fleet of both builds with a configuration."""
-    fleet = MixedFleet(folder, old_source)
+    fleet = MixedFleet(folder, old_source, separate_links=separate_links)
     try:
         await fleet.async_start(make_configuration(7, **changes))
         yield fleet
@@ -64,15 +64,28 @@
 
 @pytest.fixture
 async def fleet(tmp_path, old_source):
-    """Provide a fleet of both builds without tenants."""
-    async with running_fleet(tmp_path, old_source) as running:
+    """Provide a fleet of both builds that exchange what they read."""
+    async with running_fleet(
+        tmp_path, old_source, separate_links=False
+    ) as running:
+        yield running
+
+
+@pytest.fixture
+async def linked_fleet(tmp_path, old_source):
+    """Provide a fleet of both builds whose instances can be cut off."""
+    async with running_fleet(
+        tmp_path, old_source, separate_links=True
+    ) as running:
         yield running
 
 
 @pytest.fixture
 async def tenant_fleet(tmp_path, old_source):
     """Provide a fleet of both builds with a tenant, who has a key."""
-    async with running_fleet(tmp_path, old_source, tenants=[TENANT]) as running:
+    async with running_fleet(
+        tmp_path, old_source, separate_links=True, tenants=[TENANT]
+    ) as running:
         yield running
 
 
@@ -110,6 +123,10 @@
         lambda: fleet.async_ask_all(instances, ['/one/x'], key='blue-key'),
         lambda answers: set(statuses(answers)) == {200},
     )
+    # No request can take the direct way.
+    ports = {target.port for target in fleet.single_targets}
+    for instance in instances:
+        assert not instance.connected_ports() & ports
 
 
 class TestBuilds:
@@ -151,31 +168,26 @@
             for number in range(count):
                 assert reached.intersection(ids(answers)[number::count])
 
-    async def test_delegates_of_each_build_send_for_the_other(self, fleet):
-        """Parts for a domain are sent by its instances, whatever their build."""
+    @pytest.mark.parametrize('entries', ['old', 'new'])
+    async def test_delegates_send_for_the_other_build(self, fleet, entries):
+        """All parts are in the domain of the other build's instances.
+
+        Reports of parts can only come from these.
+        """
+        instances = getattr(fleet, entries)
+        out = OLD_DOMAIN if entries == 'old' else NEW_DOMAIN
+        fleet.store.put(KIND_DOMAINS_OUT, out, {})
+        targets = [it for it in fleet.shard_targets if it.id.startswith(out)]
         paths = ['/all/x'] * WIDE_REQUESTS
-        check_whole(await fleet.async_ask_all(fleet.instances, paths))
-        for entries, delegates, domain in (
-            (fleet.old, fleet.new, NEW_DOMAIN),
-            (fleet.new, fleet.old, OLD_DOMAIN),
-        ):
-            ports = {
-                target.port
-                for target in fleet.shard_targets
-                if target.id.startswith(domain)
-            }
-            connected = set()
-            for delegate in delegates:
-                connected |= delegate.connected_ports() & ports
-            # The other build would have most connections if entries sent them.
-            direct = set()
-            for entry in entries:
-                direct |= entry.connected_ports() & ports
-            assert len(connected) > len(ports) / 2
-            assert len(direct) < len(connected) / 4, (direct, connected)
-            control = {it.ports['control'] for it in delegates}
-            for entry in entries:
-                assert entry.connected_ports() & control
+        await async_repeat_until(
+            lambda: fleet.async_ask_all(instances, paths),
+            lambda answers: not fleet.received(targets, ids(answers)),
+        )
+        before = [await it.async_count_part_bytes() for it in instances]
+        check_whole(await fleet.async_ask_all(instances, paths))
+        after = [await it.async_count_part_bytes() for it in instances]
+        for earlier, later in zip(before, after, strict=True):
+            assert later - earlier > len(WHOLE_BODY) * WIDE_REQUESTS / 2
 
     async def test_failing_targets(self, fleet):
         """Targets that fail in every way must not make a request run twice."""
@@ -205,8 +217,11 @@
 
     @pytest.mark.parametrize('kind', [Cut.RESET, Cut.SILENT])
     @pytest.mark.parametrize('cut_off', ['old', 'new'])
-    async def test_instances_that_are_cut_off(self, fleet, cut_off, kind):
+    async def test_instances_that_are_cut_off(
+        self, linked_fleet, cut_off, kind
+    ):
         """The other build sends requests to one target for them."""
+        fleet = linked_fleet
         rng = random.Random(SEED)
         instances = getattr(fleet, cut_off)
         await async_cut_off(fleet, instances, kind)
@@ -274,8 +289,9 @@
 
 class TestTargets:
     @pytest.mark.parametrize('cut_off', ['none', 'old', 'new'])
-    async def test_rate_limit(self, fleet, cut_off):
+    async def test_rate_limit(self, linked_fleet, cut_off):
         """A limit that a target names reaches entries through either build."""
+        fleet = linked_fleet
         if cut_off != 'none':
             await async_cut_off(fleet, getattr(fleet, cut_off))
         for target in fleet.single_targets:
@@ -300,8 +316,9 @@
         )
 
     @pytest.mark.parametrize('cut_off', ['none', 'old', 'new'])
-    async def test_draining_target(self, fleet, cut_off):
+    async def test_draining_target(self, linked_fleet, cut_off):
         """Its requests move to others, also those that take detours."""
+        fleet = linked_fleet
         if cut_off != 'none':
             await async_cut_off(fleet, getattr(fleet, cut_off))
         leaving = fleet.single_targets[0]
