--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -32,6 +32,7 @@
 )
 from bitternturn.gateway.pace import TargetPaces
 from bitternturn.gateway.rate_limits import RateLimits
+from bitternturn.gateway.rollouts import Rollouts
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.send_reporting import (
     record_lost_send,
@@ -149,7 +150,19 @@
             on_limit_lifted=lambda target: self.paces.start(
                 target, PaceCause.LIMIT, self.now()
             ),
+            rollouts=Rollouts(
+                own_name=settings.name,
+                own_domain=settings.failure_domain,
+                bounds=settings.rollout_bounds,
+                decisions=decisions,
+                metrics=self.metrics,
+                rng=rng,
+                now=self.now,
+                first_start=settings.first_start,
+            ),
         )
+        self.rollouts.on_roles = self.refresh_targets
+        self.fleet_state.orders_known = self.rollouts.known
         # Targets of each service that new requests use, and those that are used
         # when none of them is available.
         self.ready: dict[ServiceName, Sequence[Target]] = {}
@@ -173,6 +186,11 @@
         """Whether sends may be delegated to peers."""
         return self.dispatch is not start_directly
 
+    @property
+    def rollouts(self) -> Rollouts:
+        """Versions that may be used, and the counts of their answers."""
+        return self.target_hooks.rollouts
+
     def now(self) -> float:
         """Return the current time in seconds, including suspended time."""
         return boot_time()
@@ -182,6 +200,7 @@
         self.fleet_state.instances_known = True
         ordered = sorted({*instances, self.settings.name})
         self.rate_limits.update_instances(ordered)
+        self.rollouts.names = ordered
         instance_index = ordered.index(self.settings.name)
         if (len(ordered), instance_index) == (
             self.instance_count,
@@ -230,7 +249,8 @@
         self._rank_domains()
         self.ready = {}
         self.standby = {}
-        for service, ready in self.fleet_state.ready_by_service().items():
+        usable = self.rollouts.keep_usable(self.fleet_state.ready_by_service())
+        for service, ready in usable.items():
             reachable = [
                 entry for entry in ready if self.targets[entry.id].usable
             ]
@@ -245,7 +265,8 @@
         self.paces.forget({entry.life for entry in entries.values()})
         # Last, since the sends that end here are retried at once.
         for target in known:
-            if target.queued and not target.in_service:
+            may_send = target.in_service and self.rollouts.may_use(target.entry)
+            if target.queued and not may_send:
                 target.reject_queued()
 
     def _update_target(self, entry: TargetEntry) -> None:
@@ -448,22 +469,26 @@
     ) -> None:
         """Assign a subset of a service's targets to this instance."""
         service = self._find_service(name)
-        assignment = assign_targets(
-            ready,
-            service=name,
-            max_connections=service.max_connections if service else 1,
-            instances=self.instance_count,
-            position=self.instance_index,
-            delegated=self.delegation_enabled and name in self.wide_services,
-        )
-        self.ready[name] = [
-            self.targets[entry.id] for entry in assignment.assigned
-        ]
-        self.standby[name] = [
-            self.targets[entry.id] for entry in assignment.standby
-        ]
-        for target in self.ready[name]:
-            target.connections.max_count = assignment.max_connections
+        self.ready[name] = []
+        self.standby[name] = []
+        for group in self.rollouts.split(name, ready):
+            assignment = assign_targets(
+                group,
+                service=name,
+                max_connections=service.max_connections if service else 1,
+                instances=self.instance_count,
+                position=self.instance_index,
+                delegated=self.delegation_enabled
+                and name in self.wide_services,
+            )
+            assigned = [self.targets[entry.id] for entry in assignment.assigned]
+            for target in assigned:
+                target.connections.max_count = assignment.max_connections
+            self.ready[name] = [*self.ready[name], *assigned]
+            self.standby[name] = [
+                *self.standby[name],
+                *(self.targets[entry.id] for entry in assignment.standby),
+            ]
         self._share_cold_limits(
             service, [*self.ready[name], *self.standby[name]]
         )
@@ -479,14 +504,13 @@
                 factor=global_limits.cold_rate_factor,
                 slack=global_limits.cold_rate_slack,
                 instances=self.instance_count,
-                rank=self._instance_rank(target.entry.id),
+                # Each target has another order of the instances.
+                rank=(
+                    self.instance_index + zlib.crc32(target.entry.id.encode())
+                )
+                % self.instance_count,
             )
 
-    def _instance_rank(self, target: TargetId) -> int:
-        """Return the rank of this instance in sharing a cold target's limit."""
-        offset = zlib.crc32(target.encode())
-        return (self.instance_index + offset) % self.instance_count
-
     def _find_service(self, name: ServiceName) -> Service | None:
         """Return a service of the configuration, None if it has none."""
         configuration = self.fleet_state.configuration
@@ -549,15 +573,16 @@
         typical_latency_s: float,
     ) -> Target | None:
         """Return the best assigned target, else the best standby target."""
-        assigned = self.ready.get(service, ())
-        chosen = self._select_among(assigned, avoided, typical_latency_s)
-        if chosen is not None:
-            return chosen
-        return self._select_among(
-            self.standby.get(service, ()),
-            avoided,
-            typical_latency_s,
-        )
+        for targets in self.rollouts.order_targets(
+            service,
+            (self.ready.get(service, ()), self.standby.get(service, ())),
+            first=not avoided,
+            wide=service in self.wide_services,
+        ):
+            chosen = self._select_among(targets, avoided, typical_latency_s)
+            if chosen is not None:
+                return chosen
+        return None
 
     def _select_among(
         self,
@@ -605,6 +630,7 @@
         """Start a send, directly or through a peer."""
         send.target.cold_send_limit.record_send(now)
         send.target.pace.record_send()
+        self.rollouts.record_choice(send)
         self.dispatch(send, now)
 
     def may_sponsor(self, target: Target, now: float) -> bool:
--- a/bitternturn/platform/object_messages.py
+++ b/bitternturn/platform/object_messages.py
@@ -76,11 +76,14 @@
 
     meta: ObjectMeta
     spec: Any = None
+    status: Any = None
 
     @property
     def readable(self) -> bool:
         """Whether the content could be decoded."""
-        return self.spec is not msgspec.UNSET
+        return (
+            self.spec is not msgspec.UNSET and self.status is not msgspec.UNSET
+        )
 
 
 class ObjectEvent(msgspec.Struct, rename='kebab'):
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -60,6 +60,9 @@
             body=request.body,
             priority=request.priority,
         )
+        if gateway.tenants.enabled:
+            # A peer of an older build forwards the key.
+            gateway.wire.withhold_forwarded_credentials(self.caller)
         self.sends: dict[int, Send] = {}
         # Targets of the sends that have not started, by index.
         self.waiting: dict[int, Target] = {}
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -16,6 +16,7 @@
 from bitternturn.relay.incoming_batch import IncomingBatch
 from bitternturn.relay.observations import ObservationExchange
 from bitternturn.relay.quota_messages import handle_quota_frame
+from bitternturn.relay.rollout_exchange import RolloutExchange
 from bitternturn.relay.start_queue import StartQueue
 from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Leaving, Links
@@ -31,15 +32,22 @@
         copies: StoreCopies,
         tasks: TaskSet,
         traffic: RelayTraffic,
+        max_new_connections: int = const.DEFAULT_MAX_NEW_CONNECTIONS,
     ) -> None:
-        """Initialise; `async_start` listens."""
+        """Initialise; `async_start` listens.
+
+        `max_new_connections` bounds the connections without a frame so far.
+        """
         self.copies = copies
         self.tasks = tasks
         self.traffic = traffic
         self.gateway = gateway
         self.connections: dict[RelayConnection, dict[int, IncomingBatch]] = {}
-        # Connections without a frame so far, the oldest first.
-        self.silent: dict[RelayConnection, None] = {}
+        self.max_new_connections = max_new_connections
+        # When connections without a frame so far were accepted, the oldest
+        # first, on the clock of the event loop.
+        self.silent: dict[RelayConnection, float] = {}
+        self.silent_timer: asyncio.TimerHandle | None = None
         self.buffers = BodyBuffers(
             max_bytes=max(
                 const.MAX_FRAME_BYTES + const.LENGTH_BYTES,
@@ -54,6 +62,8 @@
         self.server: asyncio.Server | None = None
         # Applies what peers have observed, None if it is ignored.
         self.observations: ObservationExchange | None = None
+        # Applies what peers report of roll-outs, None if it is ignored.
+        self.rollouts: RolloutExchange | None = None
         gateway.links.on_change = self.notify_links
 
     async def async_start(self, address: Address) -> int:
@@ -65,7 +75,7 @@
             address.port,
             backlog=ACCEPTED_PER_TURN,
         )
-        extend_backlog(self.server)
+        extend_backlog(self.server, const.LISTEN_BACKLOG)
         port: int = self.server.sockets[0].getsockname()[1]
         return port
 
@@ -78,14 +88,31 @@
             buffers=self.buffers,
         )
         self.connections[connection] = {}
-        self.silent[connection] = None
-        if len(self.silent) > const.MAX_SILENT_CONNECTIONS:
-            oldest = next(iter(self.silent))
-            del self.silent[oldest]
-            self.gateway.metrics.increment('silent_peers_closed')
-            oldest.close()
+        self.silent[connection] = asyncio.get_running_loop().time()
+        if len(self.silent) > self.max_new_connections:
+            self._close_oldest_silent()
+        if self.silent_timer is None:
+            self._close_silent()
         return connection
 
+    def _close_silent(self) -> None:
+        """Close silent connections above the limit once they are old enough."""
+        self.silent_timer = None
+        loop = asyncio.get_running_loop()
+        while len(self.silent) > const.MAX_SILENT_CONNECTIONS:
+            due_at = next(iter(self.silent.values())) + const.SILENT_GRACE_S
+            if due_at > loop.time():
+                self.silent_timer = loop.call_at(due_at, self._close_silent)
+                return
+            self._close_oldest_silent()
+
+    def _close_oldest_silent(self) -> None:
+        """Close the oldest connection without a frame."""
+        oldest = next(iter(self.silent))
+        del self.silent[oldest]
+        self.gateway.metrics.increment('silent_peers_closed')
+        oldest.close()
+
     def notify_leaving(self) -> None:
         """Notify the other instances not to send new requests."""
         for connection in self.connections:
@@ -107,6 +134,9 @@
         """Close the listener and the connections."""
         if self.server is not None:
             self.server.close()
+        if self.silent_timer is not None:
+            self.silent_timer.cancel()
+            self.silent_timer = None
         for connection in list(self.connections):
             connection.close()
 
@@ -133,8 +163,15 @@
             for index in frame.cancel.indexes:
                 if known is not None:
                     known.cancel(index)
-        elif frame.HasField('observations') and self.observations is not None:
+        else:
+            self._handle_news(connection, frame)
+
+    def _handle_news(self, connection: RelayConnection, frame: Frame) -> None:
+        """Handle what a peer has found out."""
+        if frame.HasField('observations') and self.observations is not None:
             self._handle_observations(self.observations, connection, frame)
+        elif self.rollouts is not None:
+            self._handle_rollouts(self.rollouts, connection, frame)
         quota_reply = handle_quota_frame(self.gateway.quotas, frame)
         if quota_reply is not None:
             connection.send(quota_reply)
@@ -150,6 +187,19 @@
         if reply is not None:
             connection.send(Frame(number=frame.number, observations=reply))
 
+    def _handle_rollouts(
+        self,
+        exchange: RolloutExchange,
+        connection: RelayConnection,
+        frame: Frame,
+    ) -> None:
+        """Apply what a peer has counted or believes of roll-outs."""
+        if frame.HasField('rollout_reports'):
+            reply = exchange.receive_reports(frame.rollout_reports)
+            connection.send(Frame(number=frame.number, rollout_beliefs=reply))
+        elif frame.HasField('rollout_beliefs'):
+            exchange.receive_beliefs(frame.rollout_beliefs)
+
     async def _async_follow(
         self,
         connection: RelayConnection,
