--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -20,7 +20,9 @@
     RefusalReason,
     RepeatPolicy,
     Route,
+    SendOutcome,
 )
+from bitternturn.gateway.overload import Overload
 from bitternturn.gateway.parts import (
     Deadlines,
     RequestResult,
@@ -29,11 +31,14 @@
 from bitternturn.gateway.pool import TargetPool
 from bitternturn.gateway.quotas import MIN_WAIT_S, Quotas
 from bitternturn.gateway.reporting import (
+    count_refusal,
     record_pause,
     record_refusal,
     record_request_end,
 )
+from bitternturn.gateway.returns import CallerReturns
 from bitternturn.gateway.routes import RouteTable, WeightedRoundRobin
+from bitternturn.gateway.send import Send
 from bitternturn.gateway.tenants import TenantLabels, TenantTable
 from bitternturn.gateway.wire import Wire
 from bitternturn.http.models import Request, Response
@@ -43,6 +48,7 @@
     Verdict,
 )
 from bitternturn.policy.crash_evidence import PROBE_S, probe_delay_s
+from bitternturn.policy.return_times import MIN_RETURN_S
 
 
 def _ignore_limits(limits: CallerLimits) -> None:
@@ -81,7 +87,9 @@
             wire=wire,
             decisions=decisions,
             rng=rng,
+            on_outcome=self._record_outcome,
         )
+        self.overload = Overload(decisions=decisions, metrics=self.metrics)
         self.on_limits = on_limits
         self.quotas = Quotas(
             own_name=settings.name,
@@ -105,6 +113,7 @@
         self.left_at = math.inf
         self.stop_at = math.inf
         self.executions: set[RequestExecution] = set()
+        self.returns = CallerReturns()
         self.answer_delay = AnswerDelay(
             cores=settings.cores,
             link_mbps=settings.link_mbps,
@@ -141,6 +150,10 @@
             return
         self.route_table = RouteTable(routes=configuration.routes)
         self.tenants = TenantTable(tenants=configuration.tenants)
+        self.returns.clear()
+        self.overload.reconfigure(
+            configuration.services, configuration.tenants or ()
+        )
         self.wide_services = _wide_services(configuration.routes)
         self.configured_at = self.now()
         if configuration.limits is not None:
@@ -157,6 +170,14 @@
         self.quotas.update_tenants(configuration.tenants or ())
         self.refresh_targets()
 
+    def _record_outcome(
+        self, send: Send, outcome: SendOutcome, latency_s: float
+    ) -> None:
+        """Record what the end of a send shows of its target."""
+        now = self.now()
+        self.paces.record_outcome(send, outcome, latency_s, now)
+        self.overload.record_outcome(send, outcome, latency_s, now)
+
     def handle_pause(self, length_s: float) -> None:
         """Handle that the process handled no event for some seconds."""
         self.rate_limits.void_permits(self.now())
@@ -198,6 +219,9 @@
                 else RefusalReason.LIMITED_TARGETS
             )
             return self._refuse(caller, reason, return_delay_s)
+        busy = self._reject_overload(caller, route, services, arrived_at)
+        if busy is not None:
+            return busy
         if route.shards and not self.can_serve(services, route.min_parts()):
             return self._refuse(
                 caller,
@@ -310,13 +334,45 @@
                 )
             await suspects.async_wait_for_change(wait_until - now)
 
-    def _services(self, route: Route) -> Sequence[ServiceName]:
+    def _services(self, route: Route) -> tuple[ServiceName, ...]:
         """Return the shards of a route, or the next service of a split."""
         if route.shards:
             return route.shards
         service = self.round_robin.next_service(route)
         return () if service is None else (service,)
 
+    def _reject_overload(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        services: tuple[ServiceName, ...],
+        arrived_at: float,
+    ) -> Response | None:
+        """Reject a request that overloaded targets have no room for.
+
+        Returns None if it may be sent. Rejections have no log lines of their own.
+        """
+        now = self.now()
+        elapsed_s = now - arrived_at
+        timeout_s = _timeout_s(caller, route) - const.DEADLINE_MARGIN_S
+        rejected = self.overload.rejects(
+            caller, route, services, remaining_s=timeout_s - elapsed_s, now=now
+        )
+        if not rejected:
+            return None
+        retry_after_s = self.returns.book(
+            caller,
+            route,
+            services[0],
+            remaining_s=_wait_s(caller, route) - elapsed_s,
+            now=now,
+        )
+        self.quotas.give_back(caller)
+        count_refusal(self, caller, RefusalReason.BUSY)
+        return self.wire.write_refusal(
+            caller, RefusalReason.BUSY, retry_after_s
+        )
+
     async def _async_execute(
         self,
         caller: CallerRequest,
@@ -382,6 +438,9 @@
         record_request_end(self, execution, result.verdict.value, arrived_at)
         answers = result.answers
         if result.verdict is Verdict.ANSWER:
+            self.returns.record_answer(
+                execution.route, execution.parts[0].service, self.now()
+            )
             if not execution.route.shards:
                 return self.wire.write_answer(answers[0])
             merged = merge_answers(
@@ -414,11 +473,12 @@
                 execution.min_parts,
                 self.now(),
             )
-            retry_after_s = max(const.BUSY_RETRY_AFTER_S, return_delay_s)
+            if return_delay_s <= 0:
+                return_delay_s = self._book_return(execution, arrived_at)
             return self.wire.write_refusal(
                 execution.caller,
                 RefusalReason.NOT_RUN,
-                retry_after_s,
+                max(MIN_RETURN_S, return_delay_s),
             )
         failure = result.parts[0].failure
         if failure is not None and may_forward_failure(
@@ -431,6 +491,20 @@
         )
         return self.wire.write_refusal(execution.caller, reason, None)
 
+    def _book_return(
+        self, execution: RequestExecution, arrived_at: float
+    ) -> float:
+        """Return after how long a caller should return that was not served."""
+        now = self.now()
+        wait_s = _wait_s(execution.caller, execution.route)
+        return self.returns.book(
+            execution.caller,
+            execution.route,
+            execution.parts[0].service,
+            remaining_s=wait_s - (now - arrived_at),
+            now=now,
+        )
+
     def _refuse(
         self,
         caller: CallerRequest,
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -113,6 +113,20 @@
     )
 
 
+def count_refusal(
+    gateway: InstanceState, caller: CallerRequest, reason: RefusalReason
+) -> None:
+    """Count a request that was refused without any send."""
+    gateway.metrics.increment('refused', reason=reason.value)
+    if caller.tenant:
+        gateway.metrics.increment(
+            'tenant_refused',
+            tenant=gateway.tenant_labels.find(caller.tenant),
+            priority=str(caller.priority),
+            reason=reason.value,
+        )
+
+
 def record_refusal(
     gateway: InstanceState,
     caller: CallerRequest,
@@ -124,15 +138,9 @@
     evidence: dict[str, str] = {}
     if reason is RefusalReason.CRASHES_TARGETS:
         evidence['request_key'] = identify_request(caller)
-    gateway.metrics.increment('refused', reason=reason.value)
+    count_refusal(gateway, caller, reason)
     if caller.tenant:
         evidence['tenant'] = caller.tenant
-        gateway.metrics.increment(
-            'tenant_refused',
-            tenant=gateway.tenant_labels.find(caller.tenant),
-            priority=str(caller.priority),
-            reason=reason.value,
-        )
     gateway.decisions.write(
         'refused',
         request_id=caller.id,
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -17,6 +17,7 @@
 from bitternturn.relay.observations import ObservationExchange
 from bitternturn.relay.quota_messages import handle_quota_frame
 from bitternturn.relay.rollout_exchange import RolloutExchange
+from bitternturn.relay.start_queue import StartQueue
 from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Leaving, Links
 
@@ -57,6 +58,7 @@
                 ),
             ),
         )
+        self.starts = StartQueue()
         self.server: asyncio.Server | None = None
         # Applies what peers have observed, None if it is ignored.
         self.observations: ObservationExchange | None = None
@@ -149,6 +151,7 @@
                 connection=connection,
                 number=frame.number,
                 request=frame.sends,
+                starts=self.starts,
             )
             batches[frame.number] = batch
             batch.start()
