--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -151,6 +151,7 @@
         self.route_table = RouteTable(routes=configuration.routes)
         self.tenants = TenantTable(tenants=configuration.tenants)
         self.returns.clear()
+        self.overload.enabled = self.tenants.enabled
         self.overload.reconfigure(
             configuration.services, configuration.tenants or ()
         )
--- a/bitternturn/gateway/overload.py
+++ b/bitternturn/gateway/overload.py
@@ -42,6 +42,9 @@
         self.decisions = decisions
         self.metrics = metrics
         self.control = OverloadControl()
+        # Whether requests are rejected: callers who compete are told apart only
+        # where tenants are configured.
+        self.enabled = False
         # Rejections since the last log line.
         self.unlogged: Counter[tuple[Rejection, int, str]] = Counter()
         self.logged_at: float = 0
@@ -90,6 +93,8 @@
         now: float,
     ) -> bool:
         """Return whether to reject a request that arrives; report it."""
+        if not self.enabled:
+            return False
         rejection = self.control.decide(
             services,
             min_parts=route.min_parts(),
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -62,6 +62,7 @@
     async with running_targets(*targets):
         gateway = make_gateway()
         configure(gateway, *routes)
+        gateway.overload.enabled = True
         register(gateway, *(make_entry(it, it.id) for it in targets))
         responses = await async_ask_evenly(
             [gateway], per_s=PER_S, seconds=SECONDS, make=make
@@ -74,6 +75,7 @@
     async with running_targets(*targets):
         gateway = make_gateway()
         configure(gateway, URGENT, LATER)
+        gateway.overload.enabled = True
         register(gateway, *map(make_entry, targets))
         responses = await async_ask_evenly(
             [gateway], per_s=PER_S, seconds=SECONDS, make=make_mixed_request
@@ -146,6 +148,7 @@
         async with running_targets(*targets):
             gateway = make_gateway()
             configure(gateway, URGENT, LATER)
+            gateway.overload.enabled = True
             register(gateway, *map(make_entry, targets))
             for seconds in (2, 7, 1):
                 responses = await async_ask_evenly(
@@ -189,6 +192,7 @@
         async with running_targets(*targets):
             gateway = make_gateway()
             configure(gateway, URGENT, LATER)
+            gateway.overload.enabled = True
             register(gateway, *map(make_entry, targets))
             for target in targets[1:]:
                 await target.async_stop()
@@ -249,6 +253,7 @@
     """Return reports whose decision is to reject everything."""
     overload = Overload(decisions=gateway.decisions, metrics=gateway.metrics)
     overload.control.decide = lambda *_services, **_fields: rejection
+    overload.enabled = True
     return overload
 
 
@@ -276,6 +281,7 @@
     async def test_rejections_count_by_tenant_and_return_their_permits(self):
         gateway = make_gateway()
         configure(gateway, make_route())
+        gateway.overload.enabled = True
         register(gateway, make_entry(FakeTarget(1)))
         gateway.overload.control.decide = lambda *_services, **_fields: (
             Rejection.SHARE
