--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -222,9 +222,11 @@
         A collection of modules and targets takes up to 75 ms of an instance with a
         third of a core, in which requests wait.
         """
-        while not self.gateway.fleet_state.complete:
+        while True:
             await asyncio.sleep(START_CHECK_INTERVAL_S)
-        gc.freeze()
+            if self.gateway.fleet_state.complete:
+                gc.freeze()
+                return
 
     async def _async_log_traffic(self) -> None:
         """Log the bytes by kind since the start of the process."""
