--- a/bitternturn/policy/pace.py
+++ b/bitternturn/policy/pace.py
@@ -240,15 +240,21 @@
         return PaceChange.FELL
 
     def step(self, now: float) -> PaceChange | None:
-        """Increase the share if that is due and the answers are usual."""
+        """Increase the share if that is due and the answers are usual.
+
+        An instance that has not used the target for a while takes several steps
+        at once: it would otherwise limit the target for as many requests.
+        """
         if not self.limited or not self._is_step_due(now):
             return None
-        if not self._is_usual():
-            return self._hold(now)
-        self.held_since = None
-        self.falling = False
-        self.share = self._next_share()
-        self._begin_step(now)
+        while self.limited and self._is_step_due(now):
+            if not self._is_usual():
+                return self._hold(now)
+            self.held_since = None
+            self.falling = False
+            self.share = self._next_share()
+            due_at = max(self.stepped_at, self.waits_until) + NO_ANSWERS_S
+            self._begin_step(now if self.answers else min(now, due_at))
         if self.limited:
             return None
         self.share = 1
--- a/tests/policy/test_pace.py
+++ b/tests/policy/test_pace.py
@@ -443,3 +443,24 @@
         feed(pace, 1, begin=5, end=9)
         pace.start(PaceCause.NEW, 9 + policy.RELAPSE_S)
         assert pace.share == policy.INITIAL_SHARE
+
+
+class TestRareRequests:
+    """Instances that send one request to a target now and then."""
+
+    def test_time_without_requests_counts_for_all_steps(self):
+        """Guards against a target that gets less for as many requests as steps.
+
+        With 124 instances and 27 requests a second, each of them sends few
+        requests to a target in a whole day.
+        """
+        pace = TargetPace()
+        pace.start(PaceCause.NEW, 0)
+        assert pace.step(15) is PaceChange.COMPLETED
+
+    def test_wait_after_flooding_is_kept(self):
+        pace = TargetPace()
+        pace.start(PaceCause.NEW, 0)
+        pace.record_flooding(started_at=0, now=1)
+        assert pace.step(1.9) is None
+        assert pace.share < policy.INITIAL_SHARE
