--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -424,22 +424,13 @@
             return
         tried_all = len(part.tried_targets) >= self.route.max_targets
         newest = bool(part.in_flight) and part.in_flight[-1] is send
-        if newest and not tried_all and not self._is_timer_early(send):
+        if (
+            newest
+            and not tried_all
+            and not _is_timer_early(send, self.soft_deadline)
+        ):
             self._hedge_part(part, self.dispatcher.now())
 
-    def _is_timer_early(self, send: Send) -> bool:
-        """Return whether a hedge by the timer is answered in time as well.
-
-        Fewer parts are late by then, so that it costs fewer hedges.
-        """
-        hedged_at = (
-            send.started_at
-            + self.latency_estimate.hedge_delay_s()
-            + send.relay_delay_s
-        )
-        answer_s = self.latency_estimate.hedge_delay_s() + send.relay_delay_s
-        return hedged_at + answer_s <= self.soft_deadline
-
     def _close_part(self, part: Part, answer: TargetAnswer | None) -> None:
         """Store the answer of a part and detach its remaining sends."""
         part.closed = True
@@ -616,3 +607,12 @@
                 sent = send.connection is not None
                 part.maybe_run = part.maybe_run or sent
                 send.detach()
+
+
+def _is_timer_early(send: Send, soft_deadline: float) -> bool:
+    """Return whether a hedge by the timer is answered in time as well.
+
+    Fewer parts are late by then, so that it costs fewer hedges.
+    """
+    delay_s = send.latency_estimate.hedge_delay_s() + send.relay_delay_s
+    return send.started_at + 2 * delay_s <= soft_deadline
