--- a/bitternturn/gateway/quotas.py
+++ b/bitternturn/gateway/quotas.py
@@ -16,7 +16,7 @@
     ASKED_RANKS,
     Grant,
     Permit,
-    PermitPocket,
+    PermitCache,
     QuotaBound,
     QuotaHolder,
     plan_quota,
@@ -108,7 +108,7 @@
             first_id=first_id,
             now=self.now(),
         )
-        self.pocket = PermitPocket()
+        self.cached = PermitCache()
         # Instances in the order in which they are asked; empty if unknown.
         self.order: Sequence[str] = ()
         self.waiting: deque[asyncio.Future[Permit | QuotaRefusal]] = deque()
@@ -177,14 +177,14 @@
     def take(self) -> Permit | None:
         """Return a permit that needs no message, None if there is none."""
         now = self.now()
-        permit = self.pocket.take(now)
+        permit = self.cached.take(now)
         if permit is None and self.holder.holds:
             grant = self.holder.grant(1, 0, now)
             permit = next(iter(grant.make_permits('', now)), None)
             if permit is None:
                 self._set_refusal(RefusalReason.OVER_QUOTA, grant.wait_s)
         if permit is not None:
-            self.pocket.record_use(now)
+            self.cached.record_use(now)
         return permit
 
     async def async_take(self) -> Permit | QuotaRefusal:
@@ -213,7 +213,7 @@
         if self.holder.holds or self.asking or not self.order:
             return
         now = self.now()
-        extra = self.pocket.count_missing(self.holder.plan.lifetime_s, now)
+        extra = self.cached.count_missing(self.holder.plan.lifetime_s, now)
         refused = self.refusal is not None and now < self.refusal.retry_at
         name = self.order[0]
         silent = now < self.silent_until.get(name, 0)
@@ -235,7 +235,7 @@
                     if now >= self.silent_until.get(name, 0)
                 ],
                 count=min(MAX_ASKED, len(self.waiting)),
-                extra=self.pocket.count_missing(
+                extra=self.cached.count_missing(
                     self.holder.plan.lifetime_s, now
                 ),
             )
@@ -333,23 +333,23 @@
 
     def _add(self, permits: Sequence[Permit]) -> None:
         """Give permits to the requests that wait and keep the others."""
-        self.pocket.add(permits)
+        self.cached.add(permits)
         now = self.now()
         while self.waiting:
             if self.waiting[0].done():
                 self.waiting.popleft()
                 continue
-            permit = self.pocket.take(now)
+            permit = self.cached.take(now)
             if permit is None:
                 break
-            self.pocket.record_use(now)
+            self.cached.record_use(now)
             self.waiting.popleft().set_result(permit)
         self._schedule_hand_back()
 
     def _schedule_hand_back(self) -> None:
         """Schedule that unused permits are handed back."""
-        if self.hand_back_timer is None and self.pocket.permits:
-            first_at = min(it.hand_back_at for it in self.pocket.permits)
+        if self.hand_back_timer is None and self.cached.permits:
+            first_at = min(it.hand_back_at for it in self.cached.permits)
             self.hand_back_timer = asyncio.get_running_loop().call_later(
                 max(0, first_at - self.now()), self._hand_back
             )
@@ -358,7 +358,7 @@
         """Hand back the permits that were not used in time."""
         self.hand_back_timer = None
         ids: dict[str, list[int]] = {}
-        for permit in self.pocket.drop_old(self.now()):
+        for permit in self.cached.drop_old(self.now()):
             ids.setdefault(permit.granter, []).append(permit.id)
         for granter, returned in ids.items():
             if granter:
--- a/bitternturn/http/holding.py
+++ b/bitternturn/http/holding.py
@@ -24,7 +24,7 @@
 # Was opened and has sent nothing that is complete.
 RANK_UNUSED: Final = 4
 # Holds more than an ordinary request or response, or requests sent ahead.
-RANK_HOARDS: Final = 5
+RANK_HOLDS_MUCH: Final = 5
 # Waits for the peer to close after a refusal.
 RANK_REFUSED: Final = 6
 
@@ -76,12 +76,12 @@
         if connection.transport is None or connection.transport.is_closing():
             return RANK_NEVER
         if connection.handler_task is not None:
-            return RANK_HOARDS if self.is_evictable() else RANK_NEVER
+            return RANK_HOLDS_MUCH if self.is_evictable() else RANK_NEVER
         if connection.lingering:
             return RANK_REFUSED
         held_bytes = self.held_bytes()
         if held_bytes > const.SMALL_HOLDING_BYTES:
-            return RANK_HOARDS
+            return RANK_HOLDS_MUCH
         has_sent_nothing = connection.request is None and not held_bytes
         if has_sent_nothing and not connection.is_first_request:
             return RANK_IDLE
--- a/bitternturn/http/memory.py
+++ b/bitternturn/http/memory.py
@@ -10,7 +10,7 @@
 from bitternturn.http import const
 
 # Part of the budget down to which connections are evicted once it is exceeded,
-# so that each selection of victims, which reads all sizes, frees a good deal.
+# so that each selection, which reads all sizes, frees a good deal.
 EVICT_DOWN_TO: Final = 0.875
 # Time until sizes are read again after requests that run alone exceeded the
 # budget, in seconds. Each read of the network would otherwise read the sizes of
--- a/bitternturn/policy/quota.py
+++ b/bitternturn/policy/quota.py
@@ -383,7 +383,7 @@
         self.holder_bucket.restart(now)
 
 
-class PermitPocket:
+class PermitCache:
     """Unused permits of one instance for one tenant, and how many it wants."""
 
     __slots__ = ('permits', 'used_at')
--- a/tests/http/test_caller_memory.py
+++ b/tests/http/test_caller_memory.py
@@ -63,11 +63,11 @@
         assert evicted == [EvictionReason.MEMORY, None, None, None]
 
     def test_ordinary_callers_are_never_evicted(self):
-        """A crowd of hoarders used up what ordinary callers need."""
+        """Many connections that hold much used up what ordinary callers need."""
         memory = CallerMemory(max_bytes=10 * SMALL)
         ordinary = [FakeHolder(memory, SMALL, age_s=60) for _ in range(500)]
-        hoarders = [FakeHolder(memory, 4 * SMALL) for _ in range(50)]
-        fill(memory, *ordinary, *hoarders)
+        large_holders = [FakeHolder(memory, 4 * SMALL) for _ in range(50)]
+        fill(memory, *ordinary, *large_holders)
         assert not any(it.evicted for it in ordinary)
         assert memory.total_bytes <= memory.max_bytes
 
@@ -237,9 +237,9 @@
 
 
 class TestMemory:
-    async def test_hoarders_are_refused_as_not_run(self, start):
+    async def test_large_holders_are_refused_as_not_run(self, start):
         listener = await start(max_bytes=4 * BODY_BYTES)
-        hoarders = [
+        large_holders = [
             await listener.async_open(
                 length_request(BODY_BYTES, BODY_BYTES - 10)
             )
@@ -247,7 +247,7 @@
         ]
         await async_wait_for(lambda: len(listener.evictions) >= 4)
         refused = []
-        for reader, _ in hoarders:
+        for reader, _ in large_holders:
             try:
                 async with asyncio.timeout(0.3):
                     refused.append(await reader.read())
@@ -263,7 +263,7 @@
         assert set(listener.reasons) == {EvictionReason.MEMORY}
         ordinary = await listener.async_ask(length_request(7))
         assert ordinary.startswith(b'HTTP/1.1 200')
-        for _, writer in hoarders:
+        for _, writer in large_holders:
             writer.transport.abort()
         await async_wait_for(lambda: not listener.server.connections)
         assert listener.server.memory.total_bytes == 0
@@ -451,14 +451,14 @@
         for _, writer in ahead:
             writer.transport.abort()
 
-    async def test_hoarder_makes_room_before_an_older_caller(self, start):
-        """Guards against closing a waiting caller before a hoarder."""
+    async def test_large_holder_makes_room_before_an_older_caller(self, start):
+        """Guards against closing a waiting caller before one that holds much."""
         listener = await start(max_connections=3)
         idle = await listener.async_open(length_request(1))
         await idle[0].readuntil(b'whole')
         opened = await listener.async_open()
         await asyncio.sleep(const.NEW_CONNECTION_S)
-        hoarder = await listener.async_open(
+        large_holder = await listener.async_open(
             length_request(BODY_BYTES, BODY_BYTES - 10)
         )
         await async_wait_for(lambda: listener.server.memory.total_bytes)
@@ -466,11 +466,11 @@
         await newest[0].readuntil(b'whole')
         await async_wait_for(lambda: listener.evictions)
         assert listener.evictions[0].held_bytes > SMALL
-        for _, writer in (idle, opened, hoarder, newest):
+        for _, writer in (idle, opened, large_holder, newest):
             writer.write(length_request(3))
         for reader, _ in (idle, opened, newest):
             assert await reader.readuntil(b'whole')
-        for _, writer in (idle, opened, hoarder, newest):
+        for _, writer in (idle, opened, large_holder, newest):
             writer.transport.abort()
 
     async def test_new_connections_exceed_the_limit_by_a_few(self, start):
--- a/tests/http/test_room_for_callers.py
+++ b/tests/http/test_room_for_callers.py
@@ -51,14 +51,14 @@
     assert [answer[:12] for answer in answers] == [b'HTTP/1.1 200'] * 6
 
 
-async def test_hoarder_makes_room_before_a_new_caller():
+async def test_large_holder_makes_room_before_a_new_caller():
     """Guards against closing a caller before one that holds a lot of memory."""
     server = HttpServer(
         handler=async_answer, limits=ServerLimits(max_connections=8)
     )
     await server.async_start(host=HOST, port=0)
     stalled = b'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\n'
-    hoarders = [
+    large_holders = [
         await async_connect(server, stalled + b'x' * 100_000) for _ in range(8)
     ]
     await asyncio.sleep(0.3)
@@ -66,6 +66,6 @@
     newcomers = [await async_connect(server, GET) for _ in range(6)]
     answers = await asyncio.gather(*map(async_read, newcomers))
     await server.async_stop()
-    for peer in (*hoarders, *newcomers):
+    for peer in (*large_holders, *newcomers):
         peer.close()
     assert [answer[:12] for answer in answers] == [b'HTTP/1.1 200'] * 6
--- a/tests/policy/quota_fleet.py
+++ b/tests/policy/quota_fleet.py
@@ -5,7 +5,7 @@
 
 from bitternturn.policy.quota import (
     ASKED_RANKS,
-    PermitPocket,
+    PermitCache,
     QuotaHolder,
     plan_quota,
     rank_holders,
@@ -21,7 +21,7 @@
         self.fleet = fleet
         self.name = name
         self.members = set(members) | {name}
-        self.pocket = PermitPocket()
+        self.cached = PermitCache()
         self.holder = QuotaHolder(
             plan=fleet.plan,
             window_s=fleet.bound.window_s,
@@ -112,7 +112,7 @@
 
     def hand_back(self, instance, now):
         """Let an instance hand back the permits that it has not used."""
-        for permit in instance.pocket.drop_old(now):
+        for permit in instance.cached.drop_old(now):
             self.hand_back_permit(permit)
 
     def hand_back_permit(self, permit, delay_s=None):
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -9,7 +9,7 @@
     ASKED_RANKS,
     BucketSize,
     GrantBucket,
-    PermitPocket,
+    PermitCache,
     QuotaBound,
     QuotaHolder,
     plan_quota,
@@ -160,24 +160,24 @@
         holder = make_holder()
         holder.set_rank(0, 0, alone=True)
         grant = holder.grant(1, 0, 10)
-        pocket = PermitPocket()
-        pocket.add(grant.make_permits('i', 10))
+        cached = PermitCache()
+        cached.add(grant.make_permits('i', 10))
         lifetime_s = holder.plan.lifetime_s
         late = 10 + 0.8 * lifetime_s
-        assert pocket.take(late) is None
-        assert [it.id for it in pocket.drop_old(late)] == list(grant.ids)
-        assert not pocket.permits
+        assert cached.take(late) is None
+        assert [it.id for it in cached.drop_old(late)] == list(grant.ids)
+        assert not cached.permits
 
     def test_asks_in_advance_only_if_requests_are_frequent(self):
-        pocket = PermitPocket()
-        pocket.record_use(0)
-        pocket.record_use(10)
-        assert pocket.count_missing(1, 10.5) == 0
-        pocket.record_use(10.9)
-        assert pocket.count_missing(1, 11) == 1
+        cached = PermitCache()
+        cached.record_use(0)
+        cached.record_use(10)
+        assert cached.count_missing(1, 10.5) == 0
+        cached.record_use(10.9)
+        assert cached.count_missing(1, 11) == 1
         for number in range(10):
-            pocket.record_use(11 + number / 1000)
-        assert pocket.count_missing(1, 11.01) == 10
+            cached.record_use(11 + number / 1000)
+        assert cached.count_missing(1, 11.01) == 10
 
 
 class Caller:
@@ -195,7 +195,7 @@
     def request(self, instance):
         now = self.fleet.now
         self.fleet.hand_back(instance, now)
-        if instance.pocket.take(now) is not None:
+        if instance.cached.take(now) is not None:
             self.run(instance)
             self.ask(instance)
         elif now >= self.denied_until.get(instance.name, 0):
@@ -205,12 +205,12 @@
 
     def run(self, instance):
         self.run_count += 1
-        instance.pocket.record_use(self.fleet.now)
+        instance.cached.record_use(self.fleet.now)
 
     def ask(self, instance):
         name = instance.name
         wanted = self.waiting.get(name, 0)
-        extra = instance.pocket.count_missing(
+        extra = instance.cached.count_missing(
             self.fleet.plan.lifetime_s, self.fleet.now
         )
         if name in self.asking or not wanted + extra:
@@ -221,9 +221,9 @@
 
         def handle(grant, permits):
             self.asking.discard(name)
-            instance.pocket.add(permits)
+            instance.cached.add(permits)
             waiting = self.waiting.pop(name, 0)
-            while waiting and instance.pocket.take(self.fleet.now):
+            while waiting and instance.cached.take(self.fleet.now):
                 waiting -= 1
                 self.run(instance)
             if len(permits) < wanted:
--- a/tests/policy/test_quota_machine.py
+++ b/tests/policy/test_quota_machine.py
@@ -136,7 +136,7 @@
                         holder,
                         100,
                         0,
-                        lambda _, permits, pocket=instance.pocket: pocket.add(
+                        lambda _, permits, cached=instance.cached: cached.add(
                             permits
                         ),
                     )
@@ -158,8 +158,8 @@
                         granter,
                         choice.choice([1, 5, 60]),
                         0,
-                        lambda _, permits, pocket=instance.pocket: (
-                            None if lost else pocket.add(permits)
+                        lambda _, permits, cached=instance.cached: (
+                            None if lost else cached.add(permits)
                         ),
                     )
         self.fleet.run(self.fleet.now + 0.01)
@@ -168,26 +168,26 @@
     def hand_back_unused(self, delay_s):
         """Permits come back in time or late."""
         for instance in self.fleet.instances.values():
-            for permit in instance.pocket.drop_old(self.fleet.now):
+            for permit in instance.cached.drop_old(self.fleet.now):
                 self.fleet.hand_back_permit(permit, delay_s)
 
     @rule(again=st.booleans())
     def hand_back_at_once(self, again):
         """Requests end as not run; the message may arrive twice."""
         for instance in self.fleet.instances.values():
-            for permit in instance.pocket.permits:
+            for permit in instance.cached.permits:
                 self.fleet.hand_back_permit(permit)
                 if again:
                     self.fleet.hand_back_permit(permit, 0.01)
-            instance.pocket.permits.clear()
+            instance.cached.permits.clear()
 
     @rule()
     def use_pockets(self):
         """Requests use all permits that were asked for in advance."""
         for name in self.names:
-            pocket = self.fleet.instances[name].pocket
+            cached = self.fleet.instances[name].cached
             while self.awake(name):
-                permit = pocket.take(self.fleet.now)
+                permit = cached.take(self.fleet.now)
                 if permit is None:
                     break
                 self.run_request(permit)
--- a/tests/relay/test_quotas.py
+++ b/tests/relay/test_quotas.py
@@ -78,7 +78,7 @@
                 statuses += await async_ask(fleet, instance, 4)
             # Permits that an instance has asked for in advance.
             kept = sum(
-                len(it.gateway.quotas.by_tenant['blue'].pocket.permits)
+                len(it.gateway.quotas.by_tenant['blue'].cached.permits)
                 for it in others
             )
         assert 6 <= statuses.count(200) + kept <= 7
@@ -113,7 +113,7 @@
             for _ in range(3):
                 await async_ask(fleet, others[-1], 1)
             bucket = held(holder).holder_bucket
-            await async_until(lambda: not quota.pocket.permits)
+            await async_until(lambda: not quota.cached.permits)
             await asyncio.sleep(0.1)
             bucket.add(0, entry.now())
             assert bucket.level >= 7 - 0.01
