--- a/bitternturn/gateway/pace.py
+++ b/bitternturn/gateway/pace.py
@@ -59,6 +59,9 @@
         # Targets that are limited, so that the selection costs nothing more while
         # there are none.
         self.limited: set[Target] = set()
+        # The same as a set: with some hundred targets, each change of one would
+        # otherwise compare the lives of all.
+        self.usable: set[Target] = set()
         # Lives of targets that have been ready.
         self.seen: set[TargetLife] = set()
 
@@ -79,21 +82,21 @@
         Without others there is nothing to compare with, as at the start of this
         instance or after the loss of all entries.
         """
-        before = {target.entry.life for target in self._targets()}
         served = {service for service, known in self.ready.items() if known}
         self.ready = ready
-        for target in self._targets():
+        before = self.usable
+        self.usable = set(self._targets())
+        for target in self.usable - before:
             life = target.entry.life
-            if target.entry.service in served and life not in before:
+            if target.entry.service in served:
                 returned = life in self.seen
                 cause = PaceCause.RETURN if returned else PaceCause.NEW
                 self.start(target, cause, now)
+            self.seen.add(life)
         self.limited = {
-            target for target in self._targets() if target.pace.limited
-        }
-        self.seen = {
-            *(target.entry.life for target in self._targets()),
-            *self.seen,
+            target
+            for target in self.limited
+            if target.pace.limited and target in self.usable
         }
 
     def forget(self, listed: set[TargetLife]) -> None:
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -217,9 +217,8 @@
     def refresh_targets(self) -> None:
         """Update targets and their assignment from the known entries."""
         entries = self.fleet_state.entries
-        self.announcements.forget_old(
-            {entry.life for entry in entries.values()}, self.now()
-        )
+        lives = {entry.life for entry in entries.values()}
+        self.announcements.forget_old(lives, self.now())
         known = list(self.targets.values())
         for target in known:
             entry = entries.get(target.entry.id)
@@ -262,7 +261,7 @@
             },
             self.now(),
         )
-        self.paces.forget({entry.life for entry in entries.values()})
+        self.paces.forget(lives)
         # Last, since the sends that end here are retried at once.
         for target in known:
             may_send = target.in_service and self.rollouts.may_use(target.entry)
