--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -14,7 +14,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -615,6 +615,30 @@
             self.close()
 
 
+def write_traffic(
+    record: Record,
+    answers: Sequence[Answer],
+    arrivals: Iterable[tuple[str, Arrival]],
+) -> None:
+    """Record what was sent, where it arrived and what was answered.
+
+    `arrivals` has the id of the backend with each arrival.
+    """
+    places: dict[str, list[str]] = {}
+    for backend, arrival in arrivals:
+        run = 'run' if arrival.run else 'not run'
+        places.setdefault(arrival.id, []).append(
+            f'{backend} at {arrival.at:.3f} ({run})'
+        )
+    for answer in sorted(answers, key=lambda it: it.sent_at):
+        record.write(
+            f'traffic {answer.id} sent to machine {answer.instance + 1} at '
+            f'{answer.sent_at:.3f}: status {answer.status} {answer.cause} at '
+            f'{answer.ended_at:.3f}; arrived at '
+            f'{", ".join(places.get(answer.id, ())) or "no backend"}'
+        )
+
+
 def default_bounds() -> dict[str, Any]:
     """Return the bounds of the small deployments."""
     return {
