--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -352,7 +352,7 @@
             f'HTTP/1.1 200 OK\r\n{common}'
             f'x-server-stamp: {self.id}.{number}.{len(self.arrivals)}\r\n'
             f'content-length: {len(self.body)}\r\n\r\n'.encode()
-            + self.body
+            + (b'' if line.startswith('HEAD ') else self.body)
         )
         await writer.drain()
 
@@ -609,7 +609,8 @@
             answer.cause = 'closed without an answer'
             return
         answer.headers = head[1]
-        answer.body = await async_read_body(self.reader, head[1])
+        if method != 'HEAD':
+            answer.body = await async_read_body(self.reader, head[1])
         answer.status = int(head[0].split(' ')[1])
         if head[1].get('connection', '').lower() == 'close':
             self.close()
