Log when the sends of a request have left and over which paths its parts came

The lines of wide requests on a slow machine did not tell whether the entry instance or its delegates were slow. `request` now has `sent_ms` and `paths`, and `start` the cores of the instance. No logic changes.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -115,6 +115,8 @@
         self.suspended: list[Part] = []
         # Time from which targets that have not answered count as unresponsive.
         self.unresponsive_at = math.inf
+        # When the first sends of all parts were handed on.
+        self.sent_at: float = 0
 
     def start(self) -> None:
         """Start the first send of each part."""
@@ -132,6 +134,7 @@
             self._start_probing(self.parts, doubted, now)
         else:
             self._send_parts(self.parts, now)
+        self.sent_at = self.dispatcher.now()
         self._evaluate(now)
 
     def _start_probing(
@@ -351,7 +354,7 @@
         now = self.dispatcher.now()
         self.send_log.add_unusual(part, send, outcome, now)
         if outcome is SendOutcome.ANSWERED:
-            self._close_part(part, answer)
+            self._close_part(part, answer, via=send.via)
         else:
             part.send_ends.append(outcome.value)
             part.failure = answer or part.failure
@@ -449,12 +452,14 @@
         ):
             self._hedge_part(part, self.dispatcher.now())
 
-    def _close_part(self, part: Part, answer: TargetAnswer | None) -> None:
+    def _close_part(
+        self, part: Part, answer: TargetAnswer | None, *, via: str | None
+    ) -> None:
         """Store the answer of a part and detach its remaining sends."""
         if answer is None:
             part.set_closed(True)
         else:
-            part.set_answer(answer, self.dispatcher.now())
+            part.set_answer(answer, self.dispatcher.now(), via=via)
         for send in part.in_flight:
             send.detach()
 
--- a/bitternturn/gateway/parts.py
+++ b/bitternturn/gateway/parts.py
@@ -1,8 +1,9 @@
 """State of the parts of a request, and the result of the request."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from typing import Final
 
 from bitternturn.core.ids import ServiceName, TargetId
 from bitternturn.gateway.models import Route, TargetAnswer
@@ -10,6 +11,8 @@
 from bitternturn.http import const as http
 from bitternturn.policy.answer_timing import Verdict
 
+# Path of a send over a connection of this instance, in place of a peer's name.
+DIRECT: Final = 'direct'
 # Statuses by which a target guarantees that it has not run the request.
 NOT_RUN_STATUSES = frozenset(
     (
@@ -67,6 +70,7 @@
     __slots__ = (
         'answer',
         'answered_at',
+        'answered_via',
         'closed',
         'counts',
         'declined',
@@ -110,6 +114,8 @@
         self.maybe_run = False
         self.answer: TargetAnswer | None = None
         self.answered_at: float = 0
+        # Name of the peer that made the send, None for a direct one.
+        self.answered_via: str | None = None
         # Last answer that reported a failure.
         self.failure: TargetAnswer | None = None
         # Whether the part is answered or given up, so that no send is awaited;
@@ -127,11 +133,14 @@
             self.closed = closed
             self.counts.open += -1 if closed else 1
 
-    def set_answer(self, answer: TargetAnswer, now: float) -> None:
-        """Store the answer, and close the part."""
+    def set_answer(
+        self, answer: TargetAnswer, now: float, *, via: str | None
+    ) -> None:
+        """Store the answer that came over a path, and close the part."""
         self.counts.answered += self.answer is None
         self.answer = answer
         self.answered_at = now
+        self.answered_via = via
         self.set_closed(True)
 
     def withdraw_try(self, target: TargetId) -> None:
@@ -165,6 +174,26 @@
     return {**arrivals, 'last': times[-1]}
 
 
+def describe_paths(
+    parts: Sequence[Part], *, since: float
+) -> Mapping[str, tuple[int, float, float]]:
+    """Return how the parts of a wide request came, by the name of the peer.
+
+    For each path, the number of answers and when the first and the last one of
+    them came, in seconds.
+    """
+    if len(parts) < 2:
+        return {}
+    times: defaultdict[str, list[float]] = defaultdict(list)
+    for part in parts:
+        if part.answer is not None:
+            times[part.answered_via or DIRECT].append(part.answered_at - since)
+    return {
+        path: (len(found), min(found), max(found))
+        for path, found in times.items()
+    }
+
+
 def may_forward_failure(route: Route, failure: TargetAnswer) -> bool:
     """Return whether a failed answer may be forwarded to the caller.
 
--- a/bitternturn/gateway/reporting.py
+++ b/bitternturn/gateway/reporting.py
@@ -9,7 +9,7 @@
 from bitternturn.gateway.identity import identify_request
 from bitternturn.gateway.metrics import GatewayMetrics
 from bitternturn.gateway.models import CallerRequest, RefusalReason
-from bitternturn.gateway.parts import describe_arrivals
+from bitternturn.gateway.parts import describe_arrivals, describe_paths
 from bitternturn.gateway.tenants import TenantLabels
 
 
@@ -86,6 +86,7 @@
         aim_ms=_to_ms(execution.soft_deadline - arrived_at),
         limit_ms=_to_ms(execution.deadline - arrived_at),
         ms=_to_ms(latency_s),
+        sent_ms=_to_ms(execution.sent_at - arrived_at),
         arrived_ms={
             name: _to_ms(at)
             for name, at in describe_arrivals(
@@ -94,6 +95,12 @@
                 since=arrived_at,
             ).items()
         },
+        paths={
+            path: (count, _to_ms(first), _to_ms(last))
+            for path, (count, first, last) in describe_paths(
+                execution.parts, since=arrived_at
+            ).items()
+        },
         hedges=execution.hedges,
         denied_hedges=execution.denied_hedges,
         retries=execution.retries,
--- a/bitternturn/gateway/send_log.py
+++ b/bitternturn/gateway/send_log.py
@@ -5,13 +5,11 @@
 
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.gateway.models import SendOutcome
-from bitternturn.gateway.parts import Part
+from bitternturn.gateway.parts import DIRECT, Part
 from bitternturn.gateway.send import Send
 
 # Maximum number of sends listed in the log line of a request.
 MAX_LOGGED_SENDS: Final = 12
-# Path of a send over a connection of this instance, in place of a peer's name.
-DIRECT: Final = 'direct'
 
 
 class SendLog:
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -162,7 +162,11 @@
             self.rollout_store.start()
         self.tasks.spawn(self._async_log_traffic())
         self.tasks.spawn(self._async_freeze_heap())
-        self.decisions.write('start', domain=self.settings.failure_domain)
+        self.decisions.write(
+            'start',
+            domain=self.settings.failure_domain,
+            cores=round(self.settings.cores, 3),
+        )
 
     async def async_stop(self) -> None:
         """Stop at once, without draining."""
