Add failing tests of the work of weak instances with wide requests

A weak entry instance makes 19,673 calls a request over 90 shards where the objective leaves it 4,335; weak delegates send although strong instances of their domain are idle; and the first lookup of an instance opens connections.

--- a/tests/relay/linked_fleet.py
+++ b/tests/relay/linked_fleet.py
@@ -66,7 +66,13 @@
         """Return the domain of the instance or target with a number."""
         return FailureDomain(self.domains[number % len(self.domains)])
 
-    async def async_start(self):
+    def cores_of(self, number):
+        """Return the cores of the instance with a number."""
+        return 1
+
+    async def async_start(self, *routes):
+        """Start with some routes, by default one of each kind."""
+        routes = routes or make_routes(self.shards)
         members = []
         for number, name in enumerate(self.names):
             links = TargetLinks(targets=self.targets)
@@ -81,18 +87,20 @@
                     name=name,
                     address=Address(host=LOOPBACK, port=port),
                     domain=self.domain_of(number),
-                    cores=1,
+                    cores=self.cores_of(number),
                 )
             )
         for number, instance in enumerate(self.instances):
             gateway = instance.gateway
-            instance.delegation.update_members(members)
             gateway.settings = dataclasses.replace(
-                gateway.settings, failure_domain=self.domain_of(number)
+                gateway.settings,
+                failure_domain=self.domain_of(number),
+                cores=self.cores_of(number),
             )
-            configure(gateway, *make_routes(self.shards))
+            configure(gateway, *routes)
             gateway.update_instances(self.names)
             register(gateway, *self.make_entries(instance.links))
+            instance.delegation.update_members(members)
 
     def make_entries(self, links):
         """Return the entries of the targets, each at its link."""
