Let strong instances send the parts of wide requests first

Callers saw lookups over 90 shards late at all processor speeds but the highest. Delegates were ranked by weights of their cores, so that 535 of 690 paths of lookups went over instances with a third of a core while those with six times as many were nearly idle. Work was spread as if the fleet were full, and each request waited for the slowest of a dozen weak processors.

The instances of a domain with at least half of the cores of its strongest one now rank first, within them and after them as before. A delegate whose event loop is busy for more than 0.6 of its time says so in its receipt, and is passed over for half a second. Parts that an instance sends itself leave after those of its peers.

--- a/bitternturn/core/pauses.py
+++ b/bitternturn/core/pauses.py
@@ -1,4 +1,4 @@
-"""Detection of times in which this process did not run."""
+"""Detection of times in which this process did not run, or was busy."""
 
 import asyncio
 import math
@@ -11,10 +11,38 @@
 # Longer gaps are pauses. A busy process handles events for some tens of
 # milliseconds, and one whose processor quota is used up waits up to 100 ms.
 MIN_PAUSE_S: Final = 0.3
+# Shortest time over which the share of busy time is measured.
+LOAD_WINDOW_S: Final = 0.25
 # Longest time in which events that are already waiting are returned.
 NO_WAIT_S: Final = 0.001
 
 
+class LoopLoad:
+    """Share of its time in which the event loop handles events.
+
+    Unlike the processor time, it includes the time in which other processes have
+    the processor.
+    """
+
+    __slots__ = ('busy_s', 'measured_at', 'share')
+
+    def __init__(self, *, now: float) -> None:
+        """Initialise as idle."""
+        self.measured_at = now
+        # Busy time since the last measurement.
+        self.busy_s: float = 0
+        self.share: float = 0
+
+    def read_share(self, now: float) -> float:
+        """Return the busy share since the last measurement, from 0 to 1."""
+        elapsed_s = now - self.measured_at
+        if elapsed_s >= LOAD_WINDOW_S:
+            self.share = min(1, self.busy_s / elapsed_s)
+            self.measured_at = now
+            self.busy_s = 0
+        return self.share
+
+
 class PauseMonitor:
     """Records pauses of the event loop, before the messages after them.
 
@@ -29,6 +57,7 @@
         self.count = 0
         self.ended_at: float | None = None
         self.length_s: float = 0
+        self.load = LoopLoad(now=now())
         # When the loop has last collected events.
         self.turn_started_at = math.inf
         # Whether what waited during the pause is still being handled.
@@ -75,9 +104,9 @@
     def select(self, timeout: float | None = None) -> Any:
         """Wait for events; report how long none was handled beyond that."""
         called_at = self.monitor.now()
-        self.monitor.record_gap(
-            called_at - self.monitor.turn_started_at, called_at
-        )
+        turn_s = called_at - self.monitor.turn_started_at
+        self.monitor.load.busy_s += turn_s
+        self.monitor.record_gap(turn_s, called_at)
         events = super().select(timeout)
         returned_at = self.monitor.now()
         self.monitor.turn_started_at = returned_at
--- a/bitternturn/policy/delegate_selection.py
+++ b/bitternturn/policy/delegate_selection.py
@@ -4,6 +4,9 @@
 need tens of milliseconds of processor time for all sends, and the bytes of all
 parts would pass through its network link and cross failure domains.
 
+Parts are late if a weak instance sends them, so that strong ones come first. Those
+that are busy are passed over.
+
 Requests over fewer shards are sent by their entry instance, except to targets
 in another failure domain: an instance there merges their parts, so that only
 the records of the answer cross.
@@ -13,9 +16,17 @@
 import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Final
 
 from bitternturn.policy.rendezvous import hash_share
 
+# Share of the cores of the strongest instance of a domain from which on an
+# instance counts as strong.
+STRONG_SHARE: Final = 0.5
+# Share of its time in which an instance that works for others may be busy. Above
+# it, requests wait for each other, and weak instances are as fast.
+MAX_BUSY_SHARE: Final = 0.6
+
 
 @dataclass(kw_only=True, frozen=True, slots=True)
 class DelegateCandidate:
@@ -52,6 +63,16 @@
     return [name for _, name in scored]
 
 
+def rank_strong_first(
+    key: str, members: Sequence[DelegateCandidate]
+) -> list[str]:
+    """Return the names of the members as `rank_delegates`, strong ones first."""
+    most = max((member.cores for member in members), default=0)
+    strong = [it for it in members if it.cores >= most * STRONG_SHARE]
+    weak = [it for it in members if it.cores < most * STRONG_SHARE]
+    return [*rank_delegates(key, strong), *rank_delegates(key, weak)]
+
+
 def _score(key: str, member: DelegateCandidate) -> float:
     """Return the rendezvous score of a member for a key."""
     return -member.cores / math.log(hash_share(key, member.name))
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -52,6 +52,8 @@
 # Time for a request to reach a peer and for its receipt to return, also while
 # the peer handles another request. Without a receipt the peer counts as silent.
 RECEIPT_TIMEOUT_S: Final = 0.06
+# Time for which others are preferred to a peer that has said that it is busy.
+BUSY_BACKOFF_S: Final = 0.5
 # Time for a request and its report to pass the network and a busy peer. It is
 # added to the age at which a delegated part counts as late.
 REPORT_LATENCY_S: Final = 0.015
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -20,6 +20,7 @@
 from bitternturn.policy.delegate_selection import (
     DelegateCandidate,
     rank_delegates,
+    rank_strong_first,
 )
 from bitternturn.policy.further_send_budget import (
     FurtherSendBudget,
@@ -63,6 +64,8 @@
         self.peers: dict[str, Peer] = {}
         self.members: Mapping[FailureDomain, Sequence[DelegateCandidate]] = {}
         self.rankings: dict[tuple[FailureDomain, str], list[str]] = {}
+        # Members of the domains as delegates, strong ones first.
+        self.delegate_rankings: dict[tuple[FailureDomain, str], list[str]] = {}
         # Delegates that were found at a time, by domain and key.
         self.found: dict[tuple[FailureDomain, str], str | None] = {}
         self.found_at: float = 0
@@ -99,6 +102,7 @@
         }
         self.members = domains
         self.rankings.clear()
+        self.delegate_rankings.clear()
         self.found.clear()
         self.gateway.rate_limits.invalidate_shares()
 
@@ -191,7 +195,10 @@
         for key, members in by_key.items():
             name = self._find_delegate(domain, key, now)
             groups.setdefault(name, []).extend(members)
-        return groups.values()
+        # Peers are at work while this instance sends its own parts.
+        own_name = self.gateway.settings.name
+        own = groups.pop(own_name, None)
+        return [*groups.values(), *([own] if own else [])]
 
     def flush(self) -> None:
         """Send all queued sends to their peers."""
@@ -261,12 +268,22 @@
             self.found_at = now
         place = (domain, key)
         if place not in self.found:
-            ranked = self._ranked_members(domain, key)
-            self.found[place] = next(
-                (it for it in ranked if self._reaches(it, domain, now)), None
-            )
+            self.found[place] = self._choose_delegate(domain, key, now)
         return self.found[place]
 
+    def _choose_delegate(
+        self, domain: FailureDomain, key: str, now: float
+    ) -> str | None:
+        """Return the first usable instance, one that is not busy if possible."""
+        busy: str | None = None
+        for name in self._ranked_delegates(domain, key):
+            if self._reaches(name, domain, now):
+                own = name == self.gateway.settings.name
+                if own or not self.peers[name].is_busy(now):
+                    return name
+                busy = busy or name
+        return busy
+
     def _reaches(self, name: str, domain: FailureDomain, now: float) -> bool:
         """Return whether a member can send to the targets of a domain."""
         if name == self.gateway.settings.name:
@@ -309,6 +326,16 @@
             self.rankings[(domain, key)] = ranked
         return ranked
 
+    def _ranked_delegates(
+        self, domain: FailureDomain, key: str
+    ) -> Sequence[str]:
+        """Return the instances of a domain, ranked as delegates for a key."""
+        ranked = self.delegate_rankings.get((domain, key))
+        if ranked is None:
+            ranked = rank_strong_first(key, self.members.get(domain, ()))
+            self.delegate_rankings[(domain, key)] = ranked
+        return ranked
+
     def _sent_by_instances(self, entry: TargetEntry) -> bool:
         """Return whether instances use a target on their own behalf."""
         return entry.service not in self.gateway.wide_services
@@ -345,7 +372,7 @@
 
     def _own_rank(self, entry: TargetEntry) -> int:
         """Return the rank of this instance among a target's delegates."""
-        ranked = self._ranked_members(
+        ranked = self._ranked_delegates(
             entry.failure_domain, self._group_key(entry)
         )
         own_name = self.gateway.settings.name
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -16,6 +16,7 @@
 from bitternturn.gateway.target import Target, start_directly
 from bitternturn.gateway.work_log import Step, StepTimer
 from bitternturn.policy.answer_timing import LatencyEstimate
+from bitternturn.policy.delegate_selection import MAX_BUSY_SHARE
 from bitternturn.policy.target_selection import should_decline
 from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection
@@ -117,7 +118,9 @@
         if rejected:
             self._send(rejected)
         elif self.request.want_receipt:
-            self.connection.send(Frame(number=self.number, receipt=Receipt()))
+            busy_share = self.gateway.pauses.load.read_share(now)
+            receipt = Receipt(busy=busy_share > MAX_BUSY_SHARE)
+            self.connection.send(Frame(number=self.number, receipt=receipt))
         if self.waiting:
             self._schedule_report(self.request.report_ms / MS_PER_SECOND)
             self.overdue_timer = asyncio.get_running_loop().call_later(
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -136,6 +136,8 @@
             return
         self._cancel_receipt_timer()
         if reply.HasField('receipt'):
+            if reply.receipt.busy:
+                self.peer.record_busy(self.gateway.now())
             return
         with StepTimer(metrics=self.gateway.metrics, step=Step.REPORT):
             self._handle_report(reply.parts)
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -75,11 +75,21 @@
         self.links: dict[FailureDomain, PeerLink] = {}
         self.backoff_s = const.INITIAL_BACKOFF_S
         self.backoff_until: float = 0
+        # Until when others are preferred, as the peer is busy.
+        self.busy_until: float = 0
 
     def is_available(self, now: float) -> bool:
         """Whether the backoff has elapsed."""
         return now >= self.backoff_until
 
+    def is_busy(self, now: float) -> bool:
+        """Whether the peer has said a short time ago that it is busy."""
+        return now < self.busy_until
+
+    def record_busy(self, now: float) -> None:
+        """Prefer others for some time, as the peer is busy."""
+        self.busy_until = now + const.BUSY_BACKOFF_S
+
     def get_link(self, domain: FailureDomain) -> PeerLink:
         """Return the link over this peer to a failure domain."""
         link = self.links.get(domain)
--- a/tests/core/test_pauses.py
+++ b/tests/core/test_pauses.py
@@ -8,7 +8,10 @@
 
 from bitternturn.core.clock import boot_time
 from bitternturn.core.pauses import (
+    LOAD_WINDOW_S,
     MIN_PAUSE_S,
+    LoopLoad,
+    PauseAwareSelector,
     PauseMonitor,
     make_pause_aware_loop,
 )
@@ -72,3 +75,24 @@
         assert monitor.lengths == [LONG_S]
         assert monitor.paused_since(99.0)
         assert not monitor.paused_since(100.5)
+
+
+class TestLoopLoad:
+    def test_share_is_that_of_the_time_since_the_last_measurement(self):
+        load = LoopLoad(now=0)
+        load.busy_s = LOAD_WINDOW_S / 2
+        assert load.read_share(LOAD_WINDOW_S) == 0.5
+        load.busy_s = LOAD_WINDOW_S
+        assert load.read_share(LOAD_WINDOW_S * 1.5) == 0.5
+        assert load.read_share(LOAD_WINDOW_S * 3) == 0.5
+        assert load.read_share(LOAD_WINDOW_S * 4) == 0
+
+    def test_time_between_collections_of_events_is_busy(self, monitor):
+        with PauseAwareSelector(monitor=monitor) as selector:
+            monitor.turn_started_at -= 0.1
+            selector.select(0)
+            first_s = monitor.load.busy_s
+            assert first_s >= 0.1
+            # Waiting is not.
+            selector.select(0.05)
+            assert monitor.load.busy_s < first_s + 0.05
