Let strong instances gather the parts of wide requests of weak ones

Callers saw urgent lookups late wherever the balancer chose a weak instance, which it does for 116 of 124.

A weak instance now hands the request to an instance with at least twice its cores, in the preferred domain or its own, over a connection that is open before the first request. That one selects the targets, sends, hedges and merges, and returns the response. It declines at once if it is busy, drains, has an older configuration or is out of date; the entry instance then sends the parts itself. Without a receipt in 30 ms, or if the peer is lost, the entry instance retries within the retry budget, and counts a target of each part as tried. A request ends at both if the caller leaves. Peers of an earlier build do not say that they gather and get none.

--- a/bitternturn/gateway/const.py
+++ b/bitternturn/gateway/const.py
@@ -52,6 +52,9 @@
 # believed where it contradicts what was known, in seconds: operators and targets
 # have written again by then.
 RESTORED_DOUBT_S: Final = 3.0
+# Time since the last confirmation after which an instance that reaches neither the
+# store nor a peer that does is out of date, in seconds: longer than a watch waits.
+OUTDATED_S: Final = 10.0
 # Time for which removed targets are remembered, in seconds: more than the age of
 # the copy from which the store comes back.
 REMOVED_MEMORY_S: Final = 60.0
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -80,8 +80,12 @@
         dispatcher: Dispatcher,
         deadlines: Deadlines,
         on_end: Callable[[RequestResult], None],
+        repeated: bool = False,
     ) -> None:
-        """Initialise the request; `start` sends its parts."""
+        """Initialise the request; `start` sends its parts.
+
+        `repeated` is whether a peer may have sent them before.
+        """
         self.caller = caller
         self.route = route
         self.latency_estimate = latency_estimate
@@ -93,6 +97,8 @@
         self.parts = [
             Part(service=service, counts=self.counts) for service in services
         ]
+        for part in self.parts if repeated else ():
+            part.record_unknown_try()
         # Services to which the current configuration lets the request go.
         self.allowed_services: Collection[ServiceName] = services
         self.on_end: Callable[[RequestResult], None] | None = on_end
--- a/bitternturn/gateway/fleet_state.py
+++ b/bitternturn/gateway/fleet_state.py
@@ -52,6 +52,20 @@
         listed = self.targets_known and self.orders_known
         return configured and listed and self.instances_known
 
+    def is_outdated(self, now: float) -> bool:
+        """Return whether neither the store nor a peer has confirmed the state.
+
+        Without a failure, it may just be unchanged for longer.
+        """
+        failed_at, confirmed_at = self.store_failed_at, self.confirmed_at
+        if failed_at is None:
+            return False
+        if confirmed_at is None:
+            return True
+        return (
+            confirmed_at < failed_at and now - confirmed_at > const.OUTDATED_S
+        )
+
     def apply_configuration(self, configuration: Configuration) -> bool:
         """Apply a configuration if it is newer; return whether it was."""
         current = self.configuration
--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -8,6 +8,11 @@
 
 from bitternturn.core.ids import RouteName, ServiceName
 from bitternturn.gateway import const
+from bitternturn.gateway.coordination import (
+    Coordinators,
+    GatherRequest,
+    NoCoordinators,
+)
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.execution import RequestExecution
 from bitternturn.gateway.identity import identify_request
@@ -114,6 +119,7 @@
         self.left_at = math.inf
         self.stop_at = math.inf
         self.executions: set[RequestExecution] = set()
+        self.coordinators: Coordinators = NoCoordinators()
         self.returns = CallerReturns()
         self.answer_delay = AnswerDelay(
             cores=settings.cores,
@@ -208,8 +214,46 @@
         if isinstance(route, Response):
             return route
         services = self._services(route)
-        available = sum(bool(self.ready.get(service)) for service in services)
-        if available < route.min_parts():
+        refusal = self._refuse_unserved(caller, route, services, arrived_at)
+        if refusal is not None:
+            return refusal
+        deadlines = self._deadlines(caller, route, len(services), arrived_at)
+        if route.shards:
+            return await self._async_gather(
+                caller, route, deadlines, arrived_at
+            )
+        return await self.async_execute(
+            caller, route, services, deadlines, arrived_at
+        )
+
+    async def async_gather_for_peer(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        deadlines: Deadlines,
+        arrived_at: float,
+    ) -> Response:
+        """Serve a request over shards that a peer has admitted."""
+        refusal = self._refuse_unserved(caller, route, route.shards, arrived_at)
+        if refusal is not None:
+            return refusal
+        return await self.async_execute(
+            caller, route, route.shards, deadlines, arrived_at
+        )
+
+    def count_available(self, services: Iterable[ServiceName]) -> int:
+        """Return the number of services that have a target."""
+        return sum(bool(self.ready.get(service)) for service in services)
+
+    def _refuse_unserved(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        services: tuple[ServiceName, ...],
+        arrived_at: float,
+    ) -> Response | None:
+        """Refuse a request that targets can't serve; None if they can."""
+        if self.count_available(services) < route.min_parts():
             return self._refuse(
                 caller,
                 RefusalReason.NO_TARGET,
@@ -234,7 +278,7 @@
                 RefusalReason.SILENT_TARGETS,
                 const.SILENT_TARGETS_RETRY_AFTER_S,
             )
-        return await self._async_execute(caller, route, services, arrived_at)
+        return None
 
     def _admit(
         self, caller: CallerRequest, arrived_at: float
@@ -288,6 +332,8 @@
         caller = execution.caller
         route = self.route_table.match(caller.host, caller.path)
         execution.apply_route(route)
+        if caller.from_peer:
+            return
         reason = self._identify(caller, route or execution.route)
         if reason is not None:
             execution.refuse(reason)
@@ -308,6 +354,7 @@
         """Answer the requests in flight, since the instance stops."""
         for execution in list(self.executions):
             execution.expire()
+        self.coordinators.expire()
 
     async def _async_check_suspicion(
         self, caller: CallerRequest
@@ -379,14 +426,10 @@
             caller, RefusalReason.BUSY, retry_after_s
         )
 
-    async def _async_execute(
-        self,
-        caller: CallerRequest,
-        route: Route,
-        services: Sequence[ServiceName],
-        arrived_at: float,
-    ) -> Response:
-        """Send a request to its services and return the response."""
+    def _deadlines(
+        self, caller: CallerRequest, route: Route, parts: int, arrived_at: float
+    ) -> Deadlines:
+        """Return the deadlines of a request of a caller."""
         route_stats = self._route_stats(route)
         wait_s = _wait_s(caller, route)
         route_stats.longest_timeout_s = max(
@@ -395,9 +438,69 @@
         elapsed_s = route_stats.longest_timeout_s - wait_s
         reserve_s = self.answer_delay.reserve_s(
             first=caller.first_on_connection,
-            parts=len(services),
+            parts=parts,
             round_trip_s=caller.round_trip_s,
         )
+        return Deadlines(
+            soft_deadline=arrived_at
+            + route.latency_objective_s
+            - elapsed_s
+            - reserve_s,
+            deadline=arrived_at
+            + _timeout_s(caller, route)
+            - const.DEADLINE_MARGIN_S,
+        )
+
+    async def _async_gather(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        deadlines: Deadlines,
+        arrived_at: float,
+    ) -> Response:
+        """Let another instance gather the parts of a request, or send them."""
+        end = await self.coordinators.async_gather(
+            GatherRequest(
+                caller=caller,
+                route=route.name,
+                version=self.version,
+                outdated=self.fleet_state.is_outdated(self.now()),
+                deadlines=deadlines,
+            )
+        )
+        caller.maybe_run |= end.maybe_run
+        if end.response is not None:
+            if not caller.maybe_run:
+                self.quotas.give_back(caller)
+            return end.response
+        # The configuration may have changed meanwhile.
+        current = self.route_table.match(caller.host, caller.path)
+        if current is None or not current.shards:
+            reason = (
+                RefusalReason.FAILED
+                if caller.maybe_run
+                else RefusalReason.NO_ROUTE
+            )
+            return self._refuse(caller, reason, None)
+        return await self.async_execute(
+            caller,
+            current,
+            current.shards,
+            dataclasses.replace(
+                deadlines, deadline=min(deadlines.deadline, self.stop_at)
+            ),
+            arrived_at,
+        )
+
+    async def async_execute(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        services: Sequence[ServiceName],
+        deadlines: Deadlines,
+        arrived_at: float,
+    ) -> Response:
+        """Send a request to its services and return the response."""
         result_future: asyncio.Future[RequestResult] = (
             asyncio.get_running_loop().create_future()
         )
@@ -405,18 +508,11 @@
             caller=caller,
             route=route,
             services=services,
-            latency_estimate=route_stats.latency_estimate,
+            latency_estimate=self._route_stats(route).latency_estimate,
             dispatcher=self,
-            deadlines=Deadlines(
-                soft_deadline=arrived_at
-                + route.latency_objective_s
-                - elapsed_s
-                - reserve_s,
-                deadline=arrived_at
-                + _timeout_s(caller, route)
-                - const.DEADLINE_MARGIN_S,
-            ),
+            deadlines=deadlines,
             on_end=_make_result_setter(result_future),
+            repeated=caller.maybe_run,
         )
         self.executions.add(execution)
         with StepTimer(metrics=self.metrics, step=Step.SEND_PARTS):
@@ -429,6 +525,7 @@
             raise
         finally:
             self.executions.discard(execution)
+        caller.maybe_run |= result.maybe_run
         if not result.maybe_run:
             self.quotas.give_back(caller)
         with StepTimer(metrics=self.metrics, step=Step.ANSWER):
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -277,6 +277,8 @@
     # API key: None without one, empty if the header occurs more than once. Not
     # part of `headers` where tenants are configured.
     api_key: bytes | None = field(default=None, repr=False)
+    # Whether a peer has received the request, and has checked its key.
+    from_peer: bool = False
     # Name of the tenant, which targets get; empty without one.
     tenant: str = ''
     # Priority of the tenant, else of the route; 0 is the most urgent.
--- a/bitternturn/gateway/parts.py
+++ b/bitternturn/gateway/parts.py
@@ -11,6 +11,8 @@
 from bitternturn.http import const as http
 from bitternturn.policy.answer_timing import Verdict
 
+# Stands for a target that only a lost peer knows.
+UNKNOWN_TARGET: Final = TargetId('')
 # Path of a send over a connection of this instance, in place of a peer's name.
 DIRECT: Final = 'direct'
 # Statuses by which a target guarantees that it has not run the request.
@@ -127,6 +129,12 @@
         """Number of sends that may have reached a target."""
         return self.send_count - self.undelivered_count
 
+    def record_unknown_try(self) -> None:
+        """Record that a peer may have sent the part to one of the targets."""
+        self.send_count = 1
+        self.maybe_run = True
+        self.tried_targets[UNKNOWN_TARGET] = 1
+
     def set_closed(self, closed: bool) -> None:
         """Close the part, or open it again for a send that is in flight."""
         if closed != self.closed:
--- a/bitternturn/gateway/request_log.py
+++ b/bitternturn/gateway/request_log.py
@@ -9,7 +9,9 @@
 from bitternturn.core.decoding import DECODE_ERRORS
 
 # Kinds of lines about single requests; all others report changes of state.
-REQUEST_KINDS: Final = frozenset(('request', 'refused', 'send_lost'))
+REQUEST_KINDS: Final = frozenset(
+    ('request', 'refused', 'send_lost', 'handed_over')
+)
 # Kinds of lines about the life of an instance.
 LIFE_KINDS: Final = frozenset(('start', 'leaving', 'stop', 'paused'))
 # Kinds of lines about requests that crash targets, named by their key.
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -81,6 +81,7 @@
             ),
         )
         delegation = Delegation(gateway=self.gateway, tasks=self.tasks)
+        self.delegation = delegation
         self.rollouts = RolloutExchange(
             gateway=self.gateway, delegation=delegation, tasks=self.tasks
         )
@@ -160,6 +161,7 @@
         if self.rollout_store is not None:
             self.rollouts.start()
             self.rollout_store.start()
+        self.tasks.spawn(self.delegation.async_keep_connected())
         self.tasks.spawn(self._async_log_traffic())
         self.tasks.spawn(self._async_freeze_heap())
         self.decisions.write(
--- a/bitternturn/policy/answer_timing.py
+++ b/bitternturn/policy/answer_timing.py
@@ -120,9 +120,13 @@
                 min(way_s + MAX_ROUND_TRIP_MARGIN_S, CALLER_ROUND_TRIP_S),
             )
             setup_s = min(setup_s, way_s + ROUND_TRIP_MARGIN_S)
-        instance_s = self.delay_s + self.handling_s + parts * self.per_part_s
+        instance_s = self.instance_reserve_s(parts=parts)
         return path_s + (setup_s if first else 0) + instance_s
 
+    def instance_reserve_s(self, *, parts: int) -> float:
+        """Return the time to reserve for the instance and its network link."""
+        return self.delay_s + self.handling_s + parts * self.per_part_s
+
 
 @unique
 class Verdict(Enum):
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -52,6 +52,12 @@
 # Time for a request to reach a peer and for its receipt to return, also while
 # the peer handles another request. Without a receipt the peer counts as silent.
 RECEIPT_TIMEOUT_S: Final = 0.06
+# Time for the receipt of a request that a strong instance gathers. It is not busy,
+# and without a receipt this instance still has time to send the parts.
+HAND_OVER_RECEIPT_TIMEOUT_S: Final = 0.03
+# Interval at which the connections that the next wide request needs are checked: a
+# restarted instance is back after some seconds.
+KEEP_CONNECTED_INTERVAL_S: Final = 1.0
 # Time for which others are preferred to a peer that has said that it is busy.
 BUSY_BACKOFF_S: Final = 0.5
 # Time for a request and its report to pass the network and a busy peer. It is
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -31,6 +31,7 @@
 from bitternturn.policy.relay_selection import RELAYS_PER_DOMAIN, rank_relays
 from bitternturn.relay import const
 from bitternturn.relay.group_keys import GroupKeys
+from bitternturn.relay.hand_over import HandOvers
 from bitternturn.relay.outgoing_batch import OutgoingBatch
 from bitternturn.relay.peer import Peer
 from bitternturn.relay.quota_messages import PeerQuotaMessages
@@ -75,6 +76,8 @@
         # Budgets of further sends that other instances ask for.
         self.sponsor_budgets: dict[ServiceName, FurtherSendBudget] = {}
         gateway.sender = self
+        self.hand_overs = HandOvers(gateway=gateway, directory=self)
+        gateway.coordinators = self.hand_overs
         gateway.find_sponsor = self.find_sponsor
         gateway.sponsor = self.sponsor
         gateway.rate_limits.find_delegate_rank = self.find_own_rank
@@ -105,6 +108,28 @@
         self.delegate_rankings.clear()
         self.found.clear()
         self.gateway.rate_limits.invalidate_shares()
+        self.prepare()
+
+    def prepare(self) -> None:
+        """Open the connections that the first wide request needs.
+
+        These lead to the peer that gathers for this instance, else to the delegates.
+        """
+        if self.hand_overs.prepare():
+            return
+        own_name = self.gateway.settings.name
+        now = self.gateway.now()
+        for domain in self.members:
+            for key in self.group_keys.list_keys(self.gateway.wide_services):
+                name = self._find_delegate(domain, key, now)
+                if name is not None and name != own_name:
+                    self.peers[name].greet()
+
+    async def async_keep_connected(self) -> None:
+        """Keep those connections open, as peers are replaced."""
+        while True:
+            self.prepare()
+            await asyncio.sleep(const.KEEP_CONNECTED_INTERVAL_S)
 
     def find_relays(self, domain: FailureDomain, now: float) -> list[Peer]:
         """Return the available relays of a failure domain, best first."""
--- a/bitternturn/relay/group_keys.py
+++ b/bitternturn/relay/group_keys.py
@@ -19,12 +19,23 @@
         self, service: ServiceName, wide_services: Set[ServiceName]
     ) -> str:
         """Return the key of the shard group of a service of a wide route."""
-        if wide_services is not self.wide_services:
-            self.wide_services = wide_services
-            self.keys.clear()
+        self._update(wide_services)
         key = self.keys.get(service)
         if key is None:
             groups = count_groups(len(wide_services), const.SHARDS_PER_PEER)
             key = str(assign_group(service, groups))
             self.keys[service] = key
         return key
+
+    def list_keys(self, wide_services: Set[ServiceName]) -> list[str]:
+        """Return the keys of all groups."""
+        if not wide_services:
+            return []
+        groups = count_groups(len(wide_services), const.SHARDS_PER_PEER)
+        return [str(group) for group in range(groups)]
+
+    def _update(self, wide_services: Set[ServiceName]) -> None:
+        """Forget the keys if the services have changed."""
+        if wide_services is not self.wide_services:
+            self.wide_services = wide_services
+            self.keys.clear()
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -14,7 +14,7 @@
 from bitternturn.relay.connection import RelayConnection, async_open_connection
 from bitternturn.relay.peer_link import PeerLink
 from bitternturn.relay.traffic import RelayTraffic
-from bitternturn.schema.relay_pb2 import Frame, Links
+from bitternturn.schema.relay_pb2 import Frame, Links, Receipt
 
 
 @unique
@@ -77,6 +77,10 @@
         self.backoff_until: float = 0
         # Until when others are preferred, as the peer is busy.
         self.busy_until: float = 0
+        # Whether the peer has said over the present connection that it gathers
+        # the parts of requests, and whether it was asked.
+        self.gathers = False
+        self.greeted = False
 
     def is_available(self, now: float) -> bool:
         """Whether the backoff has elapsed."""
@@ -90,6 +94,12 @@
         """Prefer others for some time, as the peer is busy."""
         self.busy_until = now + const.BUSY_BACKOFF_S
 
+    def greet(self) -> None:
+        """Ask what the peer does for others, over a new connection if needed."""
+        if not self.greeted:
+            self.greeted = True
+            self.drop_handler(self.send_request(_make_greeting, _ignore_reply))
+
     def get_link(self, domain: FailureDomain) -> PeerLink:
         """Return the link over this peer to a failure domain."""
         link = self.links.get(domain)
@@ -179,6 +189,8 @@
     def _forget_connection(self) -> None:
         """Open another connection for the next request."""
         self.connection = None
+        self.gathers = False
+        self.greeted = False
         for link in self.links.values():
             link.record_disconnected(self.now())
 
@@ -193,6 +205,7 @@
             )
         except BitternturnError:
             self.record_failure()
+            self.greeted = False
             queued = [number for number, _ in self.send_queue]
             self.send_queue.clear()
             self._fail(PeerFailure.NOT_SENT, queued)
@@ -234,6 +247,7 @@
     def _update_links(self, links: Links) -> None:
         """Apply which failure domains the peer is cut off from."""
         now = self.now()
+        self.gathers = links.gathers
         cut_off = [FailureDomain(domain) for domain in links.cut_off]
         for link in self.links.values():
             link.record_connected()
@@ -265,6 +279,15 @@
             request.on_reply(failure)
 
 
+def _make_greeting() -> Frame:
+    """Return the first message on a connection without a request."""
+    return Frame(receipt=Receipt())
+
+
+def _ignore_reply(reply: Frame | PeerFailure) -> None:
+    """Ignore that a greeting was lost: the loss of its connection is noticed."""
+
+
 async def async_request(
     peer: Peer,
     frame: Frame,
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -14,6 +14,7 @@
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.copies import StoreCopies
 from bitternturn.relay.incoming_batch import IncomingBatch
+from bitternturn.relay.incoming_gather import IncomingGather
 from bitternturn.relay.observations import ObservationExchange
 from bitternturn.relay.quota_messages import handle_quota_frame
 from bitternturn.relay.rollout_exchange import RolloutExchange
@@ -21,6 +22,9 @@
 from bitternturn.relay.traffic import RelayTraffic
 from bitternturn.schema.relay_pb2 import Frame, Leaving, Links
 
+# What a peer has requested, by the number of the request.
+IncomingWork = IncomingBatch | IncomingGather
+
 
 class RelayServer:
     """Makes delegated sends and serves the copies of the store."""
@@ -42,7 +46,7 @@
         self.tasks = tasks
         self.traffic = traffic
         self.gateway = gateway
-        self.connections: dict[RelayConnection, dict[int, IncomingBatch]] = {}
+        self.connections: dict[RelayConnection, dict[int, IncomingWork]] = {}
         self.max_new_connections = max_new_connections
         # When connections without a frame so far were accepted, the oldest
         # first, on the clock of the event loop.
@@ -120,15 +124,18 @@
 
     def _notify_sender(self, connection: RelayConnection) -> None:
         """Tell a peer that may not know it which domains are cut off."""
-        cut_off = self.gateway.links.list_cut_off()
-        if cut_off:
-            connection.send(Frame(links=Links(cut_off=cut_off)))
+        if self.gateway.links.list_cut_off():
+            connection.send(self._describe_links())
 
     def notify_links(self) -> None:
         """Tell the other instances which domains this one is cut off from."""
-        cut_off = self.gateway.links.list_cut_off()
         for connection in self.connections:
-            connection.send(Frame(links=Links(cut_off=cut_off)))
+            connection.send(self._describe_links())
+
+    def _describe_links(self) -> Frame:
+        """Return what this instance reaches and does for others."""
+        cut_off = self.gateway.links.list_cut_off()
+        return Frame(links=Links(cut_off=cut_off, gathers=True))
 
     def close(self) -> None:
         """Close the listener and the connections."""
@@ -144,27 +151,46 @@
         """Handle a message of a peer."""
         batches = self.connections.setdefault(connection, {})
         self.silent.pop(connection, None)
+        if frame.HasField('cancel'):
+            known = batches.get(frame.number)
+            for index in frame.cancel.indexes:
+                if known is not None:
+                    known.cancel(index)
+            return
+        work = self._make_work(connection, frame)
+        if work is not None:
+            batches[frame.number] = work
+            work.start()
+            self._remove_finished(batches)
+        elif frame.HasField('follow'):
+            self.tasks.spawn(self._async_follow(connection, frame))
+        elif frame.HasField('receipt'):
+            connection.send(self._describe_links())
+        else:
+            self._handle_news(connection, frame)
+
+    def _make_work(
+        self, connection: RelayConnection, frame: Frame
+    ) -> IncomingWork | None:
+        """Return what a peer requests of this instance, None for other frames."""
         if frame.HasField('sends'):
             self._notify_sender(connection)
-            batch = IncomingBatch(
+            return IncomingBatch(
                 gateway=self.gateway,
                 connection=connection,
                 number=frame.number,
                 request=frame.sends,
                 starts=self.starts,
             )
-            batches[frame.number] = batch
-            batch.start()
-            self._remove_finished(batches)
-        elif frame.HasField('follow'):
-            self.tasks.spawn(self._async_follow(connection, frame))
-        elif frame.HasField('cancel'):
-            known = batches.get(frame.number)
-            for index in frame.cancel.indexes:
-                if known is not None:
-                    known.cancel(index)
-        else:
-            self._handle_news(connection, frame)
+        if frame.HasField('gather'):
+            return IncomingGather(
+                gateway=self.gateway,
+                connection=connection,
+                number=frame.number,
+                request=frame.gather,
+                tasks=self.tasks,
+            )
+        return None
 
     def _handle_news(self, connection: RelayConnection, frame: Frame) -> None:
         """Handle what a peer has found out."""
@@ -218,7 +244,7 @@
         for batch in self.connections.pop(connection, {}).values():
             batch.stop()
 
-    def _remove_finished(self, batches: dict[int, IncomingBatch]) -> None:
+    def _remove_finished(self, batches: dict[int, IncomingWork]) -> None:
         """Remove the batches that are finished."""
         for number in [key for key, it in batches.items() if it.finished]:
             del batches[number]
--- a/tests/gateway/test_fleet_state.py
+++ b/tests/gateway/test_fleet_state.py
@@ -1,6 +1,7 @@
 """Tests of the configuration and targets known to an instance."""
 
 from bitternturn.core.ids import FailureDomain, TargetId, Version
+from bitternturn.gateway import const
 from bitternturn.gateway.fleet_state import FleetState
 from bitternturn.gateway.models import Configuration, TargetState
 from bitternturn.standins.platform_target import PlatformTarget
@@ -109,3 +110,23 @@
         state.remove_entry(TargetId('b'), 65)
         state.restore_entries({'a': make_entry(A)}, 70)
         assert not state.entries
+
+
+class TestOutdated:
+    def test_state_is_current_without_a_failure(self):
+        state = FleetState()
+        assert not state.is_outdated(1000)
+
+    def test_state_is_outdated_some_time_after_the_last_confirmation(self):
+        state = FleetState()
+        state.confirmed_at = 100
+        state.store_failed_at = 105
+        assert not state.is_outdated(100 + const.OUTDATED_S)
+        assert state.is_outdated(101 + const.OUTDATED_S)
+        state.confirmed_at = 106
+        assert not state.is_outdated(101 + const.OUTDATED_S)
+
+    def test_state_that_nobody_has_confirmed_is_outdated(self):
+        state = FleetState()
+        state.store_failed_at = 1
+        assert state.is_outdated(2)
--- a/tests/relay/uneven_fleet.py
+++ b/tests/relay/uneven_fleet.py
@@ -6,6 +6,7 @@
 from bitternturn.core.ids import FailureDomain
 from bitternturn.standins.platform_target import PlatformTarget
 from tests.gateway.helpers import make_entry, make_shard_route
+from tests.platform.test_mirror import async_until
 from tests.relay.linked_fleet import LinkedFleet
 from tests.relay.target_thread import targets_in_thread
 
@@ -59,6 +60,14 @@
                 return
             await asyncio.sleep(0.01)
 
+    def is_idle(self):
+        """Return whether no send is under way."""
+        return not any(
+            target.sends
+            for instance in self.instances
+            for target in instance.gateway.targets.values()
+        )
+
     async def async_ask_patiently(self, instance):
         """Send a request; all its parts are answered."""
         response = await self.async_ask(
@@ -101,4 +110,9 @@
         try:
             yield fleet
         finally:
+            # Sends that end with their targets would be taken for lost ones.
+            await async_until(fleet.is_idle)
             await fleet.async_stop()
+            # The loss of the peers may have been noticed meanwhile.
+            for instance in fleet.instances:
+                await instance.gateway.tasks.async_stop()
