Call instances that gather for others gatherers, and find them in all domains

"Coordinator" and "handover" already name other things. `gateway/gatherers.py` and `relay/outgoing_gather.py` hold what had swelled the gateway and the delegation, `relay/member_rankings.py` the orders of the members.

A weak instance whose near strong ones are lost now asks those of other domains, spread over all of them, and is connected to two.

--- a/bitternturn/gateway/gateway.py
+++ b/bitternturn/gateway/gateway.py
@@ -8,13 +8,13 @@
 
 from bitternturn.core.ids import RouteName, ServiceName
 from bitternturn.gateway import const
-from bitternturn.gateway.coordination import (
-    Coordinators,
-    GatherRequest,
-    NoCoordinators,
-)
 from bitternturn.gateway.decision_log import DecisionLog
 from bitternturn.gateway.execution import RequestExecution
+from bitternturn.gateway.gatherers import (
+    Gatherers,
+    NoGatherers,
+    async_ask_gatherer,
+)
 from bitternturn.gateway.identity import identify_request
 from bitternturn.gateway.merge import merge_answers
 from bitternturn.gateway.models import (
@@ -119,7 +119,7 @@
         self.left_at = math.inf
         self.stop_at = math.inf
         self.executions: set[RequestExecution] = set()
-        self.coordinators: Coordinators = NoCoordinators()
+        self.gatherers: Gatherers = NoGatherers()
         self.returns = CallerReturns()
         self.answer_delay = AnswerDelay(
             cores=settings.cores,
@@ -219,8 +219,15 @@
             return refusal
         deadlines = self._deadlines(caller, route, len(services), arrived_at)
         if route.shards:
-            return await self._async_gather(
-                caller, route, deadlines, arrived_at
+            end = await async_ask_gatherer(self, caller, route, deadlines)
+            if isinstance(end, Response):
+                return end
+            if isinstance(end, RefusalReason):
+                return self._refuse(caller, end, None)
+            route, services = end, end.shards
+            # The instance may have begun to stop meanwhile.
+            deadlines = dataclasses.replace(
+                deadlines, deadline=min(deadlines.deadline, self.stop_at)
             )
         return await self.async_execute(
             caller, route, services, deadlines, arrived_at
@@ -354,7 +361,7 @@
         """Answer the requests in flight, since the instance stops."""
         for execution in list(self.executions):
             execution.expire()
-        self.coordinators.expire()
+        self.gatherers.expire()
 
     async def _async_check_suspicion(
         self, caller: CallerRequest
@@ -451,47 +458,6 @@
             - const.DEADLINE_MARGIN_S,
         )
 
-    async def _async_gather(
-        self,
-        caller: CallerRequest,
-        route: Route,
-        deadlines: Deadlines,
-        arrived_at: float,
-    ) -> Response:
-        """Let another instance gather the parts of a request, or send them."""
-        end = await self.coordinators.async_gather(
-            GatherRequest(
-                caller=caller,
-                route=route.name,
-                version=self.version,
-                outdated=self.fleet_state.is_outdated(self.now()),
-                deadlines=deadlines,
-            )
-        )
-        caller.maybe_run |= end.maybe_run
-        if end.response is not None:
-            if not caller.maybe_run:
-                self.quotas.give_back(caller)
-            return end.response
-        # The configuration may have changed meanwhile.
-        current = self.route_table.match(caller.host, caller.path)
-        if current is None or not current.shards:
-            reason = (
-                RefusalReason.FAILED
-                if caller.maybe_run
-                else RefusalReason.NO_ROUTE
-            )
-            return self._refuse(caller, reason, None)
-        return await self.async_execute(
-            caller,
-            current,
-            current.shards,
-            dataclasses.replace(
-                deadlines, deadline=min(deadlines.deadline, self.stop_at)
-            ),
-            arrived_at,
-        )
-
     async def async_execute(
         self,
         caller: CallerRequest,
--- a/bitternturn/gateway/request_log.py
+++ b/bitternturn/gateway/request_log.py
@@ -10,7 +10,7 @@
 
 # Kinds of lines about single requests; all others report changes of state.
 REQUEST_KINDS: Final = frozenset(
-    ('request', 'refused', 'send_lost', 'handed_over')
+    ('request', 'refused', 'send_lost', 'gathered')
 )
 # Kinds of lines about the life of an instance.
 LIFE_KINDS: Final = frozenset(('start', 'leaving', 'stop', 'paused'))
--- a/bitternturn/platform/gateway_daemon.py
+++ b/bitternturn/platform/gateway_daemon.py
@@ -32,6 +32,7 @@
 from bitternturn.relay.observations import ObservationExchange
 from bitternturn.relay.rollout_exchange import RolloutExchange
 from bitternturn.relay.server import RelayServer
+from bitternturn.relay.warm_connections import async_keep_connected
 
 # Timeout of a call to the store; slow responses take a few hundred ms.
 CALL_TIMEOUT_S = 1.5
@@ -161,7 +162,7 @@
         if self.rollout_store is not None:
             self.rollouts.start()
             self.rollout_store.start()
-        self.tasks.spawn(self.delegation.async_keep_connected())
+        self.tasks.spawn(async_keep_connected(self.delegation))
         self.tasks.spawn(self._async_log_traffic())
         self.tasks.spawn(self._async_freeze_heap())
         self.decisions.write(
--- a/bitternturn/policy/coordinator_selection.py
+++ b/bitternturn/policy/gatherer_selection.py
@@ -23,23 +23,30 @@
 Domain = TypeVar('Domain', bound=str)
 
 
-def rank_coordinators(
+def rank_gatherers(
     own: DelegateCandidate,
     members: Mapping[Domain, Sequence[DelegateCandidate]],
-    domains: Iterable[Domain],
+    near: Iterable[Domain],
 ) -> list[str]:
     """Return the instances that may gather for an instance, best first.
 
-    `members` are the instances by failure domain; those in the first of `domains`
-    come first. The instances of a domain are spread over its strong members.
+    `members` are the instances by failure domain; those in the domains in `near`
+    come first, in this order. The instances that ask are spread over the strong
+    members of a domain, and over those of all other domains.
     """
+    nearest = list(dict.fromkeys(near))
+    others = [
+        it
+        for domain in members
+        if domain not in nearest
+        for it in members[domain]
+    ]
     min_cores = own.cores * MIN_CORES_RATIO
     return [
         name
-        for domain in dict.fromkeys(domains)
+        for group in (*(members.get(it, ()) for it in nearest), others)
         for name in rank_delegates(
-            own.name,
-            [it for it in members.get(domain, ()) if it.cores >= min_cores],
+            own.name, [it for it in group if it.cores >= min_cores]
         )
     ]
 
--- a/bitternturn/relay/const.py
+++ b/bitternturn/relay/const.py
@@ -54,7 +54,10 @@
 RECEIPT_TIMEOUT_S: Final = 0.06
 # Time for the receipt of a request that a strong instance gathers. It is not busy,
 # and without a receipt this instance still has time to send the parts.
-HAND_OVER_RECEIPT_TIMEOUT_S: Final = 0.03
+GATHER_RECEIPT_TIMEOUT_S: Final = 0.03
+# Number of instances that gather to which a weak one is connected: the preferred
+# one, and the next one for the time in which that is lost.
+CONNECTED_GATHERERS: Final = 2
 # Interval at which the connections that the next wide request needs are checked: a
 # restarted instance is back after some seconds.
 KEEP_CONNECTED_INTERVAL_S: Final = 1.0
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -17,11 +17,7 @@
 from bitternturn.gateway.parts import Part
 from bitternturn.gateway.send import Send
 from bitternturn.gateway.target import start_directly
-from bitternturn.policy.delegate_selection import (
-    DelegateCandidate,
-    rank_delegates,
-    rank_strong_first,
-)
+from bitternturn.policy.delegate_selection import DelegateCandidate
 from bitternturn.policy.further_send_budget import (
     FurtherSendBudget,
     SendReason,
@@ -31,8 +27,9 @@
 from bitternturn.policy.relay_selection import RELAYS_PER_DOMAIN, rank_relays
 from bitternturn.relay import const
 from bitternturn.relay.group_keys import GroupKeys
-from bitternturn.relay.hand_over import HandOvers
+from bitternturn.relay.member_rankings import MemberRankings
 from bitternturn.relay.outgoing_batch import OutgoingBatch
+from bitternturn.relay.outgoing_gather import PeerGatherers
 from bitternturn.relay.peer import Peer
 from bitternturn.relay.quota_messages import PeerQuotaMessages
 from bitternturn.relay.traffic import RelayTraffic
@@ -64,9 +61,7 @@
         )
         self.peers: dict[str, Peer] = {}
         self.members: Mapping[FailureDomain, Sequence[DelegateCandidate]] = {}
-        self.rankings: dict[tuple[FailureDomain, str], list[str]] = {}
-        # Members of the domains as delegates, strong ones first.
-        self.delegate_rankings: dict[tuple[FailureDomain, str], list[str]] = {}
+        self.rankings = MemberRankings()
         # Delegates that were found at a time, by domain and key.
         self.found: dict[tuple[FailureDomain, str], str | None] = {}
         self.found_at: float = 0
@@ -76,8 +71,8 @@
         # Budgets of further sends that other instances ask for.
         self.sponsor_budgets: dict[ServiceName, FurtherSendBudget] = {}
         gateway.sender = self
-        self.hand_overs = HandOvers(gateway=gateway, directory=self)
-        gateway.coordinators = self.hand_overs
+        self.gatherers = PeerGatherers(gateway=gateway, directory=self)
+        gateway.gatherers = self.gatherers
         gateway.find_sponsor = self.find_sponsor
         gateway.sponsor = self.sponsor
         gateway.rate_limits.find_delegate_rank = self.find_own_rank
@@ -104,32 +99,9 @@
             entry.address.host: entry.domain for entry in entries
         }
         self.members = domains
-        self.rankings.clear()
-        self.delegate_rankings.clear()
+        self.rankings = MemberRankings(members=domains)
         self.found.clear()
         self.gateway.rate_limits.invalidate_shares()
-        self.prepare()
-
-    def prepare(self) -> None:
-        """Open the connections that the first wide request needs.
-
-        These lead to the peer that gathers for this instance, else to the delegates.
-        """
-        if self.hand_overs.prepare():
-            return
-        own_name = self.gateway.settings.name
-        now = self.gateway.now()
-        for domain in self.members:
-            for key in self.group_keys.list_keys(self.gateway.wide_services):
-                name = self._find_delegate(domain, key, now)
-                if name is not None and name != own_name:
-                    self.peers[name].greet()
-
-    async def async_keep_connected(self) -> None:
-        """Keep those connections open, as peers are replaced."""
-        while True:
-            self.prepare()
-            await asyncio.sleep(const.KEEP_CONNECTED_INTERVAL_S)
 
     def find_relays(self, domain: FailureDomain, now: float) -> list[Peer]:
         """Return the available relays of a failure domain, best first."""
@@ -218,7 +190,7 @@
         domain = self.gateway.domains.preferred
         groups: dict[str | None, list[Part]] = {}
         for key, members in by_key.items():
-            name = self._find_delegate(domain, key, now)
+            name = self.find_delegate(domain, key, now)
             groups.setdefault(name, []).extend(members)
         # Peers are at work while this instance sends its own parts.
         own_name = self.gateway.settings.name
@@ -241,7 +213,7 @@
         link = self.gateway.links.get(domain)
         key = self._delegate_key(send)
         if key is not None:
-            name = self._find_delegate(domain, key, now)
+            name = self.find_delegate(domain, key, now)
             if name is not None:
                 return name
         if link.usable:
@@ -276,11 +248,11 @@
         """Yield the peers in some domains, in the order for this instance."""
         own_name = self.gateway.settings.name
         for domain in domains:
-            for name in self._ranked_members(domain, own_name):
+            for name in self.rankings.rank_members(domain, own_name):
                 if name != own_name:
                     yield name
 
-    def _find_delegate(
+    def find_delegate(
         self, domain: FailureDomain, key: str, now: float
     ) -> str | None:
         """Return the first usable instance of a domain for a key, if any.
@@ -301,7 +273,7 @@
     ) -> str | None:
         """Return the first usable instance, one that is not busy if possible."""
         busy: str | None = None
-        for name in self._ranked_delegates(domain, key):
+        for name in self.rankings.rank_delegates(domain, key):
             if self._reaches(name, domain, now):
                 own = name == self.gateway.settings.name
                 if own or not self.peers[name].is_busy(now):
@@ -339,28 +311,6 @@
             return None
         return settings.name
 
-    def _ranked_members(
-        self,
-        domain: FailureDomain,
-        key: str,
-    ) -> Sequence[str]:
-        """Return the instances of a domain, ranked for a key."""
-        ranked = self.rankings.get((domain, key))
-        if ranked is None:
-            ranked = rank_delegates(key, self.members.get(domain, ()))
-            self.rankings[(domain, key)] = ranked
-        return ranked
-
-    def _ranked_delegates(
-        self, domain: FailureDomain, key: str
-    ) -> Sequence[str]:
-        """Return the instances of a domain, ranked as delegates for a key."""
-        ranked = self.delegate_rankings.get((domain, key))
-        if ranked is None:
-            ranked = rank_strong_first(key, self.members.get(domain, ()))
-            self.delegate_rankings[(domain, key)] = ranked
-        return ranked
-
     def _sent_by_instances(self, entry: TargetEntry) -> bool:
         """Return whether instances use a target on their own behalf."""
         return entry.service not in self.gateway.wide_services
@@ -372,7 +322,7 @@
         """
         if self._sent_by_instances(entry):
             return True
-        name = self._find_delegate(
+        name = self.find_delegate(
             entry.failure_domain, self._group_key(entry), now
         )
         return name is None or name == self.gateway.settings.name
@@ -397,7 +347,7 @@
 
     def _own_rank(self, entry: TargetEntry) -> int:
         """Return the rank of this instance among a target's delegates."""
-        ranked = self._ranked_delegates(
+        ranked = self.rankings.rank_delegates(
             entry.failure_domain, self._group_key(entry)
         )
         own_name = self.gateway.settings.name
@@ -411,7 +361,7 @@
         """
         if self._sent_by_instances(entry):
             return False
-        name = self._find_delegate(
+        name = self.find_delegate(
             entry.failure_domain, self._group_key(entry), now
         )
         if name == self.gateway.settings.name:
--- a/bitternturn/relay/incoming_gather.py
+++ b/bitternturn/relay/incoming_gather.py
@@ -5,11 +5,11 @@
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.core.ids import RouteName
 from bitternturn.core.tasks import TaskSet
-from bitternturn.gateway.coordination import coordinator_deadlines
 from bitternturn.gateway.gateway import Gateway
+from bitternturn.gateway.gatherers import gatherer_deadlines
 from bitternturn.gateway.models import CallerRequest, Route
 from bitternturn.http.models import Response
-from bitternturn.policy.coordinator_selection import may_gather
+from bitternturn.policy.gatherer_selection import may_gather
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.schema.relay_pb2 import (
     Answer,
@@ -109,7 +109,7 @@
         # The remaining time is that at the sender. Without a pause of this
         # process, the message has arrived within milliseconds.
         age_s = gateway.pauses.message_age_s(arrived_at)
-        deadlines = coordinator_deadlines(
+        deadlines = gatherer_deadlines(
             arrived_at=arrived_at - age_s,
             aim_s=self.request.aim_ms / MS_PER_SECOND,
             left_s=self.request.left_ms / MS_PER_SECOND,
--- a/bitternturn/relay/hand_over.py
+++ b/bitternturn/relay/outgoing_gather.py
@@ -1,18 +1,19 @@
-"""Hands requests over shards to stronger instances, which gather their parts."""
+"""Passes requests over shards to stronger instances, which gather their parts."""
 
 import asyncio
 from collections.abc import Iterator, Mapping, Sequence
 from enum import Enum, unique
+from itertools import islice
 from typing import Protocol
 
 from bitternturn.core.clock import MS_PER_SECOND
 from bitternturn.core.ids import FailureDomain
-from bitternturn.gateway.coordination import GatherEnd, GatherRequest
 from bitternturn.gateway.gateway import Gateway
+from bitternturn.gateway.gatherers import GatherEnd, GatherRequest
 from bitternturn.http.const import MAX_STATUS, STATUS_OK
 from bitternturn.http.models import Response
-from bitternturn.policy.coordinator_selection import rank_coordinators
 from bitternturn.policy.delegate_selection import DelegateCandidate
+from bitternturn.policy.gatherer_selection import rank_gatherers
 from bitternturn.relay import const
 from bitternturn.relay.outgoing_batch import encode_priority
 from bitternturn.relay.peer import Peer, PeerFailure
@@ -26,8 +27,8 @@
 
 
 @unique
-class HandOverOutcome(Enum):
-    """How a request that was handed over has ended."""
+class GatherOutcome(Enum):
+    """How a request that was passed to a peer has ended."""
 
     ANSWERED = 'answered'
     # The peer has not sent anything and will not.
@@ -36,7 +37,7 @@
     LOST = 'lost'
 
 
-class HandOver:
+class OutgoingGather:
     """One request that a peer gathers."""
 
     def __init__(
@@ -51,13 +52,13 @@
         self.received_bytes = 0
         self.timer: asyncio.TimerHandle | None = None
         self.end_future: asyncio.Future[
-            tuple[HandOverOutcome, Response | None]
+            tuple[GatherOutcome, Response | None]
         ] = asyncio.get_running_loop().create_future()
 
     def start(self) -> None:
         """Send the request."""
         self.received_bytes = self.peer.received_bytes()
-        self._expect_message(const.HAND_OVER_RECEIPT_TIMEOUT_S)
+        self._expect_message(const.GATHER_RECEIPT_TIMEOUT_S)
         self.number = self.peer.send_request(self.make_frame, self.handle_reply)
 
     def make_frame(self) -> Frame | None:
@@ -93,9 +94,7 @@
         """Handle the receipt, the response or the failure of the peer."""
         if isinstance(reply, PeerFailure):
             sent = reply is not PeerFailure.NOT_SENT
-            self._end(
-                HandOverOutcome.LOST if sent else HandOverOutcome.DECLINED
-            )
+            self._end(GatherOutcome.LOST if sent else GatherOutcome.DECLINED)
         elif reply.HasField('gathered'):
             self._handle_response(reply.gathered)
         else:
@@ -104,7 +103,7 @@
     def cancel(self) -> None:
         """End the request at the peer, as its response is no longer wanted."""
         self.peer.send_followup(self.number, Frame(cancel=Cancel(indexes=[0])))
-        self._end(HandOverOutcome.LOST)
+        self._end(GatherOutcome.LOST)
 
     def _handle_receipt(self) -> None:
         """Wait for the response.
@@ -124,15 +123,15 @@
         """End the request with the response of the peer, if it has one."""
         if not gathered.HasField('answer'):
             self.peer.record_busy(self.gateway.now())
-            self._end(HandOverOutcome.DECLINED)
+            self._end(GatherOutcome.DECLINED)
             return
         self.request.caller.maybe_run |= gathered.maybe_run
         answer = gathered.answer
         if not STATUS_OK <= answer.status <= MAX_STATUS:
-            self._end(HandOverOutcome.LOST)
+            self._end(GatherOutcome.LOST)
             return
         self._end(
-            HandOverOutcome.ANSWERED,
+            GatherOutcome.ANSWERED,
             Response(
                 status=answer.status,
                 headers=dict(answer.headers),
@@ -161,7 +160,7 @@
             self.timer = None
 
     def _end(
-        self, outcome: HandOverOutcome, response: Response | None = None
+        self, outcome: GatherOutcome, response: Response | None = None
     ) -> None:
         """End the request, and ignore what comes of it later."""
         self._cancel_timer()
@@ -178,7 +177,7 @@
     members: Mapping[FailureDomain, Sequence[DelegateCandidate]]
 
 
-class HandOvers:
+class PeerGatherers:
     """Chooses the peers that gather for this instance."""
 
     def __init__(self, *, gateway: Gateway, directory: PeerDirectory) -> None:
@@ -189,10 +188,10 @@
         # Members and preferred domain for which they are ranked.
         self.ranked_members = directory.members
         self.ranked_domain = gateway.domains.preferred
-        self.under_way: set[HandOver] = set()
+        self.under_way: set[OutgoingGather] = set()
 
-    def prepare(self) -> bool:
-        """Connect to the preferred peer; return whether there is one."""
+    def connect(self) -> bool:
+        """Connect to the preferred peers; return whether there are any."""
         self._find_peer(self.gateway.now())
         return bool(self._rank())
 
@@ -205,7 +204,7 @@
         if not current or preferred != self.ranked_domain:
             self.ranked_members = members
             self.ranked_domain = preferred
-            self.ranked = rank_coordinators(
+            self.ranked = rank_gatherers(
                 DelegateCandidate(
                     name=settings.name,
                     domain=settings.failure_domain,
@@ -221,34 +220,36 @@
         now = self.gateway.now()
         peer = self._find_peer(now)
         caller = request.caller
-        if peer is None or not self._may_hand_over(request, now):
+        if peer is None or not self._may_ask(request, now):
             return GatherEnd()
-        hand_over = HandOver(peer=peer, request=request, gateway=self.gateway)
-        self.under_way.add(hand_over)
-        hand_over.start()
+        gather = OutgoingGather(
+            peer=peer, request=request, gateway=self.gateway
+        )
+        self.under_way.add(gather)
+        gather.start()
         try:
-            outcome, response = await hand_over.end_future
+            outcome, response = await gather.end_future
         except asyncio.CancelledError:
-            hand_over.cancel()
-            self._report(hand_over, 'caller_left', now)
+            gather.cancel()
+            self._report(gather, 'caller_left', now)
             raise
         finally:
-            self.under_way.discard(hand_over)
-        self._report(hand_over, outcome.value, now)
-        lost = outcome is HandOverOutcome.LOST
+            self.under_way.discard(gather)
+        self._report(gather, outcome.value, now)
+        lost = outcome is GatherOutcome.LOST
         return GatherEnd(response=response, maybe_run=caller.maybe_run or lost)
 
     def expire(self) -> None:
         """Give up the requests under way, since this instance stops."""
-        for hand_over in list(self.under_way):
-            hand_over.cancel()
+        for gather in list(self.under_way):
+            gather.cancel()
 
-    def _may_hand_over(self, request: GatherRequest, now: float) -> bool:
+    def _may_ask(self, request: GatherRequest, now: float) -> bool:
         """Return whether a peer may get a request and can answer it in time."""
         caller = request.caller
         left_s = request.deadlines.soft_deadline - now
         fits = len(caller.body) <= const.MAX_WHOLE_BODY_BYTES
-        if not fits or left_s <= const.HAND_OVER_RECEIPT_TIMEOUT_S:
+        if not fits or left_s <= const.GATHER_RECEIPT_TIMEOUT_S:
             return False
         suspects = self.gateway.crash_suspects
         if suspects.refuses(caller, now) or suspects.doubted_services(caller):
@@ -258,14 +259,13 @@
     def _find_peer(self, now: float) -> Peer | None:
         """Return the first peer that is ready for requests.
 
-        Connects to the first one that could be, so that no request waits for a
-        connection.
+        Connects to the first ones, so that no request waits for a connection.
         """
-        for peer in self._list_available(now):
-            if peer.gathers:
-                return peer
+        available = self._list_available(now)
+        found = list(islice(available, const.CONNECTED_GATHERERS))
+        for peer in found:
             peer.greet()
-        return None
+        return next((peer for peer in found if peer.gathers), None)
 
     def _list_available(self, now: float) -> Iterator[Peer]:
         """Yield the peers that may get requests, the preferred ones first."""
@@ -274,15 +274,17 @@
             if peer.is_available(now) and not peer.is_busy(now):
                 yield peer
 
-    def _report(self, hand_over: HandOver, outcome: str, since: float) -> None:
-        """Count and log a request that was handed over."""
-        self.gateway.metrics.increment('handed_over', outcome=outcome)
+    def _report(
+        self, gather: OutgoingGather, outcome: str, since: float
+    ) -> None:
+        """Count and log a request that was passed to a peer."""
+        self.gateway.metrics.increment('gathered', outcome=outcome)
         now = self.gateway.now()
         self.gateway.decisions.write(
-            'handed_over',
-            request_id=hand_over.request.caller.id,
-            route=hand_over.request.route,
-            via=hand_over.peer.name,
+            'gathered',
+            request_id=gather.request.caller.id,
+            route=gather.request.route,
+            via=gather.peer.name,
             outcome=outcome,
             ms=round((now - since) * MS_PER_SECOND, 1),
         )
--- a/tests/relay/uneven_fleet.py
+++ b/tests/relay/uneven_fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from bitternturn.core.ids import FailureDomain
+from bitternturn.relay.warm_connections import open_connections
 from bitternturn.standins.platform_target import PlatformTarget
 from tests.gateway.helpers import make_entry, make_shard_route
 from tests.platform.test_mirror import async_until
@@ -106,6 +107,8 @@
             targets, shards=shards, instances=INSTANCES, domains=DOMAINS
         )
         await fleet.async_start(make_shard_route(shards, **route))
+        for instance in fleet.instances:
+            open_connections(instance.delegation)
         await fleet.async_settle()
         try:
             yield fleet
