Let gatherers and entry instances respect what targets told the other

The soak counts the sends of delegates for the instance that the caller asked, which learns of announcements from their reports; a gatherer reported none, and was told none.

A request to a gatherer now carries what targets have announced to the entry instance, and the response what those have announced that it was sent to. Notices name the start of the target, so that one that has restarted is not affected. A limit that a replying target no longer names is lifted at both.

The first instance of each domain of the soak is now a strong one.

--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -35,6 +35,8 @@
 TOP_RECORDS = 5
 RECORD_BYTES = 16
 SHUTDOWN_GRACE_S = 3
+# Cores of the instances that gather the parts of requests for others.
+STRONG_CORES = 3
 # Longest time for which an answer is on its way.
 IN_FLIGHT_S = 0.5
 ROOT = Path(__file__).parents[2]
@@ -144,8 +146,14 @@
                 'grace-s': SHUTDOWN_GRACE_S,
             },
             store=f'127.0.0.1:{self.store_port}',
+            limits={'cores': self.cores},
         )
 
+    @property
+    def cores(self) -> int:
+        """Cores by the settings; the first instance of each domain is strong."""
+        return STRONG_CORES if self.number < len(DOMAINS) else 1
+
     async def async_start(self) -> None:
         """Write the settings and start the process."""
         path = self.folder / f'i{self.number}.json'
--- a/bitternturn/gateway/announcements.py
+++ b/bitternturn/gateway/announcements.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from bitternturn.core.ids import TargetId
 from bitternturn.gateway.models import TargetLife
 from bitternturn.gateway.rate_limits import RateLimit
 
@@ -63,6 +64,8 @@
         self.unlisted: set[TargetLife] = set()
         # End of the last pause that a target has asked for.
         self.pauses_end_at: float = 0
+        # Targets that may leave or want no requests.
+        self.sources: set[TargetId] = set()
 
     def get(self, life: TargetLife) -> Announcement:
         """Return the announcement of a listed life, created at its first use."""
--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -9,6 +9,7 @@
 from bitternturn.gateway import const
 from bitternturn.gateway.dispatcher import Dispatcher
 from bitternturn.gateway.models import (
+    REPLY_OUTCOMES,
     UNDELIVERED_OUTCOMES,
     CallerRequest,
     RefusalReason,
@@ -294,6 +295,8 @@
         send.sponsored = sponsored
         send.direct = direct
         part.in_flight.append(send)
+        if self.caller.from_peer:
+            self.caller.replies.setdefault(target.entry.id, False)
         self.dispatcher.start_send(send, now)
         return True
 
@@ -352,6 +355,8 @@
         """Handle the end of one send."""
         if send in part.in_flight:
             part.in_flight.remove(send)
+        if self.caller.from_peer and outcome in REPLY_OUTCOMES:
+            self.caller.replies[send.target.entry.id] = True
         not_run = outcome in NOT_RUN_OUTCOMES
         part.maybe_run = part.maybe_run or not not_run
         self.caller.maybe_run |= part.maybe_run
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -279,6 +279,8 @@
     api_key: bytes | None = field(default=None, repr=False)
     # Whether a peer has received the request, and has checked its key.
     from_peer: bool = False
+    # Whether each target that it was sent to has replied.
+    replies: dict[TargetId, bool] = field(default_factory=dict)
     # Name of the tenant, which targets get; empty without one.
     tenant: str = ''
     # Priority of the tenant, else of the route; 0 is the most urgent.
--- a/bitternturn/gateway/pool.py
+++ b/bitternturn/gateway/pool.py
@@ -378,6 +378,7 @@
 
     def _handle_leaving(self, target: Target) -> None:
         """Stop using a target that has announced that it leaves."""
+        self.announcements.sources.add(target.entry.id)
         self.decisions.write(
             'target_leaving',
             target=target.entry.id,
@@ -389,6 +390,7 @@
     def _handle_pause(self, target: Target, pause_s: float) -> None:
         """Do not use a target for as long as it asks."""
         now = self.now()
+        self.announcements.sources.add(target.entry.id)
         until = choose_return_at(pause_s, now=now, uniform=self.rng.uniform)
         was_paused = now < target.announcement.paused_until
         self.announcements.announce_pause(target.announcement, until, now)
--- a/bitternturn/relay/incoming_batch.py
+++ b/bitternturn/relay/incoming_batch.py
@@ -1,7 +1,6 @@
 """Makes sends on behalf of a peer and reports how they ended."""
 
 import asyncio
-import math
 from collections.abc import Sequence
 from functools import partial
 
@@ -20,8 +19,8 @@
 from bitternturn.policy.target_selection import should_decline
 from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection
-from bitternturn.relay.outcomes import encode_outcome
 from bitternturn.relay.start_queue import StartQueue
+from bitternturn.relay.target_notices import make_part
 from bitternturn.schema import relay_pb2
 from bitternturn.schema.relay_pb2 import Frame, Part, Parts, Receipt, Sends
 
@@ -111,7 +110,7 @@
             rejection = self._rejection_outcome(index, target, now)
             if target is None or rejection is not None:
                 outcome = rejection or SendOutcome.NOT_SENT
-                rejected.append((_make_part(index, outcome, target), None))
+                rejected.append((make_part(index, outcome, target), None))
             else:
                 self.waiting[index] = target
         self.pending_count -= len(rejected)
@@ -236,7 +235,7 @@
         self.pending_count -= 1
         if self.request.whole_answers and _is_too_long(answer):
             outcome, answer = SendOutcome.LOST, None
-        part = _make_part(index, outcome, target)
+        part = make_part(index, outcome, target)
         now = self.gateway.now()
         part.stamp = answer.stamp if answer else ''
         part.took_ms = round((now - self.started_at) * MS_PER_SECOND)
@@ -264,7 +263,7 @@
 
     def _on_silence(self, index: int, target: Target) -> None:
         """Report that this instance is cut off from the target of a send."""
-        part = _make_part(index, SendOutcome.LOST, target)
+        part = make_part(index, SendOutcome.LOST, target)
         part.silent = True
         self.unreported.append((part, None))
         self._schedule_end_report(SendOutcome.LOST)
@@ -346,28 +345,6 @@
         )
 
 
-def _make_part(index: int, outcome: SendOutcome, target: Target | None) -> Part:
-    """Return the report of a send to a target, None if it is not known."""
-    part = Part(index=index, outcome=encode_outcome(outcome))
-    if target is not None:
-        part.leaving = target.announcement.leaving
-        pause_s = target.announcement.paused_until - target.now()
-        part.pause_ms = max(0, math.ceil(pause_s * MS_PER_SECOND))
-        _add_rate_limit(part, target)
-    return part
-
-
-def _add_rate_limit(part: Part, target: Target) -> None:
-    """Add the rate limit that a target has named, if any."""
-    limit = target.announcement.rate_limit
-    if limit.per_s is None:
-        return
-    now = target.now()
-    wait_s = target.rate_limits.own_next_at(target.entry, limit, now) - now
-    part.limit_per_s = limit.per_s
-    part.limit_wait_ms = math.ceil(wait_s * MS_PER_SECOND)
-
-
 def _add_answer(part: Part, answer: TargetAnswer) -> None:
     """Add a whole answer to the report of a send."""
     part.answer.status = answer.status
--- a/bitternturn/relay/incoming_gather.py
+++ b/bitternturn/relay/incoming_gather.py
@@ -11,6 +11,7 @@
 from bitternturn.http.models import Response
 from bitternturn.policy.gatherer_selection import may_gather
 from bitternturn.relay.connection import RelayConnection
+from bitternturn.relay.target_notices import apply_notices, list_heard
 from bitternturn.schema.relay_pb2 import (
     Answer,
     Frame,
@@ -68,6 +69,7 @@
             self._send(Frame(gathered=Gathered()))
             return
         self._confirm()
+        apply_notices(self.gateway, self.request.notices, since=now)
         # A cancellation that has been received with the request, as after a pause
         # of this process, is handled before the task starts.
         self.task = self.tasks.spawn(self._async_gather(route, now))
@@ -138,6 +140,11 @@
                         body=response.body,
                     ),
                     maybe_run=self.caller.maybe_run,
+                    notices=dict(
+                        list_heard(
+                            self.gateway, self.caller, self.request.notices
+                        )
+                    ),
                 )
             )
         )
--- a/bitternturn/relay/outgoing_batch.py
+++ b/bitternturn/relay/outgoing_batch.py
@@ -23,6 +23,7 @@
 from bitternturn.relay.outcomes import decode_outcome
 from bitternturn.relay.peer import Peer, PeerFailure
 from bitternturn.relay.peer_link import PeerLink
+from bitternturn.relay.target_notices import apply_notice
 from bitternturn.schema import relay_pb2
 from bitternturn.schema.relay_pb2 import (
     Cancel,
@@ -226,11 +227,14 @@
             # have run.
             outcome = SendOutcome.FAILED
         self._record_path(send, outcome, now)
-        if part.leaving:
-            send.target.announce_leaving()
-        if part.pause_ms:
-            send.target.announce_pause(part.pause_ms / MS_PER_SECOND)
-        self._apply_rate_limit(send, part, outcome, now)
+        apply_notice(
+            send.target,
+            part,
+            replied=outcome in REPLY_OUTCOMES,
+            since=send.started_at,
+        )
+        limit = send.target.announcement.rate_limit
+        limit.peer_full_until = now + part.limit_wait_ms / MS_PER_SECOND
         answer = None
         if outcome in REPLY_OUTCOMES and valid:
             answer = self._read_answer(send, part, answer_index)
@@ -275,18 +279,6 @@
         elif outcome is SendOutcome.NO_PATH:
             self._get_link(send).record_declined(now)
 
-    def _apply_rate_limit(
-        self, send: Send, part: Part, outcome: SendOutcome, now: float
-    ) -> None:
-        """Apply the rate limit that a report states, if the peer knows it."""
-        limited = part.limit_per_s > 0
-        if limited or outcome in REPLY_OUTCOMES:
-            send.target.announce_rate_limit(
-                part.limit_per_s if limited else None, send.started_at
-            )
-        limit = send.target.announcement.rate_limit
-        limit.peer_full_until = now + part.limit_wait_ms / MS_PER_SECOND
-
     def _finish_all(self, failure: PeerFailure) -> None:
         """Finish every pending send after a failure of the peer."""
         outcome = SendOutcome.PEER_LOST
--- a/bitternturn/relay/outgoing_gather.py
+++ b/bitternturn/relay/outgoing_gather.py
@@ -17,6 +17,7 @@
 from bitternturn.relay import const
 from bitternturn.relay.outgoing_batch import encode_priority
 from bitternturn.relay.peer import Peer, PeerFailure
+from bitternturn.relay.target_notices import apply_notices, list_known
 from bitternturn.schema.relay_pb2 import (
     Cancel,
     Frame,
@@ -50,6 +51,7 @@
         self.number = 0
         self.confirmed = False
         self.received_bytes = 0
+        self.started_at: float = 0
         self.timer: asyncio.TimerHandle | None = None
         self.end_future: asyncio.Future[
             tuple[GatherOutcome, Response | None]
@@ -58,6 +60,7 @@
     def start(self) -> None:
         """Send the request."""
         self.received_bytes = self.peer.received_bytes()
+        self.started_at = self.gateway.now()
         self._expect_message(const.GATHER_RECEIPT_TIMEOUT_S)
         self.number = self.peer.send_request(self.make_frame, self.handle_reply)
 
@@ -87,6 +90,7 @@
                 route=self.request.route,
                 version=self.request.version,
                 outdated=self.request.outdated,
+                notices=dict(list_known(self.gateway)),
             ),
         )
 
@@ -125,6 +129,7 @@
             self.peer.record_busy(self.gateway.now())
             self._end(GatherOutcome.DECLINED)
             return
+        apply_notices(self.gateway, gathered.notices, since=self.started_at)
         self.request.caller.maybe_run |= gathered.maybe_run
         answer = gathered.answer
         if not STATUS_OK <= answer.status <= MAX_STATUS:
--- a/tests/relay/test_gatherers.py
+++ b/tests/relay/test_gatherers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections import Counter
 
 import pytest
 
+from bitternturn.core.ids import TargetId
 from bitternturn.gateway.models import SendOutcome
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.incoming_gather import IncomingGather
@@ -230,3 +232,57 @@
             response = await asked
             assert response.status in {502, 504}
             await async_until(lambda: not gatherer.gateway.in_flight)
+
+
+class TestNotices:
+    """What a target tells one of both instances, both respect."""
+
+    async def test_pause_told_to_the_gatherer_reaches_the_entry_instance(self):
+        async with fleet_with_entry(max_targets=2) as (fleet, entry, _):
+            for target in fleet.targets[:SHARDS]:
+                target.script = lambda _: ScriptedBehaviour.PAUSE
+                target.retry_after = str(PATIENT_S)
+            await fleet.async_ask_patiently(entry)
+            paused = [
+                target
+                for target in fleet.targets[:SHARDS]
+                if target.pauses_told
+            ]
+            now = entry.gateway.now()
+            assert paused
+            for target in paused:
+                known = entry.gateway.targets[TargetId(target.id)]
+                assert not known.announcement.allows_send(now)
+
+    async def test_pause_told_to_the_entry_instance_reaches_the_gatherer(self):
+        async with fleet_with_entry() as (fleet, entry, gatherer):
+            paused = fleet.targets[:SHARDS]
+            for target in paused:
+                known = entry.gateway.targets[TargetId(target.id)]
+                known.announce_pause(PATIENT_S)
+            await fleet.async_ask_patiently(entry)
+            assert count_outcomes(entry) == {'answered': 1}
+            assert not any(target.requests for target in paused)
+
+    async def test_notice_of_an_earlier_life_is_ignored(self):
+        async with fleet_with_entry() as (fleet, entry, gatherer):
+            target = entry.gateway.targets[TargetId(fleet.targets[0].id)]
+            target.announce_leaving()
+            target.entry = dataclasses.replace(target.entry, started_at_ms=7)
+            await fleet.async_ask_patiently(entry)
+            known = gatherer.gateway.targets[target.entry.id]
+            assert not known.announcement.leaving
+
+    async def test_limit_that_is_lifted_ends_at_the_entry_instance(self):
+        async with fleet_with_entry() as (fleet, entry, gatherer):
+            for known in entry.gateway.targets.values():
+                known.announce_rate_limit(1000, 0)
+            # Both have no permit when they learn of a limit.
+            while (await fleet.async_ask(entry, PATH)).status != 200:
+                await asyncio.sleep(0.01)
+            limits = [
+                entry.gateway.targets[TargetId(it.id)].announcement.rate_limit
+                for it in fleet.targets
+                if it.requests
+            ]
+            assert not any(limit.per_s for limit in limits)
