Show that notices after the end of a gathered request are lost

A target that asks for a pause in its answer to a detached send tells the gatherer alone once that has replied, or once the caller has left. The entry instance then passes further requests to other gatherers, which send within the pause.

--- a/tests/relay/test_gatherers.py
+++ b/tests/relay/test_gatherers.py
@@ -58,6 +58,13 @@
     gateway.pauses.load.measured_at = gateway.now() + PATIENT_S
 
 
+def all_in_use(instance, targets):
+    """Return whether an instance may send to each of some targets."""
+    known = [instance.gateway.targets[TargetId(it.id)] for it in targets]
+    now = instance.gateway.now()
+    return all(it.announcement.allows_send(now) for it in known)
+
+
 class TestGatherers:
     """Load pattern: a wide request arrives at a weak instance."""
 
@@ -254,6 +261,29 @@
                 known = entry.gateway.targets[TargetId(target.id)]
                 assert not known.announcement.allows_send(now)
 
+    @pytest.mark.parametrize('end', ['answered', 'caller_left'])
+    async def test_notice_after_the_end_reaches_the_entry_instance(self, end):
+        """The gatherer alone hears the answers to sends that are detached."""
+        async with fleet_with_entry(
+            min_coverage=0.8, latency_objective_s=0.1
+        ) as (fleet, entry, _):
+            late = fleet.targets[::SHARDS]
+            for target in late:
+                target.delay_s = 0.25
+                target.script = lambda _: ScriptedBehaviour.PAUSE
+                target.retry_after = str(PATIENT_S)
+            asked = asyncio.ensure_future(fleet.async_ask(entry, PATH))
+            await async_until(lambda: any(it.requests for it in late))
+            if end == 'caller_left':
+                asked.cancel()
+            else:
+                response = await asked
+                assert response.headers['x-missing-parts'] == '1'
+            assert not any(it.pauses_told for it in late)
+            await async_until(lambda: any(it.pauses_told for it in late))
+            await async_until(lambda: not all_in_use(entry, late))
+            assert count_outcomes(entry) == {end: 1}
+
     async def test_pause_told_to_the_entry_instance_reaches_the_gatherer(self):
         async with fleet_with_entry() as (fleet, entry, gatherer):
             paused = fleet.targets[:SHARDS]
