--- a/bitternturn/relay/group_keys.py
+++ b/bitternturn/relay/group_keys.py
@@ -19,7 +19,9 @@
         self, service: ServiceName, wide_services: Set[ServiceName]
     ) -> str:
         """Return the key of the shard group of a service of a wide route."""
-        self._update(wide_services)
+        if wide_services is not self.wide_services:
+            self.wide_services = wide_services
+            self.keys.clear()
         key = self.keys.get(service)
         if key is None:
             groups = count_groups(len(wide_services), const.SHARDS_PER_PEER)
@@ -33,9 +35,3 @@
             return []
         groups = count_groups(len(wide_services), const.SHARDS_PER_PEER)
         return [str(group) for group in range(groups)]
-
-    def _update(self, wide_services: Set[ServiceName]) -> None:
-        """Forget the keys if the services have changed."""
-        if wide_services is not self.wide_services:
-            self.wide_services = wide_services
-            self.keys.clear()
