Pass on what targets announce after the end of a gathered request

A target that answers a detached send tells the gatherer alone: its response has left, or the caller has.

--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -2,7 +2,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Final
@@ -281,6 +281,8 @@
     from_peer: bool = False
     # Whether each target that it was sent to has replied.
     replies: dict[TargetId, bool] = field(default_factory=dict)
+    # Called with the target of each send that ends after its part or the request.
+    on_detached_end: Callable[[TargetId], None] | None = None
     # Name of the tenant, which targets get; empty without one.
     tenant: str = ''
     # Priority of the tenant, else of the route; 0 is the most urgent.
--- a/bitternturn/gateway/target.py
+++ b/bitternturn/gateway/target.py
@@ -502,6 +502,8 @@
         self._record_end(send, outcome, took_s)
         if send.on_end is not None:
             send.on_end(send, outcome, answer)
+        elif send.caller.on_detached_end is not None:
+            send.caller.on_detached_end(self.entry.id)
         if self.queued.order:
             self._open_connections()
 
--- a/bitternturn/relay/delegation.py
+++ b/bitternturn/relay/delegation.py
@@ -32,7 +32,9 @@
 from bitternturn.relay.outgoing_gather import PeerGatherers
 from bitternturn.relay.peer import Peer
 from bitternturn.relay.quota_messages import PeerQuotaMessages
+from bitternturn.relay.target_notices import apply_notices
 from bitternturn.relay.traffic import RelayTraffic
+from bitternturn.schema.relay_pb2 import Notices
 
 # Name of the peer, id of the request, and whether the peer's budget has to allow
 # the sends.
@@ -135,8 +137,14 @@
             now=self.gateway.now,
             traffic=self.traffic,
             on_cut_off=self._handle_peer_cut_off,
+            on_notices=self._handle_notices,
         )
 
+    def _handle_notices(self, notices: Notices) -> None:
+        """Apply what targets have announced to a peer."""
+        now = self.gateway.now()
+        apply_notices(self.gateway, notices.by_target, since=now)
+
     def _handle_peer_cut_off(self, domains: Sequence[FailureDomain]) -> None:
         """Find out whether this instance is cut off as well."""
         self.gateway.links.check_idle(domains, self.gateway.now())
--- a/bitternturn/relay/incoming_gather.py
+++ b/bitternturn/relay/incoming_gather.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from bitternturn.core.clock import MS_PER_SECOND
-from bitternturn.core.ids import RouteName
+from bitternturn.core.ids import RouteName, TargetId
 from bitternturn.core.tasks import TaskSet
 from bitternturn.gateway.gateway import Gateway
 from bitternturn.gateway.gatherers import gatherer_deadlines
@@ -11,12 +11,17 @@
 from bitternturn.http.models import Response
 from bitternturn.policy.gatherer_selection import may_gather
 from bitternturn.relay.connection import RelayConnection
-from bitternturn.relay.target_notices import apply_notices, list_heard
+from bitternturn.relay.target_notices import (
+    apply_notices,
+    find_notice,
+    list_heard,
+)
 from bitternturn.schema.relay_pb2 import (
     Answer,
     Frame,
     Gather,
     Gathered,
+    Notices,
     Receipt,
 )
 
@@ -51,6 +56,7 @@
             from_peer=True,
             tenant=request.tenant,
             priority=request.priority,
+            on_detached_end=self._handle_detached_end,
         )
         self.task: asyncio.Task[None] | None = None
         # Tells the peer that the request goes on after the time aimed at.
@@ -149,6 +155,16 @@
             )
         )
 
+    def _handle_detached_end(self, name: TargetId) -> None:
+        """Pass on what a target has announced since the end of the request."""
+        if not self.finished:
+            # The response will state it.
+            return
+        notice = find_notice(self.gateway, name)
+        if notice is not None:
+            notices = Notices(by_target={name: notice})
+            self.connection.send(Frame(notices=notices))
+
     def _confirm(self) -> None:
         """Tell the peer that this instance is at work on the request."""
         self._send(Frame(receipt=Receipt()))
--- a/bitternturn/relay/peer.py
+++ b/bitternturn/relay/peer.py
@@ -14,7 +14,12 @@
 from bitternturn.relay.connection import RelayConnection, async_open_connection
 from bitternturn.relay.peer_link import PeerLink
 from bitternturn.relay.traffic import RelayTraffic
-from bitternturn.schema.relay_pb2 import Frame, Links, Receipt
+from bitternturn.schema.relay_pb2 import (
+    Frame,
+    Links,
+    Notices,
+    Receipt,
+)
 
 
 @unique
@@ -31,6 +36,8 @@
 ReplyHandler = Callable[[Frame | PeerFailure], None]
 # Called with the failure domains from which a peer is cut off.
 CutOffListener = Callable[[Sequence[FailureDomain]], None]
+# Called with what targets have announced to a peer.
+NoticesListener = Callable[[Notices], None]
 # Returns a request when it is written, None if it is no longer wanted.
 FrameMaker = Callable[[], Frame | None]
 
@@ -59,9 +66,11 @@
         now: Callable[[], float],
         traffic: RelayTraffic,
         on_cut_off: CutOffListener,
+        on_notices: NoticesListener,
     ) -> None:
         """Initialise without a connection."""
         self.on_cut_off = on_cut_off
+        self.on_notices = on_notices
         self.traffic = traffic
         self.name = name
         self.address = address
@@ -232,13 +241,16 @@
         connection.send(frame)
 
     def _on_frame(self, connection: RelayConnection, frame: Frame) -> None:
-        """Pass a reply to its handler; apply a leaving notice."""
+        """Pass a reply to its handler; apply what the peer states."""
         if frame.HasField('leaving'):
             self.backoff_until = self.now() + const.LEAVING_BACKOFF_S
             return
         if frame.HasField('links'):
             self._update_links(frame.links)
             return
+        if frame.HasField('notices'):
+            self.on_notices(frame.notices)
+            return
         self.reset_backoff()
         request = self.pending.get(frame.number)
         if request is not None:
--- a/bitternturn/relay/target_notices.py
+++ b/bitternturn/relay/target_notices.py
@@ -71,10 +71,19 @@
         outcome = SendOutcome.ANSWERED if replied else SendOutcome.LOST
         part = _make_notice(target, outcome)
         lifted = replied and name in known
-        if part.leaving or part.pause_ms or part.limit_per_s or lifted:
+        if lifted or _has_news(part):
             yield name, part
 
 
+def find_notice(pool: TargetPool, name: TargetId) -> Part | None:
+    """Return what a target has announced, None if it wants requests."""
+    target = pool.targets.get(name)
+    if target is None:
+        return None
+    part = _make_notice(target, SendOutcome.LOST)
+    return part if _has_news(part) else None
+
+
 def apply_notices(
     pool: TargetPool, notices: Mapping[str, Part], *, since: float
 ) -> None:
@@ -97,6 +106,11 @@
     return part
 
 
+def _has_news(part: Part) -> bool:
+    """Return whether a notice states anything that a target has announced."""
+    return part.leaving or part.pause_ms > 0 or part.limit_per_s > 0
+
+
 def _add_rate_limit(part: Part, target: Target) -> None:
     """Add the rate limit that a target has named, if any."""
     limit = target.announcement.rate_limit
--- a/tests/relay/test_peer.py
+++ b/tests/relay/test_peer.py
@@ -56,6 +56,7 @@
         now=time.monotonic,
         traffic=TRAFFIC,
         on_cut_off=lambda domains: None,
+        on_notices=lambda notices: None,
     )
     yield instance, peer
     await tasks.async_stop()
