Pause between the steps of reading a large object

The test measures processor time, so that load was not the cause: the search for slow numbers took 127 ms in one piece, the search for brackets 50 ms for each object without any, and the checks and the decoding of the configuration had no pause between them.

Now each of them pauses.

--- a/bitternturn/core/json_scan.py
+++ b/bitternturn/core/json_scan.py
@@ -17,10 +17,12 @@
 # Tokens between two pauses: 1 to 2 ms.
 TOKENS_PER_PAUSE: Final = 4096
 
-# The next brackets, after strings and anything else. Possessive quantifiers keep
-# the search linear.
+# Strings and anything else up to the next brackets, as far as one pause allows.
+# Possessive quantifiers keep the search linear.
 _BRACKETS: Final = re.compile(
-    rb'(?:[^"\[\]{}]++|"(?:[^"\\]++|\\.)*+")*+([\[{]++|[\]}]++)', re.DOTALL
+    rb'(?:[^"\[\]{}]++|"(?:[^"\\]++|\\.)*+"){0,%d}+([\[{]++|[\]}]++)?+'
+    % TOKENS_PER_PAUSE,
+    re.DOTALL,
 )
 _SPACE: Final = re.compile(rb'\s*+')
 _KEY: Final = re.compile(rb'\s*+"((?:[^"\\]++|\\.)*+)"\s*+:\s*+', re.DOTALL)
@@ -45,9 +47,12 @@
     count = 0
     while True:
         brackets = _BRACKETS.match(body, position)
-        if brackets is None:
+        if brackets is None or brackets.end() == position:
             raise ScanError(start)
         position = brackets.end()
+        if brackets.group(1) is None:
+            yield
+            continue
         first = brackets.start(1)
         length = position - first
         if body[first] in b'[{':
--- a/bitternturn/platform/object_messages.py
+++ b/bitternturn/platform/object_messages.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import re
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -50,6 +51,9 @@
 _SLOW_NUMBER: Final = re.compile(
     rb'[\[:,\s]-?(?:[\d.]{17}|\d[\d.]*+[eE])', re.ASCII
 )
+# The longest match of it: what precedes the number, a sign, 17 characters, and an
+# exponent.
+MAX_SLOW_MATCH_BYTES: Final = 20
 # Begin of the next object, or end of the array.
 _NEXT_OBJECT: Final = re.compile(
     rb',\s*+\{\s*+"(?:meta|object|deleted)"\s*+:'
@@ -225,9 +229,7 @@
         meta = yield from _read_meta(raw)
         if meta is not None and _may_be_large(self.kind, meta.name):
             try:
-                large: PlatformObject = _decode_bounded(
-                    raw, PlatformObject, may_be_large=True
-                )
+                large: PlatformObject = yield from _decode_large(raw)
             except UnreadableError as error:
                 cause = str(error)
             else:
@@ -295,15 +297,45 @@
     )
 
 
+def _decode_large(raw: bytes) -> Paused[PlatformObject]:
+    """Decode an object that may be large, with pauses between the steps."""
+    yield from _check_large(raw)
+    yield
+    stored: PlatformObject = _decode(raw, PlatformObject, may_be_large=True)
+    return stored
+
+
 def _decode_bounded(raw: bytes, model: Any, may_be_large: bool = False) -> Any:
     """Decode JSON unless it takes too long; raises UnreadableError."""
-    if len(raw) > MAX_OBJECT_BYTES:
-        if not may_be_large:
-            raise UnreadableError('too large')
-        if raw.count(b'[') + raw.count(b'{') > MAX_CONTAINERS:
-            raise UnreadableError('too many values')
-        if len(_SLOW_NUMBER.findall(raw)) > MAX_SLOW_NUMBERS:
+    if may_be_large:
+        deque(_check_large(raw), maxlen=0)
+    elif len(raw) > MAX_OBJECT_BYTES:
+        raise UnreadableError('too large')
+    return _decode(raw, model, may_be_large=may_be_large)
+
+
+def _check_large(raw: bytes) -> Paused[None]:
+    """Raise UnreadableError if an object that may be large takes too long."""
+    if len(raw) <= MAX_OBJECT_BYTES:
+        return
+    if raw.count(b'[') + raw.count(b'{') > MAX_CONTAINERS:
+        raise UnreadableError('too many values')
+    slow_numbers = 0
+    for start in range(0, len(raw), BYTES_PER_PAUSE):
+        yield
+        slow_numbers += _count_slow_numbers(raw, start, start + BYTES_PER_PAUSE)
+        if slow_numbers > MAX_SLOW_NUMBERS:
             raise UnreadableError('too many long numbers')
+
+
+def _count_slow_numbers(raw: bytes, start: int, end: int) -> int:
+    """Return how many slow numbers begin between two positions."""
+    found = _SLOW_NUMBER.finditer(raw, start, end + MAX_SLOW_MATCH_BYTES)
+    return sum(number.start() < end for number in found)
+
+
+def _decode(raw: bytes, model: Any, *, may_be_large: bool) -> Any:
+    """Decode JSON; raises UnreadableError."""
     try:
         if may_be_large and len(raw) <= MAX_TOLERANT_BYTES:
             return decode_tolerantly(raw, model)
--- a/tests/platform/test_unreadable_objects.py
+++ b/tests/platform/test_unreadable_objects.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from bitternturn.core.tasks import TaskSet
+from bitternturn.platform import object_messages
 from bitternturn.platform.models import ApiResponse
+from bitternturn.platform.object_messages import (
+    BYTES_PER_PAUSE,
+    UnreadableError,
+)
 from bitternturn.platform.store import PlatformStore
 from bitternturn.platform.store_follower import StoreFollower
 from bitternturn.platform.suspect_store import SuspectStore
@@ -359,6 +364,27 @@
         assert instance.gateway.fleet_state.domains_out == {'south'}
 
 
+class TestSlowNumbers:
+    """Numbers that are slow to decode are counted between pauses."""
+
+    @pytest.mark.parametrize('shift', [0, 1, 2, 10, 18, 19])
+    @pytest.mark.parametrize('number', [b'-1.797693134862315708', b'-123456e3'])
+    def test_number_at_a_pause_is_counted_once(
+        self, monkeypatch, number, shift
+    ):
+        raw = b'[1%b,%b]' % (b' ' * (BYTES_PER_PAUSE - 2 - shift), number)
+        monkeypatch.setattr(object_messages, 'MAX_SLOW_NUMBERS', 1)
+        decode_main(raw)
+        monkeypatch.setattr(object_messages, 'MAX_SLOW_NUMBERS', 0)
+        with pytest.raises(UnreadableError, match='long numbers'):
+            decode_main(raw)
+
+
+def decode_main(raw):
+    """Decode a configuration that a peer has sent."""
+    return object_messages.decode_spec('config', 'main', raw)
+
+
 class TestTime:
     @pytest.mark.parametrize('kind', ['servers', 'config', 'evacuations'])
     @pytest.mark.parametrize('name', LARGE)
