Show that a request may reach too many targets after a gatherer is lost

The entry instance counts a lost gatherer as one try of each part, also if that has hedged, and sends the parts again.

--- a/tests/relay/test_gatherers.py
+++ b/tests/relay/test_gatherers.py
@@ -181,6 +181,30 @@
             assert response.status == 502
             assert not count_runs(fleet)
 
+    async def test_hedges_of_a_lost_peer_count_as_tries(self):
+        """Guards against requests that reach more targets than allowed."""
+        async with fleet_with_entry(
+            max_targets=2, latency_objective_s=1
+        ) as (fleet, entry, gatherer):
+            await fleet.async_ask(entry, PATH)
+            let_hang(fleet)
+            for target in fleet.targets:
+                target.requests.clear()
+            asked = asyncio.ensure_future(fleet.async_ask(entry, PATH))
+            await async_until(lambda: count_runs(fleet) >= 2 * SHARDS)
+            # The entry instance would choose other targets than the peer.
+            for target in fleet.targets:
+                if target.requests:
+                    known = entry.gateway.targets[TargetId(target.id)]
+                    known.announce_pause(PATIENT_S)
+            name = gatherer.gateway.settings.name
+            entry.delegation.peers[name].connection.close()
+            await asked
+            assert count_outcomes(entry) == {'answered': 1, 'lost': 1}
+            for shard in range(SHARDS):
+                replicas = fleet.targets[shard::SHARDS]
+                assert sum(bool(it.requests) for it in replicas) <= 2
+
     async def test_second_receipt_keeps_the_request_with_the_peer(self):
         """Too few parts are answered in time; the peer goes on."""
         async with fleet_with_entry(
