Do not send parts again that a lost gatherer may have hedged

An entry instance gave a gatherer up and sent the parts again, counting one try of each, but the gatherer had hedged some.

The entry instance now returns the receipt of a gatherer, which sends each part to one target only until then. So a request that is lost before the receipt counts as one try, as before, and one that is lost after it ends with 502: all targets may be used up, and the caller may try again.

--- a/bitternturn/gateway/execution.py
+++ b/bitternturn/gateway/execution.py
@@ -319,7 +319,8 @@
         target: Target | None = None
         # Targets that may be used again.
         repeated = set(part.tried_targets)
-        if len(part.tried_targets) < self.route.max_targets:
+        max_targets = self.route.max_targets if self.caller.may_repeat else 1
+        if len(part.tried_targets) < max_targets:
             repeated |= part.unusable_targets
             avoided = [*part.tried_targets, *part.unusable_targets]
             target = self.dispatcher.select_target(
--- a/bitternturn/gateway/gatherers.py
+++ b/bitternturn/gateway/gatherers.py
@@ -39,6 +39,8 @@
     response: Response | None = None
     # Whether a target may have run the request.
     maybe_run: bool = False
+    # Whether each part may have been sent to as many targets as are allowed.
+    exhausted: bool = False
 
 
 class Gatherers(Protocol):
@@ -103,6 +105,8 @@
         if not caller.maybe_run:
             instance.quotas.give_back(caller)
         return end.response
+    if end.exhausted:
+        return RefusalReason.FAILED
     # The configuration may have changed meanwhile.
     current = instance.route_table.match(caller.host, caller.path)
     if current is not None and current.shards:
--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -279,6 +279,9 @@
     api_key: bytes | None = field(default=None, repr=False)
     # Whether a peer has received the request, and has checked its key.
     from_peer: bool = False
+    # Whether a part may be sent to another target after the first one. Else a peer
+    # may do so that has not heard of this instance.
+    may_repeat: bool = True
     # Whether each target that it was sent to has replied.
     replies: dict[TargetId, bool] = field(default_factory=dict)
     # Called with the target of each send that ends after its part or the request.
--- a/bitternturn/relay/incoming_gather.py
+++ b/bitternturn/relay/incoming_gather.py
@@ -56,6 +56,7 @@
             from_peer=True,
             tenant=request.tenant,
             priority=request.priority,
+            may_repeat=False,
             on_detached_end=self._handle_detached_end,
         )
         self.task: asyncio.Task[None] | None = None
@@ -84,6 +85,10 @@
         """End the request, whose response is no longer wanted."""
         self.stop()
 
+    def confirm(self) -> None:
+        """Send to further targets as well, as the peer has the receipt."""
+        self.caller.may_repeat = True
+
     def stop(self) -> None:
         """End the request: the connection to the peer is lost."""
         self._stop_timer()
--- a/bitternturn/relay/outgoing_gather.py
+++ b/bitternturn/relay/outgoing_gather.py
@@ -24,6 +24,7 @@
     Gather,
     Gathered,
     Header,
+    Receipt,
 )
 
 
@@ -120,6 +121,10 @@
         if not self.confirmed:
             aim_at = deadlines.soft_deadline + const.REPORT_GRACE_S
             due_at = min(due_at, aim_at)
+        if not self.confirmed:
+            # Lets the peer send to further targets, on which this instance then
+            # counts.
+            self.peer.send_followup(self.number, Frame(receipt=Receipt()))
         self.confirmed = True
         self._expect_message(due_at - self.gateway.now())
 
@@ -242,7 +247,11 @@
             self.under_way.discard(gather)
         self._report(gather, outcome.value, now)
         lost = outcome is GatherOutcome.LOST
-        return GatherEnd(response=response, maybe_run=caller.maybe_run or lost)
+        return GatherEnd(
+            response=response,
+            maybe_run=caller.maybe_run or lost,
+            exhausted=lost and gather.confirmed,
+        )
 
     def expire(self) -> None:
         """Give up the requests under way, since this instance stops."""
--- a/bitternturn/relay/server.py
+++ b/bitternturn/relay/server.py
@@ -165,10 +165,19 @@
         elif frame.HasField('follow'):
             self.tasks.spawn(self._async_follow(connection, frame))
         elif frame.HasField('receipt'):
-            connection.send(self._describe_links())
+            self._handle_receipt(connection, batches.get(frame.number))
         else:
             self._handle_news(connection, frame)
 
+    def _handle_receipt(
+        self, connection: RelayConnection, known: IncomingWork | None
+    ) -> None:
+        """Handle the receipt of a receipt, else the first message of a peer."""
+        if isinstance(known, IncomingGather):
+            known.confirm()
+        else:
+            connection.send(self._describe_links())
+
     def _make_work(
         self, connection: RelayConnection, frame: Frame
     ) -> IncomingWork | None:
--- a/tests/relay/test_gatherers.py
+++ b/tests/relay/test_gatherers.py
@@ -9,6 +9,7 @@
 
 from bitternturn.core.ids import TargetId
 from bitternturn.gateway.models import SendOutcome
+from bitternturn.relay import const
 from bitternturn.relay.connection import RelayConnection
 from bitternturn.relay.incoming_gather import IncomingGather
 from bitternturn.schema.relay_pb2 import Answer, Frame, Gathered
@@ -52,6 +53,11 @@
         target.script = lambda _: ScriptedBehaviour.HANG
 
 
+def wait_for_receipts(monkeypatch):
+    """Let no entry instance give a peer up because the host is busy."""
+    monkeypatch.setattr(const, 'GATHER_RECEIPT_TIMEOUT_S', 0.5)
+
+
 def make_busy(gateway):
     """Let an instance measure that it is busy all the time."""
     gateway.pauses.load.share = 1
@@ -181,11 +187,14 @@
             assert response.status == 502
             assert not count_runs(fleet)
 
-    async def test_hedges_of_a_lost_peer_count_as_tries(self):
+    async def test_hedges_of_a_lost_peer_count_as_tries(self, monkeypatch):
         """Guards against requests that reach more targets than allowed."""
-        async with fleet_with_entry(
-            max_targets=2, latency_objective_s=1
-        ) as (fleet, entry, gatherer):
+        wait_for_receipts(monkeypatch)
+        async with fleet_with_entry(max_targets=2, latency_objective_s=1) as (
+            fleet,
+            entry,
+            gatherer,
+        ):
             await fleet.async_ask(entry, PATH)
             let_hang(fleet)
             for target in fleet.targets:
@@ -199,12 +208,29 @@
                     known.announce_pause(PATIENT_S)
             name = gatherer.gateway.settings.name
             entry.delegation.peers[name].connection.close()
-            await asked
+            assert (await asked).status == 502
             assert count_outcomes(entry) == {'answered': 1, 'lost': 1}
             for shard in range(SHARDS):
                 replicas = fleet.targets[shard::SHARDS]
                 assert sum(bool(it.requests) for it in replicas) <= 2
 
+    async def test_peer_sends_once_until_it_is_known_to_have_the_request(
+        self, monkeypatch
+    ):
+        """The entry instance may give it up and send the parts itself."""
+        wait_for_receipts(monkeypatch)
+        async with fleet_with_entry(max_targets=2, latency_objective_s=1) as (
+            fleet,
+            entry,
+            _,
+        ):
+            await fleet.async_ask(entry, PATH)
+            monkeypatch.setattr(IncomingGather, 'confirm', lambda work: None)
+            let_hang(fleet)
+            await fleet.async_ask(entry, PATH)
+            assert count_outcomes(entry) == {'answered': 2}
+            assert count_runs(fleet) == 2 * SHARDS
+
     async def test_second_receipt_keeps_the_request_with_the_peer(self):
         """Too few parts are answered in time; the peer goes on."""
         async with fleet_with_entry(
