--- a/bitternturn/gateway/models.py
+++ b/bitternturn/gateway/models.py
@@ -279,8 +279,8 @@
     api_key: bytes | None = field(default=None, repr=False)
     # Whether a peer has received the request, and has checked its key.
     from_peer: bool = False
-    # Whether a part may be sent to another target after the first one. Else a peer
-    # may do so that has not heard of this instance.
+    # Whether a part may be sent to more than one target. Until a peer knows that this
+    # instance gathers its request, it may send the parts itself.
     may_repeat: bool = True
     # Whether each target that it was sent to has replied.
     replies: dict[TargetId, bool] = field(default_factory=dict)
--- a/bitternturn/relay/incoming_gather.py
+++ b/bitternturn/relay/incoming_gather.py
@@ -86,7 +86,7 @@
         self.stop()
 
     def confirm(self) -> None:
-        """Send to further targets as well, as the peer has the receipt."""
+        """Allow hedges and retries, as the peer has the receipt."""
         self.caller.may_repeat = True
 
     def stop(self) -> None:
--- a/bitternturn/relay/outgoing_gather.py
+++ b/bitternturn/relay/outgoing_gather.py
@@ -122,8 +122,7 @@
             aim_at = deadlines.soft_deadline + const.REPORT_GRACE_S
             due_at = min(due_at, aim_at)
         if not self.confirmed:
-            # Lets the peer send to further targets, on which this instance then
-            # counts.
+            # From now on the peer may use all targets that the route allows.
             self.peer.send_followup(self.number, Frame(receipt=Receipt()))
         self.confirmed = True
         self._expect_message(due_at - self.gateway.now())
--- a/bitternturn/relay/target_notices.py
+++ b/bitternturn/relay/target_notices.py
@@ -76,7 +76,7 @@
 
 
 def find_notice(pool: TargetPool, name: TargetId) -> Part | None:
-    """Return what a target has announced, None if it wants requests."""
+    """Return what a target has announced, None if nothing holds any longer."""
     target = pool.targets.get(name)
     if target is None:
         return None
